--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+MODULES := core wire platform caller entry ctl standin bench
+TOOL := GOWORK=off go tool -modfile=$(CURDIR)/tools/go.mod
+PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+.PHONY: build test check demo generate fmt soak measure slopes
+
+build:
+	go build -o bin/ $(PACKAGES)
+
+test: build
+	go test -count=1 $(PACKAGES)
+
+# check runs the formatter, go vet, staticcheck, revive and the generated code check.
+check:
+	@test -z "$$(gofmt -s -l $(MODULES))" || { gofmt -s -l $(MODULES); echo "run make fmt"; exit 1; }
+	go vet $(PACKAGES)
+	bash .ci/lint
+
+fmt:
+	gofmt -s -w $(MODULES)
+
+generate:
+	bash .ci/generate wire
+
+demo: build
+	bin/marigold-bench demo
+
+soak: build
+	bin/marigold-bench soak
+
+measure: build
+	bin/marigold-bench measure
+
+slopes: build
+	bin/marigold-bench slopes
--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench is the root of its module; see docs/design.md.
+package bench
--- /dev/null
+++ b/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller is the root of its module; see docs/design.md.
+package caller
--- /dev/null
+++ b/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl is the root of its module; see docs/design.md.
+package ctl
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is the root of its module; see docs/design.md.
+package entry
