--- /dev/null
+++ b/core/dispatch/config.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"time"
+
+	"marigoldfront.dev/core/session"
+)
+
+// Config holds the identity of the instance and its bounds.
+type Config struct {
+	// Instance is the name of the entry instance.
+	Instance string
+	// Incarnation identifies this run of the process; it is never 0.
+	Incarnation uint64
+
+	MaxSessions int
+	// IdleAfter is the time without a request after which a session may be
+	// evicted.
+	IdleAfter time.Duration
+	// Answers bounds the kept answers.
+	Answers session.Limits
+
+	// MaxQueuedTasks and MaxQueuedBytes bound the waiting tasks and their
+	// payloads.
+	MaxQueuedTasks int
+	MaxQueuedBytes int
+
+	MaxTasks   int
+	MaxTimeout time.Duration
+	// StartWithin is the longest time between the decision to start a task
+	// and its send.
+	StartWithin time.Duration
+	// MaxRefusals bounds the attempts of a task that did not run.
+	MaxRefusals int
+	// LeaseGrace is the time after the end of a lease during which the report
+	// of an attempt is still expected. Then its slot counts as free.
+	LeaseGrace time.Duration
+	// RemoteWait is the longest time to wait for an answer of a predecessor.
+	RemoteWait time.Duration
+}
+
+// DefaultConfig returns the bounds of the design for an instance.
+func DefaultConfig(instance string, incarnation uint64) Config {
+	return Config{
+		Instance:    instance,
+		Incarnation: incarnation,
+		MaxSessions: 20_000,
+		IdleAfter:   time.Hour,
+		Answers: session.Limits{
+			Answers:    256,
+			Bytes:      1 << 20,
+			TotalBytes: 64 << 20,
+			Age:        10 * time.Minute,
+		},
+		MaxQueuedTasks: 20_000,
+		MaxQueuedBytes: 64 << 20,
+		MaxTasks:       550,
+		MaxTimeout:     10 * time.Minute,
+		StartWithin:    2 * time.Second,
+		MaxRefusals:    16,
+		LeaseGrace:     time.Second,
+		RemoteWait:     10 * time.Minute,
+	}
+}
--- /dev/null
+++ b/core/dispatch/sessions.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"marigoldfront.dev/core/answer"
+	"marigoldfront.dev/core/finding"
+	"marigoldfront.dev/core/session"
+)
+
+// String returns the id in the form incarnation/number.
+func (id SessionID) String() string {
+	return fmt.Sprintf("%x/%d", id.Incarnation, id.Number)
+}
+
+// String returns the id in the form incarnation/number/seq.
+func (id JobID) String() string {
+	return fmt.Sprintf("%s/%d", id.Session, id.Seq)
+}
+
+func (d *Dispatcher) openSession(ev OpenSession) {
+	switch {
+	case d.draining:
+		d.reject(ev.Request, 503, "session", "the instance is draining")
+		return
+	case d.dir == nil:
+		d.reject(ev.Request, 503, "session", "the instance has no configuration")
+		return
+	}
+	if _, ok := d.dir.State.Callers[ev.Caller]; !ok {
+		d.reject(ev.Request, 403, "caller", "caller %q is not configured", ev.Caller)
+		return
+	}
+	if !d.makeRoom() {
+		d.reject(ev.Request, 429, "session", "the instance holds %d sessions and none is idle", len(d.sessions))
+		return
+	}
+	d.nextSession++
+	id := SessionID{Incarnation: d.cfg.Incarnation, Number: d.nextSession}
+	d.addSession(id, session.New(ev.Caller))
+	d.emit(ReplySession{Request: ev.Request, Session: id})
+}
+
+func (d *Dispatcher) addSession(id SessionID, s *session.Session) *sessionEntry {
+	e := &sessionEntry{Session: s, id: id, lastUsed: d.now}
+	e.use = d.byUse.PushBack(e)
+	d.sessions[id] = e
+	return e
+}
+
+// makeRoom evicts the least recently used session if the table is full and
+// that session is idle. It reports whether there is room for one more.
+func (d *Dispatcher) makeRoom() bool {
+	if len(d.sessions) < d.cfg.MaxSessions {
+		return true
+	}
+	e := d.byUse.Front().Value.(*sessionEntry)
+	if e.active > 0 || d.now.Sub(e.lastUsed) < d.cfg.IdleAfter {
+		return false
+	}
+	d.stats.EvictedSessions++
+	d.removeSession(e)
+	return true
+}
+
+// removeSession forgets a session. Its ids are answered Unknown from then on.
+func (d *Dispatcher) removeSession(e *sessionEntry) {
+	d.check(e.active == 0, "session %s is removed with %d active jobs", e.id, e.active)
+	e.Close(d.keeper)
+	d.byUse.Remove(e.use)
+	delete(d.sessions, e.id)
+	if e.id.Incarnation != d.cfg.Incarnation {
+		d.removed[e.id] = struct{}{}
+	}
+}
+
+// find returns the session of a request if the caller owns it, and replies
+// otherwise.
+func (d *Dispatcher) find(req RequestID, id SessionID, caller string) *sessionEntry {
+	e := d.sessions[id]
+	if e == nil {
+		d.answerRequest(req, d.unknownSession(id))
+		return nil
+	}
+	if e.Caller != caller {
+		d.reject(req, 403, "session", "the session belongs to another caller")
+		return nil
+	}
+	e.lastUsed = d.now
+	d.byUse.MoveToBack(e.use)
+	return e
+}
+
+func (d *Dispatcher) unknownSession(id SessionID) answer.Unknown {
+	r := answer.Reason{Code: answer.CodeSessionUnknown, Message: "the session is closed or was evicted"}
+	if id.Incarnation != d.cfg.Incarnation {
+		r = answer.Reason{Code: answer.CodeHomeReplaced, Message: "the session's home has ended"}
+	}
+	return answer.Unknown{Reason: r}
+}
+
+func (d *Dispatcher) acknowledge(ev Acknowledge) {
+	e := d.find(ev.Request, ev.Session, ev.Caller)
+	switch {
+	case e == nil:
+	case d.isMoved(e):
+		d.moved(ev.Request)
+	case !e.CanAcknowledge(ev.Below):
+		d.reject(ev.Request, 422, "acknowledged_below", "the number is outside of the window at %d", e.LowWater())
+	default:
+		e.Acknowledge(ev.Below, d.keeper)
+		d.emit(ReplyDone{Request: ev.Request})
+	}
+}
+
+// closeSession cancels the session's jobs before it forgets the session.
+func (d *Dispatcher) closeSession(ev CloseSession) {
+	e := d.find(ev.Request, ev.Session, ev.Caller)
+	switch {
+	case e == nil:
+		return
+	case d.isMoved(e):
+		d.moved(ev.Request)
+		return
+	}
+	for _, r := range e.Records() {
+		if j := d.jobs[JobID{Session: e.id, Seq: r.Seq}]; j != nil && r.Running {
+			d.cancelJob(j)
+		}
+	}
+	d.removeSession(e)
+	d.emit(ReplyDone{Request: ev.Request})
+}
+
+// cancelJob ends a job that nobody wants any more.
+func (d *Dispatcher) cancelJob(j *activeJob) {
+	if j.rec == nil {
+		d.answerRemote(j, answer.Unknown{Reason: answer.Reason{
+			Code:    answer.CodeCancelled,
+			Message: "the session was closed while the job ran at its previous home",
+		}})
+		return
+	}
+	d.fail(j, answer.CodeCancelled, "the job was cancelled")
+}
+
+// isMoved says whether the successor owns the session.
+func (d *Dispatcher) isMoved(e *sessionEntry) bool {
+	return d.handedOver && e.Sealed()
+}
+
+func (d *Dispatcher) moved(req RequestID) {
+	d.stats.Moved++
+	d.emit(ReplyMoved{Request: req})
+}
+
+func (d *Dispatcher) reject(req RequestID, status int, place, format string, args ...any) {
+	var l finding.List
+	l.Add(place, format, args...)
+	d.stats.Rejected++
+	d.emit(ReplyRejected{Request: req, Status: status, Findings: l})
+}
--- /dev/null
+++ b/core/session/session.go
@@ -0,0 +1,227 @@
+// Package session holds the record of one caller session: which sequence
+// numbers are used, and the answers that are kept for them. Whether a number
+// is used never depends on time.
+package session
+
+import (
+	"container/list"
+	"fmt"
+	"slices"
+	"time"
+
+	"marigoldfront.dev/core/answer"
+)
+
+// Window is the number of sequence numbers above the low-water mark that a
+// session accepts.
+const Window = 1024
+
+// Record is one used sequence number.
+type Record struct {
+	Seq uint64
+	// Digest is over the submission's content; 0 means that it is not known,
+	// and any content matches.
+	Digest uint64
+	// Answer is nil while the job runs and once the answer is no longer kept.
+	Answer answer.Answer
+	// Running says that the answer is not final.
+	Running bool
+	// Remote says that the job runs at the home that handed the session over.
+	Remote bool
+
+	at     time.Time
+	size   int
+	own    *list.Element
+	global *list.Element
+}
+
+// Session is the record of one session. Its owner serialises all calls.
+type Session struct {
+	// Caller owns the session.
+	Caller string
+
+	low uint64
+	// acked is the mark below which the caller wants no answer any more.
+	acked   uint64
+	records map[uint64]*Record
+	sealed  bool
+	kept    *list.List
+	bytes   int
+}
+
+// New returns a session without used numbers.
+func New(caller string) *Session {
+	return &Session{Caller: caller, low: 1, records: map[uint64]*Record{}, kept: list.New()}
+}
+
+// Restore returns a session as it was handed over, with the low-water mark
+// and no records; they are added with Adopt.
+func Restore(caller string, low uint64) *Session {
+	s := New(caller)
+	s.low = max(low, 1)
+	return s
+}
+
+// State says what is known of a sequence number.
+type State int
+
+// The states of a sequence number.
+const (
+	// Fresh numbers were never used and may be.
+	Fresh State = iota + 1
+	// Known numbers were used and have a record.
+	Known
+	// Used numbers were used, or given up by the caller, and have no record.
+	Used
+	// Outside numbers are 0 or above the window.
+	Outside
+)
+
+// Look returns the state of a number, with its record if it is Known.
+func (s *Session) Look(seq uint64) (State, *Record) {
+	if r := s.records[seq]; r != nil {
+		return Known, r
+	}
+	switch {
+	case seq == 0:
+		return Outside, nil
+	case seq < s.low:
+		return Used, nil
+	case seq-s.low >= Window:
+		return Outside, nil
+	}
+	return Fresh, nil
+}
+
+// Admit marks a number as used and returns its record, which is Running. It
+// panics if the session is sealed or the number is not Fresh (P1).
+func (s *Session) Admit(seq, digest uint64) *Record {
+	if s.sealed {
+		panic(fmt.Sprintf("session of %s: admit %d after the seal", s.Caller, seq))
+	}
+	return s.use(seq, digest)
+}
+
+// Refuse marks a number as used for a submission that will never run. Unlike
+// Admit it is allowed after the seal, as long as no successor has the session.
+func (s *Session) Refuse(seq, digest uint64) *Record {
+	return s.use(seq, digest)
+}
+
+func (s *Session) use(seq, digest uint64) *Record {
+	if state, _ := s.Look(seq); state != Fresh {
+		panic(fmt.Sprintf("session of %s: second use of %d, state %d", s.Caller, seq, state))
+	}
+	r := &Record{Seq: seq, Digest: digest, Running: true}
+	s.records[seq] = r
+	s.advance()
+	return r
+}
+
+// Adopt adds a used number of a predecessor. With open set, its answer is to
+// be set with Finish, now or once the predecessor delivers it.
+func (s *Session) Adopt(seq, digest uint64, open bool) *Record {
+	r := &Record{Seq: seq, Digest: digest, Running: open, Remote: open}
+	s.records[seq] = r
+	s.advance()
+	return r
+}
+
+// advance moves the low-water mark over the used numbers that follow it and
+// forgets those without anything to keep.
+func (s *Session) advance() {
+	for {
+		r := s.records[s.low]
+		if r == nil {
+			return
+		}
+		s.low++
+		s.forget(r)
+	}
+}
+
+// forget removes a record that neither marks a number above the low-water
+// mark nor carries an answer.
+func (s *Session) forget(r *Record) {
+	if r.Seq < s.low && !r.Running && r.Answer == nil {
+		delete(s.records, r.Seq)
+	}
+}
+
+// Finish stores the final answer of a record and applies the bounds of kept
+// answers. The record's own answer may be dropped by them at once.
+func (s *Session) Finish(r *Record, a answer.Answer, now time.Time, k *Keeper) {
+	if r.Answer != nil {
+		panic(fmt.Sprintf("session of %s: second answer for %d", s.Caller, r.Seq))
+	}
+	r.Running = false
+	r.Remote = false
+	if r.Seq >= s.acked {
+		r.Answer = a
+		k.add(s, r, now)
+	}
+	s.forget(r)
+}
+
+// CanAcknowledge says whether a mark is within the window.
+func (s *Session) CanAcknowledge(below uint64) bool {
+	return below <= s.low || below-s.low <= Window
+}
+
+// Acknowledge drops the answers below a mark and moves the low-water mark
+// there. Numbers below it that were never used can no longer be.
+func (s *Session) Acknowledge(below uint64, k *Keeper) {
+	s.acked = max(s.acked, below)
+	for e := s.kept.Front(); e != nil; {
+		r := e.Value.(*Record)
+		e = e.Next()
+		if r.Seq < below {
+			k.drop(s, r)
+		}
+	}
+	for s.low < below {
+		r := s.records[s.low]
+		s.low++
+		if r != nil {
+			s.forget(r)
+		}
+	}
+	s.advance()
+}
+
+// Seal ends admission for good.
+func (s *Session) Seal() { s.sealed = true }
+
+// Sealed says whether the session admits nothing any more.
+func (s *Session) Sealed() bool { return s.sealed }
+
+// LowWater is the number below which every number counts as used.
+func (s *Session) LowWater() uint64 { return s.low }
+
+// Records returns the records in the order of their numbers.
+func (s *Session) Records() []*Record {
+	all := make([]*Record, 0, len(s.records))
+	for _, r := range s.records {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *Record) int {
+		if a.Seq < b.Seq {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Close drops all kept answers.
+func (s *Session) Close(k *Keeper) {
+	for e := s.kept.Front(); e != nil; e = s.kept.Front() {
+		k.drop(s, e.Value.(*Record))
+	}
+}
+
+// WasUsed says whether a number was used or given up by the caller.
+func (s *Session) WasUsed(seq uint64) bool {
+	state, _ := s.Look(seq)
+	return state == Known || state == Used
+}
