--- /dev/null
+++ b/core/dispatch/bench_test.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const benchTasks = 50
+
+// loop keeps a Dispatcher at a queue depth, with one start per step.
+type loop struct {
+	*bench
+	running []StartAttempt
+	seq     uint64
+	left    int
+}
+
+func (l *loop) add(actions []Action) {
+	for _, a := range actions {
+		if s, ok := a.(StartAttempt); ok {
+			l.running = append(l.running, s)
+		}
+	}
+}
+
+func (l *loop) submitJob() {
+	l.seq++
+	l.add(l.handle(Submit{Request: l.next(), Job: JobID{l.id, l.seq}, Caller: "shop",
+		AcknowledgedBelow: l.seq - min(l.seq-1, 500),
+		Submission: Submission{Service: "check", Repeatable: true, Timeout: time.Minute,
+			Digest: 1, Tasks: make([]Task, benchTasks)}}))
+}
+
+// step ends the oldest attempt and keeps the queue at its depth.
+func (l *loop) step(depth int) {
+	if l.d.policy.depth() < depth || len(l.running) == 0 {
+		l.submitJob()
+	}
+	s := l.running[0]
+	l.running = l.running[1:]
+	l.now = l.now.Add(100 * time.Microsecond)
+	l.add(l.end(s, Done{Took: 100 * time.Millisecond}))
+}
+
+// BenchmarkDispatch measures the core alone; one operation is one start with
+// its end and its share of a job of 50 tasks.
+func BenchmarkDispatch(b *testing.B) {
+	for _, targets := range []int{48, 200} {
+		for _, depth := range []int{0, 10_000} {
+			b.Run(fmt.Sprintf("targets=%d/queue=%d", targets, depth), func(b *testing.B) {
+				l := &loop{bench: newBench(b, targets, 8)}
+				for l.d.policy.depth() < depth {
+					l.submitJob()
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					l.step(depth)
+				}
+			})
+		}
+	}
+}
--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -19,6 +19,9 @@
 // session is imported any more, which is safe: its ids are answered Unknown.
 const maxRemoved = 65_536
 
+// maxSeq bounds the sequence numbers of imported records, far from overflow.
+const maxSeq = 1 << 62
+
 // drain seals every session. Sealing comes before anything is handed over, so
 // that no submission is admitted at two homes.
 func (d *Dispatcher) drain(ev Drain) {
@@ -97,7 +100,7 @@
 	}
 	_, removed := d.removed[r.Session]
 	own := r.Session.Incarnation == d.cfg.Incarnation
-	if removed || own || len(d.removed) >= maxRemoved || !d.makeRoom() {
+	if removed || own || r.LowWater > maxSeq || len(d.removed) >= maxRemoved || !d.makeRoom() {
 		d.stats.RefusedImports++
 		return
 	}
@@ -110,7 +113,7 @@
 
 func (d *Dispatcher) importJob(e *sessionEntry, k JobRecord) {
 	open := k.Running || k.Answer != nil
-	if state, _ := e.Look(k.Seq); k.Seq == 0 || state == session.Known || (state == session.Used && !open) {
+	if state, _ := e.Look(k.Seq); k.Seq == 0 || k.Seq > maxSeq || state == session.Known || (state == session.Used && !open) {
 		return
 	}
 	record := e.Adopt(k.Seq, k.Digest, open)
