--- /dev/null
+++ b/core/ticket/ticket.go
@@ -0,0 +1,112 @@
+// Package ticket holds numbered change tickets, the only way to change the
+// configuration.
+package ticket
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"marigoldfront.dev/core/directory"
+	"marigoldfront.dev/core/finding"
+)
+
+// MaxBytes is the largest encoded ticket; the store holds values up to 1 MB.
+const MaxBytes = 1_000_000
+
+const (
+	maxNonceBytes = 64
+	maxTextBytes  = 2000
+)
+
+// Names lists objects by kind.
+type Names struct {
+	Teams    []string `json:"teams,omitempty"`
+	Services []string `json:"services,omitempty"`
+	Callers  []string `json:"callers,omitempty"`
+	Targets  []string `json:"targets,omitempty"`
+}
+
+// Ticket is one accepted or proposed change. It carries the whole new state of
+// every object that it puts.
+type Ticket struct {
+	// Number identifies the resulting configuration; the first is 1.
+	Number uint64 `json:"number"`
+	// Base is the configuration that the ticket changes: Number - 1.
+	Base uint64 `json:"base"`
+	// Nonce distinguishes this ticket from any other of the same number. A
+	// writer whose store reply was lost recognises its own ticket by it.
+	Nonce string `json:"nonce"`
+	// Author is who wrote the ticket.
+	Author string `json:"author"`
+	// Reason is why, in the author's words.
+	Reason string `json:"reason"`
+	// CreatedUnixMS is the writer's clock in Unix milliseconds. Nothing is
+	// decided by it.
+	CreatedUnixMS int64 `json:"created_unix_ms"`
+	// Put holds the objects that are created or replaced.
+	Put directory.State `json:"put"`
+	// Delete names the objects that are removed.
+	Delete Names `json:"delete"`
+	// Digest is that of the resulting configuration, in JSON a decimal string
+	// because other readers round numbers above 2^53.
+	Digest uint64 `json:"digest,string"`
+}
+
+// ErrTooLarge is wrapped by the errors of tickets above MaxBytes.
+var ErrTooLarge = errors.New("ticket: over 1 MB")
+
+// Encode returns the JSON of t, or ErrTooLarge.
+func Encode(t Ticket) ([]byte, error) {
+	t.Put = t.Put.Clone()
+	b, err := json.Marshal(t)
+	if err != nil {
+		return nil, fmt.Errorf("ticket: encode: %w", err)
+	}
+	if len(b) > MaxBytes {
+		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(b))
+	}
+	return b, nil
+}
+
+// Decode reads one ticket. Unknown keys, data after the ticket, a size above
+// MaxBytes and a base other than number - 1 are errors. The objects are
+// validated by Apply.
+func Decode(b []byte) (Ticket, error) {
+	if len(b) > MaxBytes {
+		return Ticket{}, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(b))
+	}
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	var t Ticket
+	if err := dec.Decode(&t); err != nil {
+		return Ticket{}, fmt.Errorf("ticket: decode: %w", err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return Ticket{}, errors.New("ticket: decode: data after the ticket")
+	}
+	if err := t.header().Err(); err != nil {
+		return Ticket{}, fmt.Errorf("ticket: decode: %w", err)
+	}
+	t.Put = t.Put.Clone()
+	return t, nil
+}
+
+func (t Ticket) header() finding.List {
+	var l finding.List
+	if t.Number == 0 || t.Base != t.Number-1 {
+		l.Add("base", "is %d for number %d, want number - 1", t.Base, t.Number)
+	}
+	if t.Nonce == "" || len(t.Nonce) > maxNonceBytes {
+		l.Add("nonce", "has %d bytes, allowed are 1 to %d", len(t.Nonce), maxNonceBytes)
+	}
+	if t.Author == "" || len(t.Author) > maxTextBytes {
+		l.Add("author", "has %d bytes, allowed are 1 to %d", len(t.Author), maxTextBytes)
+	}
+	if len(t.Reason) > maxTextBytes {
+		l.Add("reason", "has %d bytes, allowed are %d", len(t.Reason), maxTextBytes)
+	}
+	return l
+}
