core/membership: add the Roster of entry instances

Cause: peering needs one place that decides who is live, who watches the store, who takes over sessions and where moved incarnations went. Change: Roster merges the instance list and exchange messages, with time passed in. Absence from the list removes an instance only together with a failed call or after 60 s without any message. Moved incarnations are followed over any number of hand-overs, kept for 24 hours and bounded at 4,096.

--- /dev/null
+++ b/core/membership/moved.go
@@ -0,0 +1,128 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	movedKeep  = 24 * time.Hour
+	movedLimit = 4096
+	// maxMoves bounds a lookup, so that contradictory mappings cannot loop.
+	maxMoves = 64
+)
+
+// Move says that the sessions of an incarnation were handed over.
+type Move struct {
+	Incarnation uint64
+	// Successor is the peer address of the instance that took them over.
+	Successor string
+	// Age is the time since the hand-over.
+	Age time.Duration
+}
+
+type move struct {
+	successor string
+	// next is the successor's incarnation, 0 until it is known.
+	next uint64
+	at   time.Time
+}
+
+// moves is the table of moved incarnations.
+type moves struct {
+	entries map[uint64]move
+}
+
+// add merges a mapping. Of two successors the later hand-over wins; the same
+// successor keeps its earliest time, so that repeated messages, whose age
+// leaves out their travel time, never extend the retention.
+func (m *moves) add(now time.Time, mv Move, next uint64) {
+	at := now.Add(-max(mv.Age, 0))
+	if now.Sub(at) > movedKeep || mv.Incarnation == 0 || mv.Successor == "" {
+		return
+	}
+	old, known := m.entries[mv.Incarnation]
+	switch {
+	case known && old.successor == mv.Successor:
+		if at.After(old.at) {
+			at = old.at
+		}
+		if old.next != 0 {
+			next = old.next
+		}
+	case known && !at.After(old.at):
+		return
+	case !known && len(m.entries) >= movedLimit:
+		m.makeRoom(now)
+	}
+	m.entries[mv.Incarnation] = move{successor: mv.Successor, next: next, at: at}
+}
+
+// makeRoom drops what has expired, or else the oldest entry.
+func (m *moves) makeRoom(now time.Time) {
+	var oldest uint64
+	var at time.Time
+	for inc, e := range m.entries {
+		if now.Sub(e.at) > movedKeep {
+			delete(m.entries, inc)
+			continue
+		}
+		if oldest == 0 || e.at.Before(at) {
+			oldest, at = inc, e.at
+		}
+	}
+	if len(m.entries) >= movedLimit {
+		delete(m.entries, oldest)
+	}
+}
+
+// link notes the incarnation that runs at a successor's address.
+func (m *moves) link(address string, incarnation uint64) {
+	for inc, e := range m.entries {
+		if e.successor == address && e.next == 0 && inc != incarnation {
+			e.next = incarnation
+			m.entries[inc] = e
+		}
+	}
+}
+
+// retarget redirects all mappings that end at the address.
+func (m *moves) retarget(now time.Time, address string, incarnation uint64, successor string) {
+	for inc, e := range m.entries {
+		if e.successor == address || e.next == incarnation {
+			m.entries[inc] = move{successor: successor, at: now}
+		}
+	}
+}
+
+// find follows the mappings of an incarnation to the last known address.
+func (m *moves) find(now time.Time, incarnation uint64) (string, bool) {
+	address, found := "", false
+	for range maxMoves {
+		e, ok := m.entries[incarnation]
+		if !ok || now.Sub(e.at) > movedKeep {
+			break
+		}
+		address, found = e.successor, true
+		incarnation = e.next
+	}
+	return address, found
+}
+
+// newest returns up to n mappings, newest first.
+func (m *moves) newest(now time.Time, n int) []Move {
+	all := make([]Move, 0, len(m.entries))
+	for inc, e := range m.entries {
+		if age := now.Sub(e.at); age <= movedKeep {
+			all = append(all, Move{Incarnation: inc, Successor: e.successor, Age: age})
+		}
+	}
+	slices.SortFunc(all, func(a, b Move) int {
+		if c := cmp.Compare(a.Age, b.Age); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Incarnation, b.Incarnation)
+	})
+	return all[:min(n, len(all))]
+}
--- /dev/null
+++ b/core/membership/roster_test.go
@@ -0,0 +1,155 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func identity(i int, zone string) Identity {
+	return Identity{
+		Name: fmt.Sprintf("e%d", i), Region: "r", AvailabilityZone: zone,
+		Address: fmt.Sprintf("127.0.0.1:%d", i), Incarnation: uint64(100 + i),
+	}
+}
+
+func listed(i int, zone string) Listed {
+	id := identity(i, zone)
+	return Listed{Name: id.Name, Region: id.Region, AvailabilityZone: zone, Address: id.Address}
+}
+
+// Guards against the instance list's lag or an empty list removing an
+// instance that still answers.
+func TestListAloneNeverRemoves(t *testing.T) {
+	r := New(identity(1, "a"))
+	r.List(start, []Listed{listed(1, "a"), listed(2, "a"), listed(3, "a")})
+	r.Hear(start, Message{From: identity(2, "a")})
+	r.List(start.Add(time.Second), nil)
+	r.List(start.Add(time.Second), []Listed{listed(1, "a")})
+	if got := r.Sharing(); !slices.Equal(got, []string{"e1", "e2", "e3"}) {
+		t.Fatalf("sharing after a short list: %v", got)
+	}
+	now := start.Add(2 * time.Second)
+	r.Fail(now, "e3", true)
+	if got := r.Sharing(); !slices.Equal(got, []string{"e1", "e2"}) {
+		t.Fatalf("sharing after a refused connection: %v", got)
+	}
+	r.Hear(start.Add(58*time.Second), Message{From: identity(2, "a")})
+	r.List(start.Add(100*time.Second), []Listed{listed(1, "a")})
+	if got := r.Peers(); len(got) != 1 || got[0].Name != "e2" {
+		t.Fatalf("only the dead instance should be forgotten, have %v", got)
+	}
+}
+
+// Guards against a restarted instance being taken for its draining
+// predecessor, and against a late message bringing that one back.
+func TestIncarnations(t *testing.T) {
+	r := New(identity(1, "a"))
+	r.List(start, []Listed{listed(2, "a")})
+	old, fresh := identity(2, "a"), identity(2, "a")
+	fresh.Incarnation = 900
+	r.Hear(start, Message{From: old, Draining: true})
+	if p, _ := r.Peer("e2"); p.State != Draining {
+		t.Fatalf("state %v, want draining", p.State)
+	}
+	r.Hear(start, Message{From: fresh})
+	if r.Hear(start, Message{From: old, Draining: true}) {
+		t.Fatal("late message of the old incarnation was merged")
+	}
+	if p, _ := r.Peer("e2"); p.State != Live || p.Incarnation != 900 {
+		t.Fatalf("restarted peer is %+v", p)
+	}
+}
+
+// Guards against a session that moved twice being answered as unknown, and
+// against mappings that never expire because peers repeat them.
+func TestMovedTransitively(t *testing.T) {
+	r := New(identity(9, "a"))
+	a, b, c := identity(1, "a"), identity(2, "a"), identity(3, "a")
+	r.AddMove(start, Move{Incarnation: a.Incarnation, Successor: b.Address})
+	r.Hear(start, Message{From: b})
+	r.AddMove(start.Add(time.Second), Move{Incarnation: b.Incarnation, Successor: c.Address})
+	if got, _ := r.FindMoved(start.Add(time.Second), a.Incarnation); got != c.Address {
+		t.Fatalf("moved twice: %q, want %q", got, c.Address)
+	}
+	day := start.Add(24*time.Hour - time.Minute)
+	r.AddMove(day, Move{Incarnation: a.Incarnation, Successor: b.Address, Age: time.Second})
+	if _, ok := r.FindMoved(day.Add(time.Hour), a.Incarnation); ok {
+		t.Fatal("a repeated message extended the retention")
+	}
+	for i := range 2 * movedLimit {
+		r.AddMove(day, Move{Incarnation: uint64(1000 + i), Successor: "x"})
+	}
+	if n := len(r.moved.entries); n > movedLimit {
+		t.Fatalf("%d mappings kept", n)
+	}
+}
+
+// Guards against a hand-over chain that is lost because the last holder
+// published only its own mapping.
+func TestMoveSelfRetargets(t *testing.T) {
+	r := New(identity(1, "a"))
+	r.AddMove(start, Move{Incarnation: 77, Successor: r.Self().Address})
+	r.MoveSelf(start.Add(time.Second), "next")
+	for _, inc := range []uint64{77, r.Self().Incarnation} {
+		if got, _ := r.FindMoved(start.Add(2*time.Second), inc); got != "next" {
+			t.Fatalf("incarnation %d moved to %q", inc, got)
+		}
+	}
+}
+
+// Guards against a zone without store watchers, and against rounds that miss
+// the other availability zones or spend their calls on dead instances.
+func TestChoices(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var all []Listed
+	for i := 1; i <= 6; i++ {
+		all = append(all, listed(i, "ab"[(i-1)/3:(i-1)/3+1]))
+	}
+	watching := 0
+	for i := 1; i <= 3; i++ {
+		r := New(identity(i, "a"))
+		r.List(start, all)
+		if r.IsWatcher() {
+			watching++
+		}
+	}
+	if watching != watchers {
+		t.Fatalf("%d watchers, want %d", watching, watchers)
+	}
+	r := New(identity(1, "a"))
+	r.List(start, all)
+	r.Fail(start, "e2", true)
+	if s, ok := r.Successor(start); !ok || s.Name != "e3" {
+		t.Fatalf("successor %+v", s)
+	}
+	for range 50 {
+		zones := map[string]int{}
+		for _, p := range r.Round(rng) {
+			zones[p.AvailabilityZone]++
+		}
+		if zones["a"] != 2 || zones["b"] != 1 {
+			t.Fatalf("round %v", zones)
+		}
+	}
+}
+
+// Guards against an instance that relies on a confirmation for longer than
+// the 6 s bound of tickets allows.
+func TestConfirmation(t *testing.T) {
+	r := New(identity(1, "a"))
+	if !r.PollDue(start) {
+		t.Fatal("no confirmation yet and no poll due")
+	}
+	r.Hear(start, Message{From: identity(2, "a"), KnownTicket: 7, ConfirmationAge: 2 * time.Second})
+	if r.PollDue(start.Add(900*time.Millisecond)) || r.Head() != 7 {
+		t.Fatal("confirmation of a peer was not taken over")
+	}
+	if !r.PollDue(start.Add(1100 * time.Millisecond)) {
+		t.Fatal("confirmation older than 3 s accepted")
+	}
+}
