core/placement: add the Table of targets

Cause: the dispatcher needs a target per task by expected completion, and a reason to wait where no slot is likely to be free. Change: Table assigns each target's slots to the zone's entry instances by rendezvous rank, learns run times per target and service, and keeps the targets of a service ordered by slowness with bit sets of free slots. Slots of others are used only on a fresh report with one slot to spare. A slower target is used only when waiting for a faster one does not pay.

--- /dev/null
+++ b/core/placement/choose.go
@@ -0,0 +1,161 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// sortEvery bounds how often a service's targets are ordered anew.
+	sortEvery = 100 * time.Millisecond
+	// freshReport is how long a report of free slots allows a start outside
+	// the assigned slots.
+	freshReport = 100 * time.Millisecond
+	// reserve is the number of reported free slots that are left to their
+	// owner, because two instances that both take the last one collide.
+	reserve = 1
+)
+
+// Choose returns the target on which the task is expected to complete first.
+// It returns false where no slot is likely to be free, and where waiting for
+// one on a faster target is expected to pay.
+func (t *Table) Choose(now time.Time, n Need) (Choice, bool) {
+	s := t.services[n.Service]
+	if s == nil || len(s.order) == 0 {
+		return Choice{}, false
+	}
+	if now.Sub(s.sortedAt) >= sortEvery || len(s.free[0]) == 0 {
+		t.sort(now, s)
+	}
+	base := s.base(n.Declared)
+	for tier := range tiers {
+		p := t.first(now, s, tier, &n)
+		if p == nil {
+			continue
+		}
+		extra := 0.0
+		if tier == otherZone {
+			extra = float64(t.cfg.Spread)
+		}
+		if s.waitPays(p, base, extra, n.Ahead) {
+			return Choice{}, false
+		}
+		return Choice{p.target.Name, p.target.address, time.Duration(base*p.slowness + extra)}, true
+	}
+	return Choice{}, false
+}
+
+// first returns the fastest target of a tier that the task may use.
+func (t *Table) first(now time.Time, s *service, tier int, n *Need) *pair {
+	for i := s.free[tier].next(0); i >= 0; i = s.free[tier].next(i + 1) {
+		p := s.order[i]
+		if tier != assigned && now.Sub(p.target.reportedAt) > freshReport {
+			s.free[tier].set(i, false)
+			continue
+		}
+		if !p.target.fits(n) || slices.Contains(n.Tried, p.target.Name) || n.Sure && p.target.limit > 0 {
+			continue
+		}
+		return p
+	}
+	return nil
+}
+
+// waitPays says whether the task should rather wait for a slot on one of the
+// faster targets, given how many tasks wait for them.
+func (s *service) waitPays(p *pair, base, extra float64, ahead int) bool {
+	slots := s.faster[p.pos]
+	if slots == 0 {
+		return false
+	}
+	fastest := s.order[0].slowness
+	// The faster slots end one task every (their run time / slots).
+	run := s.mean * (fastest + p.slowness) / 2
+	wait := run * float64(max(ahead, 1)) / float64(slots)
+	return base*p.slowness+extra > wait+base*(fastest+p.slowness)/2
+}
+
+// Expect forecasts a task's run time on an average target.
+func (t *Table) Expect(name string, declared time.Duration) time.Duration {
+	if s := t.services[name]; s != nil {
+		return time.Duration(s.base(declared))
+	}
+	return declared
+}
+
+// Tail returns the learned 95th percentile of a task's run time on a target,
+// and whether enough runs support it.
+func (t *Table) Tail(name, on string, declared time.Duration) (time.Duration, bool) {
+	p := t.pair(on, name)
+	if p == nil || p.service.samples < 100 {
+		return 0, false
+	}
+	return time.Duration(p.service.base(declared) * p.slowness * p.service.tail), true
+}
+
+// Learn takes in the run time of a task that was done.
+func (t *Table) Learn(name, on string, declared, took time.Duration) {
+	p := t.pair(on, name)
+	if p == nil || took <= 0 {
+		return
+	}
+	s := p.service
+	base := s.base(declared)
+	s.learnTail(float64(took) / (base * p.slowness))
+	s.learn(declared, float64(took)/p.slowness)
+	p.learn(float64(took), float64(took)/base)
+}
+
+func (t *Table) pair(on, name string) *pair {
+	n := t.targets[on]
+	if n == nil {
+		return nil
+	}
+	for _, p := range n.pairs {
+		if p.service.name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// refresh rebuilds all indexes after a change of targets, shares or limits.
+func (t *Table) refresh() {
+	t.shares = 0
+	for _, n := range t.targets {
+		if n.usable() {
+			t.shares += n.share
+		}
+	}
+	for _, s := range t.services {
+		s.sortedAt = time.Time{}
+	}
+}
+
+// update marks a target's free slots in all its services.
+func (t *Table) update(n *target) {
+	for _, p := range n.pairs {
+		if len(p.service.free[0]) > 0 && p.pos < len(p.service.order) {
+			t.mark(p.service.sortedAt, p)
+		}
+	}
+}
+
+func (t *Table) mark(now time.Time, p *pair) {
+	n, s := p.target, p.service
+	if !n.goneAt.IsZero() && now.Sub(n.goneAt) > directMark {
+		n.goneAt = time.Time{}
+	}
+	others := n.others
+	// A slot of this instance's share that another one borrowed is free again
+	// after about one run time, and no reply says so where none is awaited.
+	if now.Sub(n.reportedAt) > time.Duration(s.mean) {
+		others = min(others, n.Slots-n.share)
+	}
+	room := n.usable() && n.outstanding < n.connCap && (n.limit < 0 || n.outstanding < n.limit)
+	free := n.Slots - n.outstanding - others
+	s.free[assigned].set(p.pos, room && n.outstanding < n.share && free > 0)
+	borrow := room && free > reserve && !n.reportedAt.IsZero()
+	s.free[sameZone].set(p.pos, borrow && n.sameAZ)
+	s.free[otherZone].set(p.pos, borrow && !n.sameAZ)
+}
--- /dev/null
+++ b/core/placement/table_test.go
@@ -0,0 +1,127 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"marigoldfront.dev/core/directory"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func newTable(targets int) *Table {
+	st := directory.State{
+		Services: map[string]directory.Service{"s": {Name: "s", ExpectedMS: 100}},
+		Targets:  map[string]directory.Target{},
+	}
+	for i := range targets {
+		name := fmt.Sprintf("t%03d", i)
+		st.Targets[name] = directory.Target{
+			Name: name, Services: []string{"s"}, Region: "r", AvailabilityZone: "a",
+			Address: "127.0.0.1:1", Slots: 8, Connections: 64, MemoryMB: 1000,
+		}
+	}
+	t := New(Config{Instance: "e1", Region: "r", AvailabilityZone: "a"})
+	t.SetDirectory(&directory.Directory{Number: 1, State: st})
+	t.SetEntries([]string{"e1", "e2"})
+	return t
+}
+
+// Guards against two instances assigning a slot to both or to none of them.
+func TestSharesAddUp(t *testing.T) {
+	one, two := newTable(5), newTable(5)
+	two.cfg.Instance = "e2"
+	two.assign()
+	if got := one.Slots() + two.Slots(); got != 40 {
+		t.Fatalf("%d of 40 slots assigned", got)
+	}
+}
+
+// Guards against new work on a target that leaves or vanished, and against an
+// empty list that removes all targets.
+func TestLeavingExcluded(t *testing.T) {
+	tb := newTable(3)
+	need := Need{Service: "s", Ahead: 1}
+	tb.SetListed([]Listed{{Name: "t000"}, {Name: "t001"}, {Name: "t002"}})
+	tb.SetListed([]Listed{{Name: "t001", Leaving: true}, {Name: "t002"}})
+	tb.SetListed(nil)
+	if c, ok := tb.Choose(start, need); !ok || c.Target != "t002" {
+		t.Fatalf("chose %+v", c)
+	}
+	tb.Leave(start, "t002")
+	tb.SetListed([]Listed{{Name: "t001", Leaving: true}, {Name: "t002"}})
+	if c, ok := tb.Choose(start.Add(time.Second), need); ok {
+		t.Fatalf("chose %+v although the target said that it leaves", c)
+	}
+}
+
+// Guards against a slow target taking tasks that would complete earlier on a
+// fast one, against one that is never used, and against a second attempt on
+// the same target.
+func TestChoosesByExpectedCompletion(t *testing.T) {
+	tb := newTable(2)
+	for range 200 {
+		tb.Learn("s", "t000", 0, 400*time.Millisecond)
+		tb.Learn("s", "t001", 0, 100*time.Millisecond)
+	}
+	need := Need{Service: "s", Ahead: 1}
+	for range 4 {
+		c, ok := tb.Choose(start, need)
+		if !ok || c.Target != "t001" {
+			t.Fatalf("chose %+v", c)
+		}
+		tb.Start(c.Target, need)
+	}
+	if c, ok := tb.Choose(start, need); ok {
+		t.Fatalf("chose %+v where waiting pays", c)
+	}
+	need.Ahead = 50
+	if c, ok := tb.Choose(start, need); !ok || c.Target != "t000" {
+		t.Fatalf("chose %+v with a long queue", c)
+	}
+	need.Tried = []string{"t000"}
+	if c, ok := tb.Choose(start, need); ok {
+		t.Fatalf("chose %+v although it was tried", c)
+	}
+}
+
+// Guards against a job that no target can hold waiting until its deadline.
+func TestNeverFits(t *testing.T) {
+	tb := newTable(2)
+	if ever, _ := tb.Fit("s", 1001, 0); ever {
+		t.Fatal("task larger than every target fits")
+	}
+	if ever, now := tb.Fit("s", 1000, 0); !ever || !now {
+		t.Fatal("task as large as a target does not fit")
+	}
+}
+
+// Guards against declared times that are off by a factor deciding forecasts.
+func TestDeclaredTimesAreScaled(t *testing.T) {
+	tb := newTable(1)
+	for i := range 2000 {
+		took := time.Duration(50+i%50) * time.Millisecond
+		tb.Learn("s", "t000", took*10, took)
+	}
+	c, _ := tb.Choose(start, Need{Service: "s", Declared: time.Second, Ahead: 1})
+	if got := c.Expected; got < 90*time.Millisecond || got > 110*time.Millisecond {
+		t.Fatalf("forecast %v for a declared second, want about 100ms", got)
+	}
+}
+
+func BenchmarkChoose200(b *testing.B) {
+	tb := newTable(200)
+	need := Need{Service: "s", Ahead: 1}
+	now := start
+	for b.Loop() {
+		now = now.Add(50 * time.Microsecond)
+		c, ok := tb.Choose(now, need)
+		if ok {
+			tb.Start(c.Target, need)
+			tb.End(c.Target, need)
+			tb.Learn("s", c.Target, 0, 100*time.Millisecond)
+			tb.Report(now, c.Target, 3, 8)
+		}
+	}
+}
