core: add health, retry, hedge and admission

Cause: the dispatcher needs decisions on failing targets, repeated attempts and jobs that cannot end in time. Change: Monitor ejects after 3 failures in a row over 2 jobs, blames a job that fails on two targets that serve others, limits a target to one attempt after any failure, and probes at 1 s doubling to 30 s; the 55% threshold is a setting. Budget, Bound and Gate bound retries, hedges and the queue; a team may fill at most as much of the queue as it leaves free.

--- /dev/null
+++ b/core/admission/gate.go
@@ -0,0 +1,81 @@
+// Package admission decides whether a job is taken into the queue.
+package admission
+
+import (
+	"time"
+
+	"marigoldfront.dev/core/answer"
+)
+
+// Limits bound the queue.
+type Limits struct {
+	Tasks int
+	Bytes int
+}
+
+// Request describes a job that asks to be admitted.
+type Request struct {
+	Tasks    int
+	Bytes    int
+	Deadline time.Time
+	// Longest is the forecast run time of the longest task, Work the sum over
+	// all tasks.
+	Longest, Work time.Duration
+	// Ever and Now say whether any target can run the job at all, and now.
+	Ever, Now bool
+}
+
+// Load describes what is ahead of the job.
+type Load struct {
+	QueuedTasks, QueuedBytes int
+	// TeamTasks and TeamWork are the team's own part of the queue.
+	TeamTasks int
+	TeamWork  time.Duration
+	// Work is that of all teams.
+	Work time.Duration
+	// Slots is what the instance can count on, Share the team's part of them.
+	Slots int
+	Share float64
+}
+
+// Gate admits jobs within bounds and deadlines.
+type Gate struct {
+	limits Limits
+}
+
+// New returns a Gate with the bounds.
+func New(l Limits) *Gate { return &Gate{limits: l} }
+
+// Decide returns why a job is refused, or an empty code. Nothing of the job
+// has run.
+func (g *Gate) Decide(now time.Time, r Request, l Load) (answer.Code, string) {
+	switch {
+	case !r.Ever:
+		return answer.CodeNeverFits, "no target of the service has the memory or accelerators for a task"
+	case !r.Now:
+		return answer.CodeNoTarget, "no target of the service that fits is in service"
+	case l.QueuedTasks+r.Tasks > g.limits.Tasks || l.QueuedBytes+r.Bytes > g.limits.Bytes:
+		return answer.CodeOverloaded, "the queue is full"
+	case l.TeamTasks > 0 && l.TeamTasks+r.Tasks > g.limits.Tasks-l.QueuedTasks:
+		// A team may fill at most as much as it leaves free, so that one that
+		// floods cannot make the queue refuse the others.
+		return answer.CodeOverloaded, "the team's part of the queue is full"
+	case now.Add(g.forecast(r, l)).After(r.Deadline):
+		return answer.CodeDeadline, "the job is not expected to end within its time limit"
+	}
+	return "", ""
+}
+
+// forecast returns the expected time of the job: the wait for the work ahead,
+// by the team's share of slots or by the whole queue where that is shorter,
+// and then the job's own run.
+func (g *Gate) forecast(r Request, l Load) time.Duration {
+	if l.Slots == 0 {
+		return r.Longest
+	}
+	slots := float64(l.Slots)
+	share := slots * max(l.Share, 0.001)
+	wait := min(float64(l.TeamWork)/share, float64(l.Work)/slots)
+	run := max(float64(r.Longest), float64(r.Work)/slots)
+	return time.Duration(wait + run)
+}
--- /dev/null
+++ b/core/health/monitor.go
@@ -0,0 +1,272 @@
+// Package health decides which targets get work: it ejects those that fail
+// and lets them return through single probes.
+package health
+
+import (
+	"slices"
+	"time"
+)
+
+// The limits on a target's outstanding attempts.
+const (
+	// NoLimit is that of a healthy target.
+	NoLimit = -1
+	// OneAtATime is that of a target whose last attempt failed. A target that
+	// fails fast looks idle, and would otherwise draw work until it is ejected.
+	OneAtATime = 1
+	// Excluded is that of an ejected target.
+	Excluded = 0
+)
+
+const (
+	ejectFailures = 3
+	ejectJobs     = 2
+	faultTargets  = 2
+	firstProbe    = time.Second
+	lastProbe     = 30 * time.Second
+	// servesWell is how recent a success makes a target count as serving
+	// other jobs well.
+	servesWell = 10 * time.Second
+	// anyProbeAfter is the time without repeatable work after which a task
+	// that is not repeatable may be the probe.
+	anyProbeAfter = 10 * time.Second
+	// maxJobs bounds the jobs with failures that are remembered.
+	maxJobs = 4096
+)
+
+// Config sets the threshold.
+type Config struct {
+	// Threshold is the share of targets, 0 to 1, above which no further one is
+	// ejected; 0 turns it off.
+	Threshold float64
+}
+
+// target is the health of one target.
+type target struct {
+	// failures are the jobs of the failures in a row, newest last.
+	failures    []uint64
+	lastSuccess time.Time
+	lastJob     uint64
+	ejected     bool
+	probing     bool
+	interval    time.Duration
+	probeAt     time.Time
+}
+
+// Monitor judges targets by the ends of attempts. It is not safe for
+// concurrent use.
+type Monitor struct {
+	cfg     Config
+	targets map[string]*target
+	// ejected lists the ejected targets, in the order of ejection.
+	ejected    []string
+	population int
+	// jobs holds the targets on which a job has failed, without success.
+	jobs   map[uint64][]string
+	order  []uint64
+	faulty map[uint64]bool
+}
+
+// New returns a Monitor to which all targets look healthy.
+func New(cfg Config) *Monitor {
+	return &Monitor{
+		cfg:     cfg,
+		targets: make(map[string]*target),
+		jobs:    make(map[uint64][]string),
+		faulty:  make(map[uint64]bool),
+	}
+}
+
+// SetTargets sets the targets that serve; the others are forgotten.
+func (m *Monitor) SetTargets(names []string) {
+	m.population = len(names)
+	keep := make(map[string]bool, len(names))
+	for _, n := range names {
+		keep[n] = true
+	}
+	for n := range m.targets {
+		if !keep[n] {
+			delete(m.targets, n)
+		}
+	}
+	m.ejected = slices.DeleteFunc(m.ejected, func(n string) bool { return !keep[n] })
+}
+
+func (m *Monitor) target(name string) *target {
+	t := m.targets[name]
+	if t == nil {
+		t = &target{}
+		m.targets[name] = t
+	}
+	return t
+}
+
+// Succeed notes that a target did a task of the job.
+func (m *Monitor) Succeed(now time.Time, name string, job uint64) {
+	t := m.target(name)
+	t.failures = t.failures[:0]
+	t.lastSuccess, t.lastJob = now, job
+	t.probing = false
+	if t.ejected {
+		t.ejected, t.interval = false, 0
+		m.ejected = slices.DeleteFunc(m.ejected, func(n string) bool { return n == name })
+	}
+}
+
+// Fail notes that an attempt of the job on a target failed, and reports
+// whether the job itself is considered the cause.
+func (m *Monitor) Fail(now time.Time, name string, job uint64) (jobAtFault bool) {
+	t := m.target(name)
+	if t.ejected {
+		m.failProbe(now, t)
+		return false
+	}
+	if m.noteJob(now, name, job) {
+		return true
+	}
+	t.failures = append(t.failures, job)
+	if len(t.failures) > 2*ejectFailures {
+		t.failures = slices.Delete(t.failures, 0, 1)
+	}
+	if m.condemned(t) && m.mayEject() {
+		t.ejected, t.interval = true, firstProbe
+		t.probeAt = now.Add(firstProbe)
+		m.ejected = append(m.ejected, name)
+	}
+	return false
+}
+
+func (m *Monitor) condemned(t *target) bool {
+	if len(t.failures) < ejectFailures {
+		return false
+	}
+	jobs := slices.Clone(t.failures)
+	slices.Sort(jobs)
+	return len(slices.Compact(jobs)) >= ejectJobs
+}
+
+func (m *Monitor) mayEject() bool {
+	if m.cfg.Threshold <= 0 || m.population == 0 {
+		return true
+	}
+	return float64(len(m.ejected)+1) <= m.cfg.Threshold*float64(m.population)
+}
+
+// failProbe doubles the interval after a failed probe. Failures of attempts
+// that were sent before the ejection change nothing.
+func (m *Monitor) failProbe(now time.Time, t *target) {
+	if !t.probing {
+		return
+	}
+	t.probing = false
+	t.interval = min(2*t.interval, lastProbe)
+	t.probeAt = now.Add(t.interval)
+}
+
+// noteJob applies the rule that a job that fails on two targets that serve
+// other jobs well is itself the cause, and counts against no target.
+func (m *Monitor) noteJob(now time.Time, name string, job uint64) bool {
+	if m.faulty[job] {
+		return true
+	}
+	if _, known := m.jobs[job]; !known {
+		m.order = append(m.order, job)
+		m.forgetOldest()
+	}
+	if !slices.Contains(m.jobs[job], name) {
+		m.jobs[job] = append(m.jobs[job], name)
+	}
+	well := 0
+	for _, n := range m.jobs[job] {
+		if m.servesOthers(now, n, job) {
+			well++
+		}
+	}
+	if well < faultTargets {
+		return false
+	}
+	m.faulty[job] = true
+	for _, n := range m.jobs[job] {
+		t := m.target(n)
+		t.failures = slices.DeleteFunc(t.failures, func(j uint64) bool { return j == job })
+	}
+	return true
+}
+
+// servesOthers says whether a target had a recent success with another job
+// and no failure of another job since.
+func (m *Monitor) servesOthers(now time.Time, name string, job uint64) bool {
+	t := m.target(name)
+	if t.ejected || t.lastSuccess.IsZero() || t.lastJob == job || now.Sub(t.lastSuccess) > servesWell {
+		return false
+	}
+	return !slices.ContainsFunc(t.failures, func(j uint64) bool { return j != job })
+}
+
+func (m *Monitor) forgetOldest() {
+	if len(m.order) > maxJobs {
+		m.Forget(m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
+// Forget drops what is kept of a job.
+func (m *Monitor) Forget(job uint64) {
+	delete(m.jobs, job)
+	delete(m.faulty, job)
+}
+
+// Limit returns how many attempts may be outstanding on a target.
+func (m *Monitor) Limit(name string) int {
+	t := m.targets[name]
+	switch {
+	case t == nil, len(t.failures) == 0 && !t.ejected:
+		return NoLimit
+	case t.ejected:
+		return Excluded
+	default:
+		return OneAtATime
+	}
+}
+
+// Ejected returns the ejected targets.
+func (m *Monitor) Ejected() []string { return m.ejected }
+
+// ProbeDue says whether an ejected target is to be probed with a task.
+func (m *Monitor) ProbeDue(now time.Time, name string, repeatable bool) bool {
+	t := m.targets[name]
+	if t == nil || !t.ejected || t.probing {
+		return false
+	}
+	if !repeatable {
+		return !now.Before(t.probeAt.Add(anyProbeAfter))
+	}
+	return !now.Before(t.probeAt)
+}
+
+// Probe notes that a probe is sent to a target.
+func (m *Monitor) Probe(name string) {
+	if t := m.targets[name]; t != nil {
+		t.probing = true
+	}
+}
+
+// CancelProbe notes that the probe's attempt ended without saying anything
+// about the target.
+func (m *Monitor) CancelProbe(name string) {
+	if t := m.targets[name]; t != nil {
+		t.probing = false
+	}
+}
+
+// NextProbe returns when the next probe is due, or the zero time.
+func (m *Monitor) NextProbe() time.Time {
+	var next time.Time
+	for _, n := range m.ejected {
+		t := m.targets[n]
+		if !t.probing && (next.IsZero() || t.probeAt.Before(next)) {
+			next = t.probeAt
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/core/health/monitor_test.go
@@ -0,0 +1,103 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against a target being ejected for one job's failures, and against a
+// failing one that stays in service.
+func TestEjectsAfterFailuresOfSeveralJobs(t *testing.T) {
+	m := New(Config{})
+	for range 5 {
+		m.Fail(start, "a", 1)
+	}
+	if m.Limit("a") != OneAtATime {
+		t.Fatalf("limit %d after failures of one job", m.Limit("a"))
+	}
+	m.Fail(start, "a", 2)
+	if m.Limit("a") != Excluded {
+		t.Fatalf("limit %d after failures of two jobs", m.Limit("a"))
+	}
+	m.Succeed(start, "b", 3)
+	m.Fail(start, "b", 1)
+	m.Fail(start, "b", 2)
+	m.Succeed(start, "b", 3)
+	m.Fail(start, "b", 1)
+	if m.Limit("b") != OneAtATime {
+		t.Fatal("failures with a success in between ejected a target")
+	}
+}
+
+// Guards against a bad job taking down one healthy target after the other.
+func TestJobAtFault(t *testing.T) {
+	m := New(Config{})
+	for _, name := range []string{"a", "b", "c"} {
+		m.Succeed(start, name, 1)
+	}
+	if m.Fail(start, "a", 66) {
+		t.Fatal("one failure blamed on the job")
+	}
+	if !m.Fail(start, "b", 66) || !m.Fail(start, "c", 66) {
+		t.Fatal("failures on targets that serve others well not blamed on the job")
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		if m.Limit(name) != NoLimit {
+			t.Fatalf("%s has limit %d because of a bad job", name, m.Limit(name))
+		}
+	}
+}
+
+// Guards against probes at full rate to a dead target, and against failures
+// of older attempts being counted as failed probes.
+func TestProbes(t *testing.T) {
+	m := New(Config{})
+	for job := range uint64(3) {
+		m.Fail(start, "a", job)
+	}
+	m.Fail(start, "a", 9)
+	now := start
+	for _, want := range []int{1, 2, 4, 8, 16, 30, 30} {
+		due := now.Add(time.Duration(want) * time.Second)
+		if m.ProbeDue(due.Add(-time.Millisecond), "a", true) || !m.ProbeDue(due, "a", true) {
+			t.Fatalf("probe not due after %d s", want)
+		}
+		if m.ProbeDue(due, "a", false) || !m.ProbeDue(due.Add(anyProbeAfter), "a", false) {
+			t.Fatal("wrong time for a probe with a task that is not repeatable")
+		}
+		now = due
+		m.Probe("a")
+		m.Fail(now, "a", 10)
+	}
+	m.Probe("a")
+	m.Succeed(now, "a", 11)
+	if m.Limit("a") != NoLimit || len(m.Ejected()) != 0 {
+		t.Fatal("target did not return after a successful probe")
+	}
+}
+
+// Guards against the threshold being ignored, or in force when it is off.
+func TestThreshold(t *testing.T) {
+	for _, c := range []struct {
+		threshold float64
+		want      int
+	}{{0, 10}, {0.55, 5}} {
+		m := New(Config{Threshold: c.threshold})
+		var names []string
+		for i := range 10 {
+			names = append(names, fmt.Sprint(i))
+		}
+		m.SetTargets(names)
+		for _, n := range names {
+			for job := range uint64(3) {
+				m.Fail(start, n, job)
+			}
+		}
+		if got := len(m.Ejected()); got != c.want {
+			t.Errorf("threshold %v: %d ejected, want %d", c.threshold, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/core/hedge/bound_test.go
@@ -0,0 +1,37 @@
+package hedge
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against hedges beyond the percentage of the ticket, and against any
+// hedge of a task that may run only once.
+func TestBound(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	a := Attempt{Repeatable: true, Running: 1, Allowed: 3, Deadline: now.Add(time.Minute)}
+	b := New(2)
+	hedged := 0
+	for range 1000 {
+		b.Start()
+		if b.Take(now, a, time.Second) {
+			hedged++
+		}
+	}
+	if hedged < 19 || hedged > 20 {
+		t.Fatalf("%d hedges for 1000 starts at 2%%", hedged)
+	}
+	for range 1000 {
+		b.Start()
+	}
+	refused := []Attempt{a, a, a, a}
+	refused[0].Repeatable = false
+	refused[1].Running = 2
+	refused[2].Made = 2
+	refused[3].Deadline = now
+	for i, r := range refused {
+		if b.Take(now, r, time.Second) {
+			t.Errorf("attempt %d hedged: %+v", i, r)
+		}
+	}
+}
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"marigoldfront.dev/core/directory"
@@ -17,7 +18,8 @@
 	Unlimited = -1
 )
 
-// Config names the instance that chooses.
+// Config names the instance that chooses. An empty region or availability zone
+// stands for all.
 type Config struct {
 	Instance         string
 	Region           string
@@ -127,7 +129,7 @@
 	}
 	for _, name := range sortedKeys(d.State.Targets) {
 		c := d.State.Targets[name]
-		if c.Region == t.cfg.Region {
+		if t.cfg.Region == "" || c.Region == t.cfg.Region {
 			t.addTarget(c, old[name])
 		}
 	}
@@ -142,7 +144,7 @@
 	}
 	oldPairs := n.pairs
 	n.Target, n.pairs = c, nil
-	n.sameAZ = c.AvailabilityZone == t.cfg.AvailabilityZone
+	n.sameAZ = t.cfg.AvailabilityZone == "" || c.AvailabilityZone == t.cfg.AvailabilityZone
 	for _, name := range c.Services {
 		svc := t.services[name]
 		if svc == nil {
@@ -201,6 +203,10 @@
 // SetEntries takes over the entry instances that share the availability
 // zone's targets, and assigns the slots anew.
 func (t *Table) SetEntries(names []string) {
+	if !slices.Contains(names, t.cfg.Instance) {
+		// A draining instance is no longer listed and still ends its queue.
+		names = append(slices.Clone(names), t.cfg.Instance)
+	}
 	t.entries = names
 	t.assign()
 }
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -77,8 +77,10 @@
 			if i > 25 {
 				t.Fatalf("large job started after %d small ones", i)
 			}
-			if take(t, q) != 1 || take(t, q) != 1 {
-				t.Fatal("started job was passed by a new one")
+			for range 2 {
+				if take(t, q) != 1 {
+					t.Fatal("started job was passed by a new one")
+				}
 			}
 			return
 		}
--- /dev/null
+++ b/core/retry/budget_test.go
@@ -0,0 +1,18 @@
+package retry
+
+import "testing"
+
+// Guards against retries that multiply the load when targets fail.
+func TestBudgetIsShareOfSuccesses(t *testing.T) {
+	b := New(0.1, 5)
+	taken := 0
+	for range 1000 {
+		b.Succeed()
+		if b.Take() {
+			taken++
+		}
+	}
+	if taken < 99 || taken > 105 {
+		t.Fatalf("%d retries for 1000 successful starts", taken)
+	}
+}
