Add the caller library

Callers had no client for the HTTP interface. The library opens sessions, submits jobs under increasing numbers, repeats the same id at any instance after a cut connection, and acknowledges received answers with later submissions. It never submits under a new id by itself, because only the caller may decide to run an unknown job again.

--- /dev/null
+++ b/caller/client.go
@@ -0,0 +1,86 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"marigoldfront.dev/core/answer"
+)
+
+// Client opens sessions of one caller. It is safe for concurrent use.
+type Client struct {
+	cfg  Config
+	next atomic.Uint64
+}
+
+// New returns a client. The error lists everything that is wrong with cfg.
+func New(cfg Config) (*Client, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	return &Client{cfg: cfg.withDefaults()}, nil
+}
+
+// Open opens a session at one of the instances; each call starts at the next
+// base URL. It returns a *Rejected for a wrong token and a *NoAnswer where no
+// instance can open sessions.
+func (c *Client) Open(ctx context.Context) (*Session, error) {
+	body, err := json.Marshal(openMessage{Caller: c.cfg.Caller})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.RequestTimeout)
+	defer cancel()
+	first := int(c.next.Add(1)-1) % len(c.cfg.Bases)
+	rep, base, err := c.send(ctx, first, request{
+		name: "open", method: http.MethodPost, path: "/v1/sessions", body: body, token: true,
+		done: func(r reply) bool { return r.status == http.StatusCreated },
+	})
+	if err != nil {
+		return nil, err
+	}
+	var m sessionMessage
+	if err := json.Unmarshal(rep.body, &m); err != nil {
+		return nil, err
+	}
+	return newSession(c, m.Session, 1, m.Window, base), nil
+}
+
+// Attach returns a session that was opened before, for example by another
+// process, with the first sequence number that is certainly unused.
+func (c *Client) Attach(token string, next uint64) *Session {
+	return newSession(c, token, max(next, 1), defaultWindow, 0)
+}
+
+// tryTimeout returns the limit of one try. Without a limit of the request's
+// own, the time left is divided over the next three tries, so that a paused
+// instance does not use up the time of all of them.
+func tryTimeout(ctx context.Context, left int, wait time.Duration) time.Duration {
+	if wait > 0 {
+		return wait
+	}
+	d, ok := ctx.Deadline()
+	if !ok {
+		return defaultTimeout
+	}
+	return time.Until(d) / time.Duration(max(1, min(left, 3)))
+}
+
+// retryable reports whether another instance could give a better reply: the
+// instance failed, cannot open sessions now, or could not reach the home.
+func retryable(r reply) bool {
+	if r.status >= http.StatusInternalServerError {
+		return true
+	}
+	var m answerMessage
+	if r.status != http.StatusOK || json.Unmarshal(r.body, &m) != nil {
+		return false
+	}
+	return m.State == "unknown" && m.Code == answer.CodeHomeUnreachable
+}
+
+var errNoReply = errors.New("no try was made before the deadline")
--- /dev/null
+++ b/caller/session_test.go
@@ -0,0 +1,175 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"marigoldfront.dev/core/answer"
+)
+
+// instance records the submissions that it receives and replies with handle.
+type instance struct {
+	*httptest.Server
+	puts   []string
+	bodies []jobMessage
+}
+
+func newInstance(t *testing.T, handle http.HandlerFunc) *instance {
+	in := &instance{}
+	in.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			w.WriteHeader(http.StatusCreated)
+			io.WriteString(w, `{"session":"s1","window":4}`)
+			return
+		}
+		var m jobMessage
+		json.NewDecoder(r.Body).Decode(&m)
+		in.puts, in.bodies = append(in.puts, r.URL.Path), append(in.bodies, m)
+		handle(w, r)
+	}))
+	t.Cleanup(in.Close)
+	return in
+}
+
+func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func say(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		io.WriteString(w, body)
+	}
+}
+
+const complete = `{"state":"complete","results":["b2s="],"starts":1}`
+
+func open(t *testing.T, bases ...string) *Session {
+	t.Helper()
+	c, err := New(Config{Caller: "rugs", Token: "t", Bases: bases})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := c.Open(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+var oneTask = Job{Service: "appraisal-desk", Timeout: time.Second, Tasks: []Task{{}}}
+
+// Guards against a cut connection leading to a new id, which could start the
+// job a second time.
+func TestCutConnectionRepeatsSameID(t *testing.T) {
+	a, b := newInstance(t, cut), newInstance(t, say(200, complete))
+	rep, err := open(t, a.URL, b.URL).Submit(context.Background(), oneTask)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if done, ok := rep.Answer.(answer.Complete); !ok || string(done.Results[0]) != "ok" {
+		t.Errorf("answer %v, want the result ok", rep.Answer)
+	}
+	if len(b.puts) != 1 || b.puts[0] != "/v1/sessions/s1/jobs/1" || a.puts[0] != b.puts[0] {
+		t.Errorf("submitted %v and %v, want job 1 at both", a.puts, b.puts)
+	}
+}
+
+// Guards against answers that are never acknowledged, and against
+// acknowledging an answer that has not been received.
+func TestLaterSubmissionsAcknowledge(t *testing.T) {
+	a := newInstance(t, say(200, complete))
+	s := open(t, a.URL)
+	for range 3 {
+		if _, err := s.Submit(context.Background(), oneTask); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, m := range a.bodies {
+		if m.AcknowledgedBelow != uint64(i+1) {
+			t.Errorf("job %d acknowledges below %d, want %d", i+1, m.AcknowledgedBelow, i+1)
+		}
+	}
+}
+
+// Guards against an unreachable home's answer being acknowledged or replacing
+// the answer that another instance can fetch.
+func TestUnreachableHomeIsAskedElsewhere(t *testing.T) {
+	unreachable := say(200, `{"state":"unknown","code":"home_unreachable"}`)
+	a, b := newInstance(t, unreachable), newInstance(t, say(200, complete))
+	rep, err := open(t, a.URL, b.URL).Submit(context.Background(), oneTask)
+	if _, ok := rep.Answer.(answer.Complete); err != nil || !ok {
+		t.Errorf("got %v, %v, want the answer of the second instance", rep.Answer, err)
+	}
+	s := open(t, a.URL)
+	rep, err = s.Submit(context.Background(), oneTask)
+	if err != nil || !SessionLost(rep.Answer) || s.window.below() != 1 {
+		t.Errorf("got %v, %v with low-water mark %d, want unknown and an open number", rep.Answer, err, s.window.below())
+	}
+}
+
+// Guards against endless repeats, and against repeating a rejected message.
+func TestTriesAreBounded(t *testing.T) {
+	a := newInstance(t, cut)
+	var none *NoAnswer
+	if _, err := open(t, a.URL).Submit(context.Background(), oneTask); !errors.As(err, &none) || len(a.puts) > 2*maxAttempts {
+		t.Errorf("got %v after %d requests, want a bounded NoAnswer", err, len(a.puts))
+	}
+	b := newInstance(t, say(403, `{"state":"rejected","findings":[{"place":"service","message":"not allowed"}]}`))
+	var rejected *Rejected
+	_, err := open(t, b.URL).Submit(context.Background(), oneTask)
+	if !errors.As(err, &rejected) || len(b.puts) != 1 || rejected.Findings[0].Place != "service" {
+		t.Errorf("got %v after %d requests, want one rejection", err, len(b.puts))
+	}
+}
+
+// Guards against a partial answer and a false "not run" reaching the caller.
+func TestContradictingAnswersAreErrors(t *testing.T) {
+	for _, body := range []string{
+		`{"state":"complete","results":[]}`,
+		`{"state":"failed","results":["b2s="]}`,
+		`{"state":"not_run","starts":1}`,
+	} {
+		a := newInstance(t, say(200, body))
+		if rep, err := open(t, a.URL).Submit(context.Background(), oneTask); err == nil {
+			t.Errorf("%s was accepted as %v", body, rep.Answer)
+		}
+	}
+}
+
+func ExampleSession_Submit() {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			w.WriteHeader(http.StatusCreated)
+			io.WriteString(w, `{"session":"s1","window":1024}`)
+			return
+		}
+		io.WriteString(w, complete)
+	}))
+	defer server.Close()
+	c, err := New(Config{Caller: "rug-dealers", Token: "secret", Bases: []string{server.URL}})
+	if err != nil {
+		panic(err)
+	}
+	ctx := context.Background()
+	s, err := c.Open(ctx)
+	if err != nil {
+		panic(err)
+	}
+	rep, err := s.Submit(ctx, Job{Service: "appraisal-desk", Timeout: time.Second, Tasks: []Task{{Payload: []byte("rug 7")}}})
+	if err != nil {
+		panic(err)
+	}
+	switch a := rep.Answer.(type) {
+	case answer.Complete:
+		fmt.Printf("complete: %s\n", a.Results[0])
+	case answer.Failed, answer.NotRun, answer.Unknown:
+		fmt.Printf("%+v\n", a)
+	}
+	// Output: complete: ok
+}
