--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -149,7 +149,7 @@
 }
 
 func (d *Dispatcher) taskDone(j *activeJob, i int) {
-	d.policy.remove(&j.work[i])
+	d.check(!j.work[i].queued, "task %d of job %s is done while it waits", i, j.id)
 	if j.rec.Finished() {
 		d.finish(j, j.rec.Complete())
 		return
--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -13,7 +13,6 @@
 	*bench
 	running []StartAttempt
 	seq     uint64
-	left    int
 }
 
 func (l *loop) add(actions []Action) {
--- a/core/dispatch/model_test.go
+++ b/core/dispatch/model_test.go
@@ -38,7 +38,6 @@
 	// inbox holds the transfers of the predecessor.
 	inbox   []Event
 	leaving map[string]bool
-	stopped bool
 }
 
 // truth is what the model knows of a submission.
--- a/core/dispatch/random_test.go
+++ b/core/dispatch/random_test.go
@@ -126,7 +126,7 @@
 // step does one random thing.
 func (w *world) step() {
 	h := w.home()
-	id, any := w.job()
+	id, found := w.job()
 	switch n := w.draw(40); {
 	case n < 8:
 		w.submit(h, JobID{w.session(), 1 + uint64(w.draw(40))}, 0)
@@ -144,7 +144,7 @@
 		w.drain()
 	case n == 34 && len(w.sessions) < 6:
 		w.openSession(h)
-	case !any:
+	case !found:
 	case n == 35:
 		w.submit(h, id, uint64(w.draw(40)))
 	case n == 36:
--- /dev/null
+++ b/core/session/session_test.go
@@ -0,0 +1,132 @@
+package session
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"marigoldfront.dev/core/answer"
+)
+
+// TestMain fixes the seed, so that every run has the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var limits = Limits{Answers: 256, Bytes: 1 << 20, TotalBytes: 64 << 20, Age: 10 * time.Minute}
+
+func complete(size int) answer.Complete {
+	return answer.Complete{Results: [][]byte{make([]byte, size)}}
+}
+
+// Guards against a used number that counts as fresh again after answers were
+// dropped, acknowledged or expired, or after a hand-over (P1).
+func TestNumberIsUsedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := NewKeeper(Limits{Answers: 3, Bytes: 500, TotalBytes: 500, Age: time.Minute})
+		s := New("shop")
+		now := time.Unix(0, 0)
+		used := map[uint64]bool{}
+		var running []*Record
+		for range 200 {
+			seq := rapid.Uint64Range(0, 1500).Draw(t, "seq")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1, 2:
+				state, _ := s.Look(seq)
+				if used[seq] && state != Known && state != Used {
+					t.Fatalf("used number %d has state %d", seq, state)
+				}
+				if state == Fresh {
+					used[seq] = true
+					running = append(running, s.Admit(seq, 1))
+				}
+			case 3:
+				if len(running) > 0 {
+					s.Finish(running[0], complete(int(seq%300)), now, k)
+					running = running[1:]
+				}
+			case 4:
+				if below := seq % 300; s.CanAcknowledge(below) {
+					s.Acknowledge(below, k)
+				}
+			case 5:
+				now = now.Add(20 * time.Second)
+				k.Expire(now)
+			}
+		}
+		checkRestored(t, s, used)
+	})
+}
+
+// checkRestored checks that a handed over copy knows every used number.
+func checkRestored(t *rapid.T, s *Session, used map[uint64]bool) {
+	c := Restore(s.Caller, s.LowWater())
+	for _, r := range s.Records() {
+		c.Adopt(r.Seq, r.Digest, r.Running)
+	}
+	for seq := range used {
+		if !c.WasUsed(seq) {
+			t.Fatalf("restored session does not know number %d", seq)
+		}
+	}
+}
+
+// Guards against memory that grows with callers who never acknowledge, and
+// against the loss of an answer while the bounds still have room for it.
+func TestAnswerBounds(t *testing.T) {
+	tests := map[string]struct {
+		sessions, answers, size int
+		kept                    int
+	}{
+		"within every bound":    {1, 256, 100, 256},
+		"more than 256 answers": {1, 300, 100, 256},
+		"more than 1 MiB":       {1, 20, 100<<10 - overhead, 10},
+		"one answer over 1 MiB": {1, 1, 2 << 20, 0},
+		"more than 64 MiB":      {70, 1, 1<<20 - overhead, 64},
+	}
+	for name, tt := range tests {
+		k := NewKeeper(limits)
+		var last *Session
+		for range tt.sessions {
+			last = New("shop")
+			for i := range tt.answers {
+				r := last.Admit(uint64(i+1), 1)
+				last.Finish(r, complete(tt.size), time.Unix(0, 0), k)
+			}
+		}
+		if k.Len() != tt.kept {
+			t.Errorf("%s: %d answers are kept, want %d", name, k.Len(), tt.kept)
+		}
+		if _, r := last.Look(uint64(tt.answers)); tt.kept > 0 && (r == nil || r.Answer == nil) {
+			t.Errorf("%s: the newest answer is not kept", name)
+		}
+		if k.Expire(time.Unix(0, 0).Add(limits.Age)); k.Len() != 0 || k.Bytes() != 0 {
+			t.Errorf("%s: %d answers are kept past their age", name, k.Len())
+		}
+	}
+}
+
+// Guards against a window that never moves, which would stop a session after
+// 1,024 submissions.
+func TestWindowMoves(t *testing.T) {
+	k := NewKeeper(limits)
+	s := New("shop")
+	for seq := uint64(1); seq <= 3*Window; seq++ {
+		s.Finish(s.Admit(seq, 1), complete(1), time.Unix(0, 0), k)
+	}
+	if state, _ := s.Look(4*Window + 1); state != Outside {
+		t.Errorf("number 1,024 above the low-water mark has state %d, want Outside", state)
+	}
+	if n := len(s.records); n > limits.Answers {
+		t.Errorf("%d records for %d kept answers", n, k.Len())
+	}
+}
