core/dispatch: strengthen the model where mutations went unnoticed

Cause: trial mutations of the code showed checks that were too weak: an answered job that is released late, a lost answer after a hand-over, a wake time that leaves out deadlines, the eviction of a session with running jobs. Change: the end of each run follows NextWake only, delivers every transfer and wants no home to wait for another one; the stop test wants the job released; more sessions and shorter idle times. An older configuration is ignored.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -131,8 +131,7 @@
 	case AttemptEnded:
 		d.attemptEnded(ev)
 	case DirectoryChanged:
-		d.dir = ev.Directory
-		d.policy.configure(d.now, ev.Directory)
+		d.changeDirectory(ev.Directory)
 	case TargetsListed:
 		d.policy.listTargets(d.now, ev.Targets)
 	case EntriesChanged:
@@ -151,6 +150,16 @@
 	}
 }
 
+// changeDirectory puts a configuration in force. An older one is ignored,
+// because an accepted ticket is never reverted.
+func (d *Dispatcher) changeDirectory(dir *directory.Directory) {
+	if d.dir != nil && dir.Number < d.dir.Number {
+		return
+	}
+	d.dir = dir
+	d.policy.configure(d.now, dir)
+}
+
 // NextWake is the time of the next decision that no event causes, or zero. A
 // Tick is due then.
 func (d *Dispatcher) NextWake() time.Time {
--- a/core/dispatch/model_test.go
+++ b/core/dispatch/model_test.go
@@ -27,6 +27,8 @@
 	lastReq  RequestID
 	flights  []*flight
 	events   int
+	// status is that of the last rejection.
+	status int
 }
 
 type home struct {
@@ -78,7 +80,7 @@
 		cfg := DefaultConfig("e", uint64(i+1))
 		cfg.Answers.Answers = 4
 		cfg.MaxSessions = 4
-		cfg.IdleAfter = time.Minute
+		cfg.IdleAfter = time.Second
 		cfg.MaxQueuedTasks = 12
 		h := &home{Dispatcher: New(cfg, rand.New(rand.NewPCG(1, uint64(i)))), index: i,
 			admissible: map[JobID]bool{}, leaving: map[string]bool{}}
@@ -115,6 +117,7 @@
 		case ReplyRunning:
 			w.replied(h, a.Request)
 		case ReplyRejected:
+			w.status = a.Status
 			w.replied(h, a.Request)
 		case ReplyMoved:
 			w.replied(h, a.Request)
@@ -258,6 +261,13 @@
 	return fmt.Appendf(nil, "%v/%d/%d", id, task, variant)
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // ask registers a request at a home.
 func (w *world) ask(h *home, id JobID, variant int) RequestID {
 	w.lastReq++
--- a/core/dispatch/random_test.go
+++ b/core/dispatch/random_test.go
@@ -115,12 +115,34 @@
 	if len(h.inbox) == 0 {
 		return
 	}
-	i := w.draw(len(h.inbox))
+	w.deliver(h, w.draw(len(h.inbox)), w.rarely(3))
+}
+
+// deliver delivers a message, which is sent again if it came too early.
+func (w *world) deliver(h *home, i int, again bool) {
 	ev := h.inbox[i]
-	if !w.rarely(3) {
-		h.inbox = slices.Delete(h.inbox, i, i+1)
+	h.inbox = slices.Delete(h.inbox, i, i+1)
+	w.status = 0
+	if w.handle(h, ev); again || w.status == 422 {
+		h.inbox = append(h.inbox, ev)
+	}
+}
+
+// deliverAll ends all jobs at their homes and delivers all transfers. Then no
+// home may wait for the answer of another one.
+func (w *world) deliverAll() {
+	w.now = w.now.Add(4 * time.Second)
+	for _, h := range w.homes {
+		w.handle(h, Tick{})
+		for n := 3 * len(h.inbox); n > 0 && len(h.inbox) > 0; n-- {
+			w.deliver(h, 0, false)
+		}
+		for id, j := range h.jobs {
+			if j.rec == nil {
+				w.t.Fatalf("home %d still waits for the answer of %v", h.index, id)
+			}
+		}
 	}
-	w.handle(h, ev)
 }
 
 // step does one random thing.
@@ -142,7 +164,7 @@
 		w.list(h)
 	case n == 33 && w.rarely(4):
 		w.drain()
-	case n == 34 && len(w.sessions) < 6:
+	case n == 34 && len(w.sessions) < 10:
 		w.openSession(h)
 	case !found:
 	case n == 35:
@@ -186,12 +208,16 @@
 	}
 }
 
-// finish lets every deadline pass and checks that every request has its reply
-// and that nothing is left behind.
+// finish follows NextWake until nothing is due any more, and checks that every
+// request has its reply and that nothing is left behind.
 func (w *world) finish() {
-	for range 4 {
-		w.now = w.now.Add(11 * time.Minute)
-		for _, h := range w.homes {
+	w.deliverAll()
+	for _, h := range w.homes {
+		for n := 0; !h.NextWake().IsZero(); n++ {
+			if n > 10_000 {
+				w.t.Fatalf("home %d does not come to rest, next wake %v, %+v", h.index, h.NextWake(), h.Stats())
+			}
+			w.now = latest(w.now, h.NextWake())
 			w.handle(h, Tick{})
 		}
 	}
--- a/core/dispatch/rules_test.go
+++ b/core/dispatch/rules_test.go
@@ -92,6 +92,9 @@
 		t.Errorf("stop of %v, want %v", stop.Attempt, started.Attempt)
 	}
 	one[StartAttempt](t, b.end(started, Lost{Message: "stopped"}))
+	if n := b.d.Stats().ActiveJobs; n != 1 {
+		t.Errorf("%d active jobs after the end of the stopped attempt, want 1", n)
+	}
 }
 
 // Guards against a sealed session that runs anything at its old home, and
