--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -78,16 +78,11 @@
 }
 
 // admit applies outage and delay to a store call. It reports whether the call
-// goes on.
-func (f *faults) admit(w http.ResponseWriter, r *http.Request) bool {
+// goes on. A delayed call goes on even if its client has given up meanwhile,
+// as a real store's would.
+func (f *faults) admit(w http.ResponseWriter) bool {
 	now, _ := f.get()
-	if now.DelayMS > 0 {
-		select {
-		case <-time.After(time.Duration(now.DelayMS) * time.Millisecond):
-		case <-r.Context().Done():
-			return false
-		}
-	}
+	time.Sleep(time.Duration(now.DelayMS) * time.Millisecond)
 	if now, _ = f.get(); now.Outage {
 		http.Error(w, `{"error":"etcdserver: no leader","code":14}`, http.StatusServiceUnavailable)
 		return false
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -45,7 +45,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.calls.Add(1)
 		var req Req
-		if !s.faults.admit(w, r) || !readJSON(w, r, &req) {
+		if !readJSON(w, r, &req) || !s.faults.admit(w) {
 			return
 		}
 		resp := do(req)
@@ -59,7 +59,7 @@
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
 	s.calls.Add(1)
 	var req gateway.WatchRequest
-	if !s.faults.admit(w, r) || !readJSON(w, r, &req) {
+	if !readJSON(w, r, &req) || !s.faults.admit(w) {
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
