core/dispatch: compose the load policy; bench: add event-driven policy runs

Cause: the Dispatcher had one plain policy; load and faults were not handled. Change: policy is an interface with two implementations, selected by Config.Policy: PolicyLoad composes queue, placement, health, retry, admission and hedge; PolicyBaseline is round-robin over live targets, sent at once, with plain retries.

--- /dev/null
+++ b/bench/cmd/marigold-policyrun/main.go
@@ -0,0 +1,89 @@
+// Command marigold-policyrun runs the scenarios of package policyrun and
+// prints their rows as a table.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+
+	"github.com/jessevdk/go-flags"
+
+	"marigoldfront.dev/bench/policyrun"
+	"marigoldfront.dev/core/dispatch"
+)
+
+type options struct {
+	Scenarios string   `long:"scenarios" description:"comma-separated parts of scenario names; all if empty"`
+	Policies  string   `long:"policies" default:"load,baseline" description:"comma-separated policies"`
+	Seeds     []uint64 `long:"seed" description:"seed of a run; may be repeated"`
+	Threshold float64  `long:"threshold" description:"ejection threshold, 0 to 1; 0 turns it off"`
+	Parallel  int      `long:"parallel" default:"3" description:"runs at a time"`
+}
+
+type task struct {
+	scenario policyrun.Scenario
+	policy   dispatch.PolicyName
+	seed     uint64
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(1)
+	}
+	if len(o.Seeds) == 0 {
+		o.Seeds = []uint64{1, 2, 3}
+	}
+	tasks := selectTasks(o)
+	fmt.Println(policyrun.Header)
+	for _, row := range runAll(tasks, o.Parallel) {
+		fmt.Println(row)
+	}
+}
+
+func selectTasks(o options) []task {
+	var tasks []task
+	for _, sc := range policyrun.Scenarios() {
+		if !selected(o.Scenarios, sc.Name) {
+			continue
+		}
+		sc.Threshold = o.Threshold
+		for _, p := range strings.Split(o.Policies, ",") {
+			for _, seed := range o.Seeds {
+				tasks = append(tasks, task{sc, dispatch.PolicyName(p), seed})
+			}
+		}
+	}
+	return tasks
+}
+
+func selected(list, name string) bool {
+	if list == "" {
+		return true
+	}
+	for _, part := range strings.Split(list, ",") {
+		if strings.Contains(name, part) {
+			return true
+		}
+	}
+	return false
+}
+
+func runAll(tasks []task, parallel int) []policyrun.Row {
+	rows := make([]policyrun.Row, len(tasks))
+	limit := make(chan struct{}, max(1, parallel))
+	var wg sync.WaitGroup
+	for i, t := range tasks {
+		wg.Add(1)
+		limit <- struct{}{}
+		go func() {
+			defer wg.Done()
+			rows[i] = policyrun.Run(t.scenario, t.policy, t.seed)
+			<-limit
+		}()
+	}
+	wg.Wait()
+	return rows
+}
--- /dev/null
+++ b/bench/policyrun/scenario.go
@@ -0,0 +1,125 @@
+package policyrun
+
+import (
+	"time"
+)
+
+// Scenario describes a run. Times count from its begin.
+type Scenario struct {
+	Name   string
+	Length time.Duration
+	// Load is the offered work relative to the capacity.
+	Load float64
+	// Burst replaces the load from 10 s on for 2 s, if it is not 0.
+	Burst float64
+	// Speeds draws targets of half to double speed.
+	Speeds        bool
+	WrongDeclared bool
+	// Stragglers is the share of attempts that take ten times as long.
+	Stragglers float64
+	// Poison and TooLarge are the shares of jobs that fail on every target and
+	// that fit none.
+	Poison, TooLarge float64
+	Hedge            int
+	// Fault happens to the first Faulty targets at 10 s and ends at Repaired,
+	// if that is not 0.
+	Fault    mode
+	Faulty   int
+	Repaired time.Duration
+	Cancel   bool
+	// Flood is the load of the team that floods from 10 s on. Only the jobs of
+	// the others are measured.
+	Flood     float64
+	Threshold float64
+	// Goal bounds what the row is measured against.
+	Fast bool
+}
+
+const faultAt = 10 * time.Second
+
+// Scenarios lists all runs.
+func Scenarios() []Scenario {
+	base := Scenario{Length: 45 * time.Second, Load: 0.7}
+	with := func(name string, f func(*Scenario)) Scenario {
+		s := base
+		s.Name = name
+		f(&s)
+		return s
+	}
+	return []Scenario{
+		with("steady-50", func(s *Scenario) { s.Load = 0.5 }),
+		with("steady-70", func(*Scenario) {}),
+		with("steady-90", func(s *Scenario) { s.Load = 0.9 }),
+		with("burst-3x", func(s *Scenario) { s.Load, s.Burst, s.Length = 0.5, 3, 20*time.Second }),
+		with("speeds-70", func(s *Scenario) { s.Speeds = true }),
+		with("declared-10x", func(s *Scenario) { s.WrongDeclared = true }),
+		with("declared-10x-speeds", func(s *Scenario) { s.WrongDeclared, s.Speeds = true, true }),
+		with("stragglers", func(s *Scenario) { s.Stragglers = 0.02 }),
+		with("stragglers-hedge", func(s *Scenario) { s.Stragglers, s.Hedge = 0.02, 2 }),
+		with("one-fails-fast", func(s *Scenario) { s.Fault, s.Faulty = failing, 1 }),
+		with("60-percent-fail", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Repaired = failing, 29, 0.35, 25*time.Second }),
+		with("60-percent-flaky", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Repaired = flaky, 29, 0.35, 25*time.Second }),
+		with("target-dies", func(s *Scenario) { s.Fault, s.Faulty = dead, 1 }),
+		with("never-run", func(s *Scenario) { s.TooLarge, s.Poison = 0.2, 0.02 }),
+		with("cancel-wave", func(s *Scenario) { s.Cancel, s.Load = true, 0.9 }),
+		with("flood-off", func(s *Scenario) { s.Load = 0.4 }),
+		with("flood-on", func(s *Scenario) { s.Load, s.Flood = 0.4, 3 }),
+	}
+}
+
+// prepare schedules the load and the faults of a run.
+func (w *world) prepare() {
+	sc := w.sc
+	w.openSessions()
+	for _, team := range teams[:3] {
+		w.arrive(team, func(t time.Duration) float64 {
+			if sc.Burst > 0 && t >= faultAt && t < faultAt+2*time.Second {
+				return sc.Burst / 3
+			}
+			return sc.Load / 3
+		})
+	}
+	w.arrive(teams[3], func(t time.Duration) float64 {
+		if t >= faultAt {
+			return sc.Flood
+		}
+		return 0
+	})
+	w.after(faultAt, w.breakTargets)
+	if sc.Repaired > 0 {
+		w.after(sc.Repaired, w.repairTargets)
+	}
+	if sc.Cancel {
+		w.after(faultAt, w.cancelWave)
+	}
+	w.window = [2]time.Time{w.begin.Add(warmUp), w.begin.Add(sc.Length)}
+	switch {
+	case sc.Burst > 0:
+		w.window = [2]time.Time{w.begin.Add(faultAt), w.begin.Add(faultAt + 5*time.Second)}
+	case sc.Flood > 0 || sc.Name == "flood-off":
+		w.window[0] = w.begin.Add(faultAt)
+	}
+}
+
+func (w *world) breakTargets() {
+	for _, t := range w.targets[:w.sc.Faulty] {
+		if w.sc.Fault == dead {
+			w.kill(t)
+			continue
+		}
+		t.mode = w.sc.Fault
+	}
+	if w.sc.Fault == dead {
+		w.after(listLag, func() {
+			for _, e := range w.entries {
+				w.list(e)
+			}
+		})
+	}
+}
+
+func (w *world) repairTargets() {
+	for _, t := range w.targets[:w.sc.Faulty] {
+		t.mode = serving
+	}
+}
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -12,6 +12,16 @@
 	Instance string
 	// Incarnation identifies this run of the process; it is never 0.
 	Incarnation uint64
+	// Region and AvailabilityZone are those of the instance; empty ones stand
+	// for all.
+	Region           string
+	AvailabilityZone string
+
+	// Policy selects how load and faults are handled.
+	Policy PolicyName
+	// EjectionThreshold is the share of targets, 0 to 1, above which no further
+	// one is ejected; 0 turns it off.
+	EjectionThreshold float64
 
 	MaxSessions int
 	// IdleAfter is the time without a request after which a session may be
@@ -44,6 +54,7 @@
 	return Config{
 		Instance:    instance,
 		Incarnation: incarnation,
+		Policy:      PolicyLoad,
 		MaxSessions: 20_000,
 		IdleAfter:   time.Hour,
 		Answers: session.Limits{
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -16,7 +16,7 @@
 // goroutine.
 type Dispatcher struct {
 	cfg    Config
-	policy *policy
+	policy policy
 	dir    *directory.Directory
 	// now is the latest time seen; an earlier one is read as now.
 	now time.Time
@@ -68,6 +68,8 @@
 	deadline time.Time
 	waiters  []RequestID
 	work     []pending
+	// plan belongs to the policy.
+	plan *plan
 	// doom is set where a job that is not repeatable has failed and waits for
 	// the end of its attempts in flight.
 	doom *answer.Reason
--- /dev/null
+++ b/core/dispatch/policy_end.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// overdue is the factor of the forecast run time beyond which an attempt
+// without a reply counts against its target, although its job has ended.
+const overdue = 5
+
+func (p *loadPolicy) started(now time.Time, c choice) {
+	w := c.work
+	n := p.need(w)
+	w.open = append(w.open, placed{target: c.target, at: now, need: n, choice: c})
+	p.table.Start(c.target, n)
+	bound := p.bounds[n.Service]
+	if bound == nil || !bound.Enabled() || c.hedge {
+		return
+	}
+	bound.Start()
+	if tail, ok := p.table.Tail(n.Service, c.target, n.Declared); ok && w.job.sub.Repeatable {
+		p.hedges.add(hedgeTime{at: now.Add(tail), work: w, target: c.target})
+	}
+}
+
+func (p *loadPolicy) ended(now time.Time, j *activeJob, ev AttemptEnded, counted bool) {
+	w := &j.work[ev.Attempt.Task]
+	i := slices.IndexFunc(w.open, func(o placed) bool { return o.target == ev.Target })
+	if i < 0 {
+		return
+	}
+	o := w.open[i]
+	w.open = slices.Delete(w.open, i, i+1)
+	p.table.End(ev.Target, o.need)
+	if ev.Load.Known {
+		p.table.Report(now, ev.Target, ev.Load.Running, ev.Load.Slots)
+	}
+	used := now.Sub(o.at)
+	if !ran(ev.Outcome) {
+		used = 0
+	}
+	p.queue.Ended(j.plan.queue.Team, o.choice.charged, used)
+	if o.choice.blind {
+		p.blind.ended(ran(ev.Outcome))
+	}
+	p.judge(now, w, o, ev, counted)
+	if o.choice.probe {
+		p.health.CancelProbe(ev.Target)
+	}
+	p.table.SetLimit(ev.Target, p.health.Limit(ev.Target))
+}
+
+// ran says whether the attempt took a slot.
+func ran(o Outcome) bool {
+	switch o.(type) {
+	case Refused, NotSent:
+		return false
+	}
+	return true
+}
+
+// judge draws the conclusions for the target, the budget and the job.
+func (p *loadPolicy) judge(now time.Time, w *pending, o placed, ev AttemptEnded, counted bool) {
+	key := w.job.plan.queue.Key
+	switch out := ev.Outcome.(type) {
+	case Done:
+		p.table.Learn(o.need.Service, ev.Target, o.need.Declared, out.Took)
+		p.health.Succeed(now, ev.Target, key)
+		p.budget.Succeed()
+	case TaskFailed:
+		w.tried = append(w.tried, ev.Target)
+		w.job.plan.atFault = p.health.Fail(now, ev.Target, key) || w.job.plan.atFault
+	case Lost:
+		w.tried = append(w.tried, ev.Target)
+		if counted || now.Sub(o.at) > overdue*o.choice.expected {
+			p.health.Fail(now, ev.Target, key)
+		}
+	case NotSent:
+		if !out.Late {
+			w.tried = append(w.tried, ev.Target)
+			p.health.Fail(now, ev.Target, key)
+			p.allowAgain(w)
+		}
+	case Refused:
+		p.refused(now, w, out, ev)
+	}
+}
+
+func (p *loadPolicy) refused(now time.Time, w *pending, r Refused, ev AttemptEnded) {
+	switch r.Cause {
+	case Leaving:
+		p.table.Leave(now, ev.Target)
+		p.resize()
+	case NoSlot:
+		if !ev.Load.Known {
+			// Nothing else is running here as far as this instance knows.
+			p.table.Report(now, ev.Target, p.table.SlotsOf(ev.Target), 0)
+		}
+	case BadRequest:
+		w.tried = append(w.tried, ev.Target)
+		p.allowAgain(w)
+	case LeaseLapsed:
+	}
+}
+
+// allowAgain lets a task that did not run return to the targets it has tried
+// once there is no other; the Dispatcher bounds such starts.
+func (p *loadPolicy) allowAgain(w *pending) {
+	if len(w.tried) >= len(p.table.Serving(w.job.sub.Service)) {
+		w.tried = w.tried[:0]
+	}
+}
+
+func (p *loadPolicy) mayRetry(_ time.Time, w *pending) bool {
+	service := p.dir.State.Services[w.job.sub.Service]
+	if w.job.plan.atFault || w.job.rec.TaskConsumed(w.task) >= service.MaxAttempts {
+		return false
+	}
+	if len(w.tried) >= len(p.table.Serving(w.job.sub.Service)) {
+		return false
+	}
+	w.spends = true
+	return true
+}
--- /dev/null
+++ b/core/dispatch/policy_next.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"marigoldfront.dev/core/hedge"
+	"marigoldfront.dev/core/placement"
+	"marigoldfront.dev/core/queue"
+)
+
+const (
+	// maxSkip bounds the jobs that one decision passes over because no free
+	// slot suits their next task.
+	maxSkip = 16
+	// blindAfter is how long a task waits before a target is tried of which
+	// nothing is known.
+	blindAfter = 250 * time.Millisecond
+	blindFirst = 100 * time.Millisecond
+	blindLast  = 10 * time.Second
+)
+
+// blindStarts spaces out the starts on targets of which nothing is known:
+// twice as far after each refusal.
+type blindStarts struct {
+	next     time.Time
+	interval time.Duration
+}
+
+func (b *blindStarts) allowed(now, admitted time.Time) bool {
+	return now.Sub(admitted) >= blindAfter && !now.Before(b.next)
+}
+
+func (b *blindStarts) used(now time.Time) {
+	b.interval = max(b.interval, blindFirst)
+	b.next = now.Add(b.interval)
+}
+
+func (b *blindStarts) ended(ran bool) {
+	if ran {
+		b.interval, b.next = blindFirst, time.Time{}
+		return
+	}
+	b.interval = min(2*b.interval, blindLast)
+}
+
+func (p *loadPolicy) next(now time.Time) (choice, bool) {
+	p.fund()
+	if len(p.jobs) == 0 {
+		return choice{}, false
+	}
+	p.blocked = p.blocked[:0]
+	defer p.queue.Unpark()
+	for range maxSkip {
+		h, ok := p.queue.Next(p.isBlocked)
+		if !ok {
+			break
+		}
+		if c, ok := p.place(now, h); ok {
+			return c, true
+		}
+	}
+	return choice{}, false
+}
+
+func (p *loadPolicy) isBlocked(service string) bool { return slices.Contains(p.blocked, service) }
+
+// fund queues the retries that the budget allows now.
+func (p *loadPolicy) fund() {
+	for len(p.unfunded) > 0 && p.budget.Take() {
+		p.requeue(p.unfunded[0])
+		p.unfunded = p.unfunded[1:]
+	}
+}
+
+// place finds a target for the first task in order, or passes over it.
+func (p *loadPolicy) place(now time.Time, h queue.Head) (choice, bool) {
+	w := &p.jobs[h.Job].work[h.Task.Index]
+	n := p.need(w)
+	if c, ok := p.probe(now, w, n); ok {
+		return p.take(h, w, c, true), true
+	}
+	n.Blind = p.blind.allowed(now, w.job.admitted)
+	c, verdict := p.table.Choose(now, n)
+	switch verdict {
+	case placement.Found:
+		if c.Blind {
+			p.blind.used(now)
+		}
+		return p.take(h, w, c, false), true
+	case placement.Full:
+		p.blocked = append(p.blocked, n.Service)
+	case placement.Unsuited:
+		p.queue.Park(h.Job)
+	}
+	return choice{}, false
+}
+
+// probe returns an ejected target that is due for a single task.
+func (p *loadPolicy) probe(now time.Time, w *pending, n placement.Need) (placement.Choice, bool) {
+	for _, name := range p.health.Ejected() {
+		if len(w.tried) > 0 || !p.health.ProbeDue(now, name, w.job.sub.Repeatable) {
+			continue
+		}
+		if c, ok := p.table.Probe(name, n); ok {
+			p.health.Probe(name)
+			return c, true
+		}
+	}
+	return placement.Choice{}, false
+}
+
+func (p *loadPolicy) take(h queue.Head, w *pending, c placement.Choice, probe bool) choice {
+	p.queue.Take(h.Job)
+	p.await(w.job, -1)
+	w.queued = false
+	return choice{
+		work: w, target: c.Target, address: c.Address, expected: c.Expected,
+		charged: h.Task.Expected, probe: probe, blind: c.Blind,
+	}
+}
+
+func (p *loadPolicy) hedge(now time.Time) (choice, bool) {
+	for len(p.hedges) > 0 && !now.Before(p.hedges[0].at) {
+		e := heap.Pop(&p.hedges).(hedgeTime)
+		if c, ok := p.hedgeOf(now, e); ok {
+			return c, true
+		}
+	}
+	return choice{}, false
+}
+
+func (p *loadPolicy) hedgeOf(now time.Time, e hedgeTime) (choice, bool) {
+	w, j := e.work, e.work.job
+	stays := slices.ContainsFunc(w.open, func(o placed) bool { return o.target == e.target })
+	if j.rec.Final() || w.queued || !stays {
+		return choice{}, false
+	}
+	n := p.need(w)
+	n.Tried = append(slices.Clone(w.tried), e.target)
+	c, verdict := p.table.Choose(now, n)
+	if verdict != placement.Found {
+		return choice{}, false
+	}
+	service := p.dir.State.Services[j.sub.Service]
+	a := hedge.Attempt{
+		Repeatable: j.sub.Repeatable, Running: len(w.open), Made: j.rec.TaskConsumed(w.task),
+		Allowed: service.MaxAttempts, Deadline: j.deadline,
+	}
+	if !p.bounds[j.sub.Service].Take(now, a, c.Expected) {
+		return choice{}, false
+	}
+	p.queue.Started(j.plan.queue.Team, c.Expected)
+	return choice{work: w, target: c.Target, address: c.Address, expected: c.Expected, charged: c.Expected, hedge: true}, true
+}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -16,20 +16,37 @@
 	reserve = 1
 )
 
-// Choose returns the target on which the task is expected to complete first.
-// It returns false where no slot is likely to be free, and where waiting for
-// one on a faster target is expected to pay.
-func (t *Table) Choose(now time.Time, n Need) (Choice, bool) {
+// Verdict says what Choose found.
+type Verdict int
+
+// The verdicts of Choose.
+const (
+	// Found says that there is a target for the task.
+	Found Verdict = iota + 1
+	// Unsuited says that slots are free but the task must not or should rather
+	// not use them; a task of another job may.
+	Unsuited
+	// Full says that no slot is likely to be free.
+	Full
+)
+
+// Choose returns the target on which the task is expected to complete first,
+// unless waiting for a slot on a faster target is expected to pay.
+func (t *Table) Choose(now time.Time, n Need) (Choice, Verdict) {
 	s := t.services[n.Service]
 	if s == nil || len(s.order) == 0 {
-		return Choice{}, false
+		return Choice{}, Full
 	}
 	if now.Sub(s.sortedAt) >= sortEvery || len(s.free[0]) == 0 {
 		t.sort(now, s)
 	}
 	base := s.base(n.Declared)
+	verdict := Full
 	for tier := range tiers {
-		p := t.first(now, s, tier, &n)
+		p, free := t.first(now, s, tier, &n)
+		if free {
+			verdict = Unsuited
+		}
 		if p == nil {
 			continue
 		}
@@ -38,27 +55,59 @@
 			extra = float64(t.cfg.Spread)
 		}
 		if s.waitPays(p, base, extra, n.Ahead) {
-			return Choice{}, false
+			return Choice{}, Unsuited
+		}
+		return p.choice(base, extra), Found
+	}
+	if p := s.unreported(&n); n.Blind && p != nil {
+		c := p.choice(base, 0)
+		c.Blind = true
+		return c, Found
+	}
+	return Choice{}, verdict
+}
+
+func (p *pair) choice(base, extra float64) Choice {
+	return Choice{Target: p.target.Name, Address: p.target.address, Expected: time.Duration(base*p.slowness + extra)}
+}
+
+// Probe returns the choice of a target under a limit, for a single task that
+// shows whether it works again.
+func (t *Table) Probe(on string, n Need) (Choice, bool) {
+	p := t.pair(on, n.Service)
+	if p == nil || p.target.gone() || !p.target.fits(&n) || slices.Contains(n.Tried, on) {
+		return Choice{}, false
+	}
+	return p.choice(p.service.base(n.Declared), 0), true
+}
+
+// unreported returns a target on which this instance has no attempt, so that
+// no reply will say whether it has a free slot.
+func (s *service) unreported(n *Need) *pair {
+	for _, p := range s.order {
+		if p.target.usable() && p.target.outstanding == 0 && p.target.fits(n) && !slices.Contains(n.Tried, p.target.Name) {
+			return p
 		}
-		return Choice{p.target.Name, p.target.address, time.Duration(base*p.slowness + extra)}, true
 	}
-	return Choice{}, false
+	return nil
 }
 
-// first returns the fastest target of a tier that the task may use.
-func (t *Table) first(now time.Time, s *service, tier int, n *Need) *pair {
+// first returns the fastest target of a tier that the task may use, and
+// whether the tier has a free slot at all.
+func (t *Table) first(now time.Time, s *service, tier int, n *Need) (found *pair, free bool) {
 	for i := s.free[tier].next(0); i >= 0; i = s.free[tier].next(i + 1) {
 		p := s.order[i]
 		if tier != assigned && now.Sub(p.target.reportedAt) > freshReport {
 			s.free[tier].set(i, false)
 			continue
 		}
+		free = true
 		if !p.target.fits(n) || slices.Contains(n.Tried, p.target.Name) || n.Sure && p.target.limit > 0 {
 			continue
 		}
-		return p
+		return p, true
 	}
-	return nil
+	return nil, free
 }
 
 // waitPays says whether the task should rather wait for a slot on one of the
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -48,6 +48,9 @@
 	Ahead int
 	// Sure excludes targets under a limit, for tasks that cannot be repeated.
 	Sure bool
+	// Blind allows a target of which nothing is known, at the risk of a
+	// refusal.
+	Blind bool
 }
 
 // Choice is a target with a slot that is likely to be free.
@@ -56,14 +59,15 @@
 	Address string
 	// Expected is the forecast run time on the target.
 	Expected time.Duration
+	// Blind says that nothing is known of the target's free slots.
+	Blind bool
 }
 
 // target is what is known of one target, over all services.
 type target struct {
 	directory.Target
-	address  string
-	vanished bool
-	leaving  bool
+	address string
+	leaving bool
 	// goneAt is when the target itself said that it is leaving.
 	goneAt  time.Time
 	limit   int
@@ -80,9 +84,9 @@
 	pairs      []*pair
 }
 
-func (t *target) usable() bool {
-	return !t.vanished && !t.leaving && t.goneAt.IsZero() && t.limit != 0
-}
+func (t *target) gone() bool { return t.leaving || !t.goneAt.IsZero() }
+
+func (t *target) usable() bool { return !t.gone() && t.limit != 0 }
 
 func (t *target) fits(n *Need) bool {
 	return n.MemoryMB <= t.MemoryMB-t.memoryMB && n.Accelerators <= t.Accelerators-t.accelerators
@@ -215,10 +219,7 @@
 // instances are ranked by rendezvous hash for the target and take its slots in
 // turn, so that each has a share of every target.
 func (t *Table) assign() {
-	zones := make(map[string]bool)
-	for _, n := range t.targets {
-		zones[n.AvailabilityZone] = true
-	}
+	zones := t.Zones()
 	entries := max(1, len(t.entries))
 	for name, n := range t.targets {
 		n.share = 0
@@ -226,7 +227,7 @@
 		// to have as many entry instances as this one.
 		n.connCap = n.Slots
 		if n.Connections > 0 {
-			n.connCap = max(1, n.Connections/(entries*max(1, len(zones))))
+			n.connCap = max(1, n.Connections/(entries*zones))
 		}
 		if n.sameAZ {
 			n.share = t.shareOf(name, n.Slots)
@@ -275,7 +276,7 @@
 	for _, p := range svc.order {
 		if p.target.MemoryMB >= memoryMB && p.target.Accelerators >= accelerators {
 			ever = true
-			now = now || p.target.usable() || p.target.limit == 0 && !p.target.leaving
+			now = now || !p.target.gone()
 		}
 	}
 	return ever, now
@@ -293,17 +294,48 @@
 	}
 	var names []string
 	for _, p := range svc.order {
-		if n := p.target; !n.leaving && n.goneAt.IsZero() {
+		if n := p.target; !n.gone() {
 			names = append(names, n.Name)
 		}
 	}
 	return names
 }
 
-// Outstanding returns the number of this instance's attempts on a target.
-func (t *Table) Outstanding(name string) int {
+// Address returns the address of a target, or an empty one.
+func (t *Table) Address(name string) string {
+	if n := t.targets[name]; n != nil {
+		return n.address
+	}
+	return ""
+}
+
+// Services returns the services of a target.
+func (t *Table) Services(name string) []string {
+	if n := t.targets[name]; n != nil {
+		return n.Services
+	}
+	return nil
+}
+
+// Targets returns the names of the targets that are not leaving, in order.
+func (t *Table) Targets() []string {
+	names := sortedKeys(t.targets)
+	return slices.DeleteFunc(names, func(n string) bool { return t.targets[n].gone() })
+}
+
+// Zones returns the number of availability zones with targets, at least 1.
+func (t *Table) Zones() int {
+	zones := make(map[string]bool)
+	for _, n := range t.targets {
+		zones[n.AvailabilityZone] = true
+	}
+	return max(1, len(zones))
+}
+
+// SlotsOf returns the number of slots of a target.
+func (t *Table) SlotsOf(name string) int {
 	if n := t.targets[name]; n != nil {
-		return n.outstanding
+		return n.Slots
 	}
 	return 0
 }
--- a/core/placement/table_test.go
+++ b/core/placement/table_test.go
@@ -46,12 +46,12 @@
 	tb.SetListed([]Listed{{Name: "t000"}, {Name: "t001"}, {Name: "t002"}})
 	tb.SetListed([]Listed{{Name: "t001", Leaving: true}, {Name: "t002"}})
 	tb.SetListed(nil)
-	if c, ok := tb.Choose(start, need); !ok || c.Target != "t002" {
+	if c, ok := tb.Choose(start, need); ok != Found || c.Target != "t002" {
 		t.Fatalf("chose %+v", c)
 	}
 	tb.Leave(start, "t002")
 	tb.SetListed([]Listed{{Name: "t001", Leaving: true}, {Name: "t002"}})
-	if c, ok := tb.Choose(start.Add(time.Second), need); ok {
+	if c, ok := tb.Choose(start.Add(time.Second), need); ok == Found {
 		t.Fatalf("chose %+v although the target said that it leaves", c)
 	}
 }
@@ -68,20 +68,20 @@
 	need := Need{Service: "s", Ahead: 1}
 	for range 4 {
 		c, ok := tb.Choose(start, need)
-		if !ok || c.Target != "t001" {
+		if ok != Found || c.Target != "t001" {
 			t.Fatalf("chose %+v", c)
 		}
 		tb.Start(c.Target, need)
 	}
-	if c, ok := tb.Choose(start, need); ok {
+	if c, ok := tb.Choose(start, need); ok == Found {
 		t.Fatalf("chose %+v where waiting pays", c)
 	}
 	need.Ahead = 50
-	if c, ok := tb.Choose(start, need); !ok || c.Target != "t000" {
+	if c, ok := tb.Choose(start, need); ok != Found || c.Target != "t000" {
 		t.Fatalf("chose %+v with a long queue", c)
 	}
 	need.Tried = []string{"t000"}
-	if c, ok := tb.Choose(start, need); ok {
+	if c, ok := tb.Choose(start, need); ok == Found {
 		t.Fatalf("chose %+v although it was tried", c)
 	}
 }
@@ -117,7 +117,7 @@
 	for b.Loop() {
 		now = now.Add(50 * time.Microsecond)
 		c, ok := tb.Choose(now, need)
-		if ok {
+		if ok == Found {
 			tb.Start(c.Target, need)
 			tb.End(c.Target, need)
 			tb.Learn("s", c.Target, 0, 100*time.Millisecond)
--- a/core/queue/team.go
+++ b/core/queue/team.go
@@ -63,6 +63,18 @@
 	t.limit = limit
 }
 
+// Waiting says whether any task of a service waits.
+func (q *Queue) Waiting(service string) bool {
+	for _, t := range q.active {
+		for _, l := range t.lanes {
+			if l.service == service && len(l.entries) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // TeamLoad is a team's part of the queue.
 type TeamLoad struct {
 	Queued  int
