entry: add the entry instance

Cause: the parts of the core and the platform need the program that serves callers, starts tasks and follows the configuration. Change: gateway, routing, home, engine, sender, peering, handover, configurer, lister, metrics and the run package that composes and drains them; marigold-entry with its check command; integration tests with real processes for the path of a job, duplicates, killed and paused homes, a planned stop under load, a store outage at start, a leaving target and the propagation of tickets.

--- /dev/null
+++ b/entry/home/home.go
@@ -0,0 +1,177 @@
+// Package home serves the requests of the sessions whose home is this
+// instance.
+package home
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"marigoldfront.dev/core/answer"
+	"marigoldfront.dev/core/directory"
+	"marigoldfront.dev/core/dispatch"
+	"marigoldfront.dev/core/finding"
+	"marigoldfront.dev/core/token"
+	"marigoldfront.dev/entry/convert"
+	"marigoldfront.dev/entry/engine"
+	"marigoldfront.dev/wire"
+)
+
+// Config holds the dependencies of a Home.
+type Config struct {
+	Engine *engine.Engine
+	Signer *token.Signer
+	// Directory returns the configuration in force, nil if there is none.
+	Directory   func() *directory.Directory
+	Address     netip.AddrPort
+	Incarnation uint64
+}
+
+// Home turns request messages into events and the reply actions into reply
+// messages.
+type Home struct {
+	cfg Config
+}
+
+// New returns a Home.
+func New(cfg Config) *Home { return &Home{cfg: cfg} }
+
+// Open opens a session for an authenticated caller.
+func (h *Home) Open(ctx context.Context, caller string) *wire.ForwardReply {
+	action, err := h.cfg.Engine.Do(ctx, func(id dispatch.RequestID) dispatch.Event {
+		return dispatch.OpenSession{Request: id, Caller: caller}
+	})
+	if err != nil {
+		return Reject(http.StatusServiceUnavailable, "session", err.Error())
+	}
+	switch a := action.(type) {
+	case dispatch.ReplySession:
+		text, err := h.cfg.Signer.Sign(token.Token{
+			Address: h.cfg.Address, Incarnation: a.Session.Incarnation, Number: a.Session.Number, Caller: caller,
+		})
+		if err != nil {
+			return Reject(http.StatusBadRequest, "caller", err.Error())
+		}
+		return &wire.ForwardReply{Session: text}
+	case dispatch.ReplyRejected:
+		return rejected(a)
+	default:
+		panic("home: unexpected reply to OpenSession")
+	}
+}
+
+// Serve answers a request of a session. It returns moved where the session
+// was handed over, and a nil reply where ctx has ended.
+func (h *Home) Serve(ctx context.Context, tok token.Token, req *wire.ForwardRequest) (reply *wire.ForwardReply, moved bool) {
+	event, reply := h.event(ctx, tok, req)
+	if reply != nil {
+		return reply, false
+	}
+	wait := time.Duration(req.GetWaitMs()) * time.Millisecond
+	if req.GetOperation() == wire.Operation_OPERATION_COLLECT && wait > 0 {
+		c, cancel := context.WithTimeout(ctx, wait)
+		defer cancel()
+		ctx = c
+	}
+	action, err := h.cfg.Engine.Do(ctx, event)
+	switch {
+	case errors.Is(err, engine.ErrBusy):
+		return Reject(http.StatusServiceUnavailable, "instance", err.Error()), false
+	case errors.Is(err, engine.ErrClosed):
+		return &wire.ForwardReply{Answer: convert.Unknown(answer.CodeDraining, "the instance ended before the answer")}, false
+	case errors.Is(err, context.DeadlineExceeded) && wait > 0:
+		return &wire.ForwardReply{Running: true}, false
+	case err != nil:
+		return nil, false
+	}
+	return replyOf(action)
+}
+
+func replyOf(action dispatch.Action) (reply *wire.ForwardReply, moved bool) {
+	switch a := action.(type) {
+	case dispatch.ReplyAnswer:
+		return &wire.ForwardReply{Answer: convert.ToAnswer(a.Answer)}, false
+	case dispatch.ReplyRunning:
+		return &wire.ForwardReply{Running: true}, false
+	case dispatch.ReplyRejected:
+		return rejected(a), false
+	case dispatch.ReplyDone:
+		return &wire.ForwardReply{HttpStatus: http.StatusNoContent}, false
+	case dispatch.ReplyMoved:
+		return nil, true
+	default:
+		panic("home: unexpected reply")
+	}
+}
+
+// event returns the constructor of a request's event, or the rejection of a
+// request that the configuration does not allow.
+func (h *Home) event(ctx context.Context, tok token.Token, req *wire.ForwardRequest) (func(dispatch.RequestID) dispatch.Event, *wire.ForwardReply) {
+	session := dispatch.SessionID{Incarnation: tok.Incarnation, Number: tok.Number}
+	job := dispatch.JobID{Session: session, Seq: req.GetSeq()}
+	switch req.GetOperation() {
+	case wire.Operation_OPERATION_SUBMIT:
+		if reply := h.allowed(tok.Caller, req.GetSubmission().GetService()); reply != nil {
+			return nil, reply
+		}
+		sub := submission(ctx, req)
+		return func(id dispatch.RequestID) dispatch.Event {
+			return dispatch.Submit{Request: id, Job: job, Caller: tok.Caller, Submission: sub, AcknowledgedBelow: req.GetAcknowledgedBelow()}
+		}, nil
+	case wire.Operation_OPERATION_COLLECT:
+		return func(id dispatch.RequestID) dispatch.Event {
+			return dispatch.Collect{Request: id, Job: job, Caller: tok.Caller, Wait: req.GetWaitMs() > 0}
+		}, nil
+	case wire.Operation_OPERATION_CANCEL:
+		return func(id dispatch.RequestID) dispatch.Event {
+			return dispatch.Cancel{Request: id, Job: job, Caller: tok.Caller}
+		}, nil
+	case wire.Operation_OPERATION_ACKNOWLEDGE:
+		return func(id dispatch.RequestID) dispatch.Event {
+			return dispatch.Acknowledge{Request: id, Session: session, Caller: tok.Caller, Below: req.GetAcknowledgedBelow()}
+		}, nil
+	case wire.Operation_OPERATION_CLOSE_SESSION:
+		return func(id dispatch.RequestID) dispatch.Event {
+			return dispatch.CloseSession{Request: id, Session: session, Caller: tok.Caller}
+		}, nil
+	default:
+		return nil, Reject(http.StatusBadRequest, "operation", "the operation is not known")
+	}
+}
+
+// allowed rejects a service that does not exist or that the caller may not
+// use. Without a configuration the Dispatcher gives the answer.
+func (h *Home) allowed(caller, service string) *wire.ForwardReply {
+	dir := h.cfg.Directory()
+	if dir == nil {
+		return nil
+	}
+	c, ok := dir.State.Callers[caller]
+	if !ok {
+		return Reject(http.StatusForbidden, "caller", "the caller is not configured")
+	}
+	if _, ok := dir.State.Services[service]; !ok {
+		return Reject(http.StatusForbidden, "service", "the service is not configured")
+	}
+	if !slices.Contains(c.Services, service) {
+		return Reject(http.StatusForbidden, "service", "the caller may not use the service")
+	}
+	return nil
+}
+
+func rejected(a dispatch.ReplyRejected) *wire.ForwardReply {
+	return &wire.ForwardReply{HttpStatus: int32(a.Status), Rejection: convert.ToFindings(a.Findings)}
+}
+
+// Reject returns a rejection with one finding.
+func Reject(status int, place, message string) *wire.ForwardReply {
+	return RejectAll(status, finding.List{{Place: place, Message: message}})
+}
+
+// RejectAll returns a rejection with findings.
+func RejectAll(status int, found finding.List) *wire.ForwardReply {
+	return &wire.ForwardReply{HttpStatus: int32(status), Rejection: convert.ToFindings(found)}
+}
--- /dev/null
+++ b/entry/integration/cluster_test.go
@@ -0,0 +1,269 @@
+package integration
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"marigoldfront.dev/core/directory"
+	"marigoldfront.dev/core/ticket"
+	"marigoldfront.dev/entry/run"
+	"marigoldfront.dev/platform/instancelist"
+	"marigoldfront.dev/platform/store"
+	"marigoldfront.dev/platform/ticketlog"
+)
+
+const (
+	region      = "region-a"
+	zone        = "zone-a"
+	callerName  = "desk"
+	callerToken = "token-of-the-desk"
+	service     = "appraisal"
+	// propagation is the bound of P8.
+	propagation = 6 * time.Second
+)
+
+// cluster is a platform with targets and entry instances.
+type cluster struct {
+	t        testing.TB
+	platform *process
+	state    directory.State
+	log      *ticketlog.Log
+	current  *directory.Directory
+}
+
+func newCluster(t testing.TB) *cluster {
+	c := &cluster{t: t, platform: start(t, "platform", "marigold-standin", "platform", "--listen", "127.0.0.1:0")}
+	c.log = ticketlog.New(store.New([]string{c.platform.address()}, nil))
+	c.current = directory.Empty()
+	sum := sha256.Sum256([]byte(callerToken))
+	c.state = directory.State{
+		Teams:    map[string]directory.Team{"team": {Name: "team", Weight: 1}},
+		Services: map[string]directory.Service{service: {Name: service, Owner: "o", ExpectedMS: 20, MaxAttempts: 3}},
+		Callers: map[string]directory.Caller{callerName: {
+			Name: callerName, Team: "team", Owner: "o", TokenSHA256: fmt.Sprintf("%x", sum), Services: []string{service},
+		}},
+		Targets: map[string]directory.Target{},
+	}
+	return c
+}
+
+// target starts a target and adds it to the next ticket and to the list.
+func (c *cluster) target(name string, slots int) *process {
+	c.t.Helper()
+	p := start(c.t, name, "marigold-standin", "target", "--listen", "127.0.0.1:0", "--name", name,
+		"--slots", fmt.Sprint(slots), "--connections", "64")
+	c.state.Targets[name] = directory.Target{
+		Name: name, Services: []string{service}, Region: region, AvailabilityZone: zone, Rack: "rack",
+		Address: p.address(), Slots: slots, Connections: 64, MemoryMB: 1024,
+	}
+	c.list(name, instancelist.KindTarget, p.address(), instancelist.StateLive)
+	return p
+}
+
+// ticket accepts a ticket with the whole state.
+func (c *cluster) ticket() {
+	c.t.Helper()
+	draft := ticket.Ticket{Nonce: ticketlog.NewNonce(), Author: "test", Reason: "test", Put: c.state}
+	t, next, err := ticket.Prepare(c.current, draft)
+	if err == nil {
+		err = c.log.Accept(context.Background(), c.current, t)
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.current = next
+}
+
+// ticketWith accepts a ticket that gives the caller another owner.
+func (c *cluster) ticketWith(owner string) {
+	c.t.Helper()
+	desk := c.state.Callers[callerName]
+	desk.Owner = owner
+	c.state.Callers[callerName] = desk
+	c.ticket()
+}
+
+func (c *cluster) list(name, kind, address, state string) {
+	c.t.Helper()
+	c.control(http.MethodPost, "/v1/instances", instancelist.Instance{
+		Name: name, Kind: kind, Region: region, AvailabilityZone: zone, Address: address, State: state,
+	})
+}
+
+func (c *cluster) control(method, path string, body any) {
+	c.t.Helper()
+	status, text, err := call(http.DefaultClient, method, "http://"+c.platform.address()+path, body)
+	if err != nil || status >= 300 {
+		c.t.Fatalf("%s %s: %d %s %v", method, path, status, text, err)
+	}
+}
+
+// entry is a started entry instance.
+type entry struct {
+	*process
+	Listen     string `json:"listen"`
+	PeerListen string `json:"peer_listen"`
+}
+
+func (c *cluster) entry(name string, change ...func(*run.Settings)) *entry {
+	c.t.Helper()
+	s := run.Settings{
+		Name: name, Region: region, AvailabilityZone: zone, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
+		Store: []string{c.platform.address()}, InstanceList: "http://" + c.platform.address(),
+		PeerSecret: "a secret of the tests", DrainLimitS: 30, LogLevel: "info", Trace: "off", Policy: "default",
+	}
+	for _, fn := range change {
+		fn(&s)
+	}
+	text, err := toml.Marshal(s)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	path := filepath.Join(c.t.TempDir(), name+".toml")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	e := &entry{process: start(c.t, name, "marigold-entry", "--config", path)}
+	if err := json.Unmarshal([]byte(e.ready), e); err != nil {
+		c.t.Fatal(err)
+	}
+	c.list(name, instancelist.KindEntry, e.PeerListen, instancelist.StateLive)
+	return e
+}
+
+func (e *entry) url() string { return "http://" + e.Listen }
+
+func (e *entry) status() (s run.Status) {
+	if _, text, err := call(http.DefaultClient, http.MethodGet, e.url()+"/v1/status", nil); err == nil {
+		_ = json.Unmarshal(text, &s)
+	}
+	return s
+}
+
+func (e *entry) healthy() bool {
+	status, _, err := call(http.DefaultClient, http.MethodGet, e.url()+"/healthz", nil)
+	return err == nil && status == http.StatusOK
+}
+
+// converged waits until all entries serve and know each other as live.
+func (c *cluster) converged(entries ...*entry) {
+	c.t.Helper()
+	eventually(c.t, propagation, "all entry instances have the configuration, the list and each other", func() bool {
+		for _, e := range entries {
+			s := e.status()
+			live := 0
+			for _, p := range s.Peers {
+				if p.State == "live" {
+					live++
+				}
+			}
+			if s.Ticket != c.current.Number || live < len(entries)-1 || len(s.Targets) < len(c.state.Targets) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// answer is a reply to a caller.
+type answer struct {
+	Status   int      `json:"-"`
+	State    string   `json:"state"`
+	Code     string   `json:"code"`
+	Message  string   `json:"message"`
+	Results  [][]byte `json:"results"`
+	Starts   int      `json:"starts"`
+	Findings []struct{ Place, Message string }
+	Err      error `json:"-"`
+}
+
+func (e *entry) ask(method, path string, body any) (a answer) {
+	var text []byte
+	a.Status, text, a.Err = call(http.DefaultClient, method, e.url()+path, body)
+	if a.Err == nil && len(text) > 0 {
+		a.Err = json.Unmarshal(text, &a)
+	}
+	return a
+}
+
+func (e *entry) open() string {
+	e.t.Helper()
+	status, text, err := call(http.DefaultClient, http.MethodPost, e.url()+"/v1/sessions",
+		map[string]string{"caller": callerName}, "Authorization", "Bearer "+callerToken)
+	var m struct{ Session string }
+	if err != nil || status != http.StatusCreated || json.Unmarshal(text, &m) != nil {
+		e.t.Fatalf("open at %s: %d %s %v", e.name, status, text, err)
+	}
+	return m.Session
+}
+
+type taskBody struct {
+	Payload []byte `json:"payload"`
+}
+
+type jobBody struct {
+	Service    string     `json:"service"`
+	Repeatable bool       `json:"repeatable"`
+	TimeoutMS  int64      `json:"timeout_ms"`
+	Tasks      []taskBody `json:"tasks"`
+}
+
+// job returns a job of n tasks that run for a given time each.
+func job(n int, run, timeout time.Duration) jobBody {
+	j := jobBody{Service: service, TimeoutMS: timeout.Milliseconds()}
+	for i := range n {
+		j.Tasks = append(j.Tasks, taskBody{fmt.Appendf(nil, `{"run_ms":%d,"result":"r%d"}`, run.Milliseconds(), i)})
+	}
+	return j
+}
+
+func (e *entry) submit(session string, seq int, j jobBody) answer {
+	return e.ask(http.MethodPut, fmt.Sprintf("/v1/sessions/%s/jobs/%d", session, seq), j)
+}
+
+// startsOf returns the starts that a target made.
+func startsOf(p *process) []started {
+	p.t.Helper()
+	_, text, err := call(http.DefaultClient, http.MethodGet, "http://"+p.address()+"/v1/starts", nil)
+	var m struct{ Starts []started }
+	if err == nil {
+		err = json.Unmarshal(text, &m)
+	}
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return m.Starts
+}
+
+type started struct {
+	TimeUnixMS int64 `json:"time_unix_ms"`
+	Job        string
+	Task       int
+	Attempt    int
+}
+
+// complete fails the test unless the answer has the results of a job of n tasks.
+func complete(t testing.TB, a answer, n int) {
+	t.Helper()
+	if a.Err != nil || a.State != "complete" || len(a.Results) != n {
+		t.Fatalf("answer: %+v, want complete with %d results", a, n)
+	}
+	for i, r := range a.Results {
+		if string(r) != fmt.Sprintf("r%d", i) {
+			t.Fatalf("result %d is %q", i, r)
+		}
+	}
+}
+
+// seqOf returns the sequence number in a job's name at the targets.
+func seqOf(s started) string { return s.Job[strings.LastIndexByte(s.Job, '-')+1:] }
--- /dev/null
+++ b/entry/integration/process_test.go
@@ -0,0 +1,157 @@
+// Package integration tests whole entry instances as processes on loopback,
+// with the stand-ins of the platform and of targets.
+package integration
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// programs is the folder of the built programs.
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "marigold")
+		if err != nil {
+			panic(err)
+		}
+		defer os.RemoveAll(dir)
+		programs = dir
+		build := exec.Command("go", "build", "-o", dir+"/",
+			"marigoldfront.dev/entry/cmd/marigold-entry", "marigoldfront.dev/standin/cmd/marigold-standin")
+		if out, err := build.CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+// process is a started program. It is killed when its test ends.
+type process struct {
+	t    testing.TB
+	name string
+	cmd  *exec.Cmd
+	// ready is the first line of its output.
+	ready  string
+	exited chan struct{}
+}
+
+func start(t testing.TB, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(programs, program), args...), exited: make(chan struct{})}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.Create(filepath.Join(t.TempDir(), name+".log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Stderr = log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		p.kill()
+		log.Close()
+		if text, err := os.ReadFile(log.Name()); t.Failed() && err == nil {
+			t.Logf("log of %s:\n%s", name, text)
+		}
+	})
+	lines := bufio.NewReader(out)
+	p.ready, err = lines.ReadString('\n')
+	if err != nil {
+		text, _ := os.ReadFile(log.Name())
+		t.Fatalf("%s did not become ready: %v\n%s", name, err, text)
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, lines)
+		_ = p.cmd.Wait()
+		close(p.exited)
+	}()
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Errorf("signal to %s: %v", p.name, err)
+	}
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// exit waits for the end of the process and returns its exit code.
+func (p *process) exit(limit time.Duration) int {
+	p.t.Helper()
+	select {
+	case <-p.exited:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(limit):
+		p.t.Fatalf("%s did not end within %v", p.name, limit)
+		return -1
+	}
+}
+
+// address returns the address in a stand-in's ready line.
+func (p *process) address() string {
+	p.t.Helper()
+	var text string
+	if _, err := fmt.Sscan(p.ready, &text); err != nil {
+		p.t.Fatal(err)
+	}
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		p.t.Fatal(err)
+	}
+	return text
+}
+
+// call sends a request with a JSON body and returns the status and the body.
+func call(client *http.Client, method, url string, body any, header ...string) (int, []byte, error) {
+	r, w := io.Pipe()
+	go func() { w.CloseWithError(json.NewEncoder(w).Encode(body)) }()
+	req, err := http.NewRequest(method, url, r)
+	if err != nil {
+		return 0, nil, err
+	}
+	if body == nil {
+		req.Body = nil
+		r.Close()
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, text, err
+}
+
+// eventually waits until cond holds.
+func eventually(t testing.TB, limit time.Duration, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", limit, what)
+}
--- /dev/null
+++ b/entry/metrics/metrics.go
@@ -0,0 +1,109 @@
+package metrics
+
+import (
+	"io"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// reportInterval is how often the counters reach the registry. A reading of
+// /metrics is at most this old.
+const reportInterval = 500 * time.Millisecond
+
+// help says what each metric counts.
+var help = map[string]string{
+	"marigold_requests_total":               "Caller requests by operation.",
+	"marigold_rejections_total":             "Rejected caller requests by HTTP status.",
+	"marigold_answers_total":                "Answers by state.",
+	"marigold_request_seconds":              "Time from a submission to its answer, in seconds.",
+	"marigold_attempts_total":               "Ended attempts by outcome.",
+	"marigold_mismatched_replies_total":     "Target replies that name another job, task or attempt.",
+	"marigold_stops_total":                  "Stop messages sent to targets.",
+	"marigold_forwards_total":               "Requests forwarded to another home, by result.",
+	"marigold_exchanges_total":              "Exchange messages sent to peers, by result.",
+	"marigold_store_calls_total":            "Calls to the store, by result.",
+	"marigold_ticket_number":                "Number of the ticket in force.",
+	"marigold_confirmation_age_seconds":     "Time since the store last confirmed the newest ticket, in seconds.",
+	"marigold_queued_tasks":                 "Tasks that wait for a slot.",
+	"marigold_running_tasks":                "Tasks on targets.",
+	"marigold_sessions":                     "Open sessions.",
+	"marigold_handed_over_sessions_total":   "Sessions handed over to the successor.",
+	"marigold_instance_list_failures_total": "Failed polls of the instance list.",
+}
+
+// Metrics are the counters of one entry instance.
+type Metrics struct {
+	Registry *Registry
+	scope    tally.Scope
+	closer   io.Closer
+
+	RequestSeconds    tally.Histogram
+	Mismatched        tally.Counter
+	Stops             tally.Counter
+	HandedOver        tally.Counter
+	ListFailures      tally.Counter
+	TicketNumber      tally.Gauge
+	ConfirmationAge   tally.Gauge
+	Queued            tally.Gauge
+	Running           tally.Gauge
+	Sessions          tally.Gauge
+	StoreOK, StoreErr tally.Counter
+
+	Done, TaskFailed, Refused, NotSent, Lost tally.Counter
+}
+
+// New returns the metrics of an instance. Close ends the reporting.
+func New() *Metrics {
+	r := newRegistry()
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "marigold", Separator: "_", CachedReporter: r, OmitCardinalityMetrics: true,
+	}, reportInterval)
+	m := &Metrics{Registry: r, scope: scope, closer: closer}
+	m.RequestSeconds = scope.Histogram("request_seconds", tally.DurationBuckets{
+		time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond,
+		20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+		500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, time.Minute,
+	})
+	m.Mismatched = scope.Counter("mismatched_replies_total")
+	m.Stops = scope.Counter("stops_total")
+	m.HandedOver = scope.Counter("handed_over_sessions_total")
+	m.ListFailures = scope.Counter("instance_list_failures_total")
+	m.TicketNumber = scope.Gauge("ticket_number")
+	m.ConfirmationAge = scope.Gauge("confirmation_age_seconds")
+	m.Queued = scope.Gauge("queued_tasks")
+	m.Running = scope.Gauge("running_tasks")
+	m.Sessions = scope.Gauge("sessions")
+	m.StoreOK = m.tagged("store_calls_total", "result", "ok")
+	m.StoreErr = m.tagged("store_calls_total", "result", "error")
+	m.Done = m.tagged("attempts_total", "outcome", "done")
+	m.TaskFailed = m.tagged("attempts_total", "outcome", "failed")
+	m.Refused = m.tagged("attempts_total", "outcome", "refused")
+	m.NotSent = m.tagged("attempts_total", "outcome", "not_sent")
+	m.Lost = m.tagged("attempts_total", "outcome", "lost")
+	return m
+}
+
+func (m *Metrics) tagged(name, key, value string) tally.Counter {
+	return m.scope.Tagged(map[string]string{key: value}).Counter(name)
+}
+
+// Request counts a caller request.
+func (m *Metrics) Request(operation string) {
+	m.tagged("requests_total", "operation", operation).Inc(1)
+}
+
+// Rejection counts a rejected caller request.
+func (m *Metrics) Rejection(status string) { m.tagged("rejections_total", "status", status).Inc(1) }
+
+// Answer counts an answer.
+func (m *Metrics) Answer(state string) { m.tagged("answers_total", "state", state).Inc(1) }
+
+// Forward counts a request forwarded to another home.
+func (m *Metrics) Forward(result string) { m.tagged("forwards_total", "result", result).Inc(1) }
+
+// Exchange counts an exchange message.
+func (m *Metrics) Exchange(result string) { m.tagged("exchanges_total", "result", result).Inc(1) }
+
+// Close reports the last values and ends the reporting.
+func (m *Metrics) Close() error { return m.closer.Close() }
--- /dev/null
+++ b/entry/metrics/registry.go
@@ -0,0 +1,176 @@
+// Package metrics holds the counters of an entry instance and writes them in
+// the Prometheus text format. Every name ends in its unit, or in "total" for
+// counts of events.
+package metrics
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Registry keeps the reported values of a tally scope. It implements
+// tally.CachedStatsReporter.
+type Registry struct {
+	mu     sync.Mutex
+	series map[string]*series
+}
+
+// series is one time series: a name with its tags.
+type series struct {
+	name, labels string
+	kind         string
+	value        atomic.Int64
+	gauge        atomic.Uint64
+	buckets      []bucket
+}
+
+type bucket struct {
+	upper float64
+	count *atomic.Int64
+}
+
+func newRegistry() *Registry {
+	return &Registry{series: map[string]*series{}}
+}
+
+// WriteTo writes all values, sorted by name.
+func (r *Registry) WriteTo(w io.Writer) (int64, error) {
+	r.mu.Lock()
+	all := make([]*series, 0, len(r.series))
+	for _, s := range r.series {
+		all = append(all, s)
+	}
+	r.mu.Unlock()
+	slices.SortFunc(all, func(a, b *series) int {
+		return strings.Compare(a.name+a.labels, b.name+b.labels)
+	})
+	buf := bufio.NewWriter(w)
+	last := ""
+	for _, s := range all {
+		if s.name != last {
+			fmt.Fprintf(buf, "# HELP %s %s\n# TYPE %s %s\n", s.name, help[s.name], s.name, s.kind)
+			last = s.name
+		}
+		s.write(buf)
+	}
+	return 0, buf.Flush()
+}
+
+func (s *series) write(w io.Writer) {
+	switch s.kind {
+	case "counter":
+		fmt.Fprintf(w, "%s%s %d\n", s.name, braces(s.labels), s.value.Load())
+	case "gauge":
+		fmt.Fprintf(w, "%s%s %g\n", s.name, braces(s.labels), math.Float64frombits(s.gauge.Load()))
+	case "histogram":
+		total := int64(0)
+		for _, b := range s.buckets {
+			total += b.count.Load()
+			bound := fmt.Sprintf("%g", b.upper)
+			if b.upper > 1e9 {
+				bound = "+Inf"
+			}
+			fmt.Fprintf(w, "%s_bucket%s %d\n", s.name, braces(join(s.labels, `le="`+bound+`"`)), total)
+		}
+		fmt.Fprintf(w, "%s_count%s %d\n", s.name, braces(s.labels), total)
+	default:
+		panic("metrics: unknown kind " + s.kind)
+	}
+}
+
+func braces(labels string) string {
+	if labels == "" {
+		return ""
+	}
+	return "{" + labels + "}"
+}
+
+func join(a, b string) string {
+	if a == "" {
+		return b
+	}
+	return a + "," + b
+}
+
+func (r *Registry) get(name, kind string, tags map[string]string) *series {
+	keys := make([]string, 0, len(tags))
+	for k, v := range tags {
+		keys = append(keys, fmt.Sprintf("%s=%q", k, v))
+	}
+	slices.Sort(keys)
+	labels := strings.Join(keys, ",")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := name + braces(labels)
+	s, ok := r.series[id]
+	if !ok {
+		s = &series{name: name, labels: labels, kind: kind}
+		r.series[id] = s
+	}
+	return s
+}
+
+// AllocateCounter implements tally.CachedStatsReporter.
+func (r *Registry) AllocateCounter(name string, tags map[string]string) tally.CachedCount {
+	return r.get(name, "counter", tags)
+}
+
+// AllocateGauge implements tally.CachedStatsReporter.
+func (r *Registry) AllocateGauge(name string, tags map[string]string) tally.CachedGauge {
+	return r.get(name, "gauge", tags)
+}
+
+// AllocateTimer implements tally.CachedStatsReporter. Timers are not used,
+// because histograms say more.
+func (r *Registry) AllocateTimer(string, map[string]string) tally.CachedTimer {
+	panic("metrics: timers are not used")
+}
+
+// AllocateHistogram implements tally.CachedStatsReporter.
+func (r *Registry) AllocateHistogram(name string, tags map[string]string, _ tally.Buckets) tally.CachedHistogram {
+	return r.get(name, "histogram", tags)
+}
+
+// Capabilities implements tally.BaseStatsReporter.
+func (r *Registry) Capabilities() tally.Capabilities { return r }
+
+// Reporting implements tally.Capabilities.
+func (r *Registry) Reporting() bool { return true }
+
+// Tagging implements tally.Capabilities.
+func (r *Registry) Tagging() bool { return true }
+
+// Flush implements tally.BaseStatsReporter.
+func (r *Registry) Flush() {}
+
+// ReportCount implements tally.CachedCount.
+func (s *series) ReportCount(value int64) { s.value.Add(value) }
+
+// ReportGauge implements tally.CachedGauge.
+func (s *series) ReportGauge(value float64) { s.gauge.Store(math.Float64bits(value)) }
+
+// ValueBucket implements tally.CachedHistogram.
+func (s *series) ValueBucket(_, upper float64) tally.CachedHistogramBucket {
+	count := new(atomic.Int64)
+	s.buckets = append(s.buckets, bucket{upper: upper, count: count})
+	return sampleCount{count}
+}
+
+// DurationBucket implements tally.CachedHistogram.
+func (s *series) DurationBucket(_, upper time.Duration) tally.CachedHistogramBucket {
+	return s.ValueBucket(0, upper.Seconds())
+}
+
+type sampleCount struct{ count *atomic.Int64 }
+
+// ReportSamples implements tally.CachedHistogramBucket.
+func (c sampleCount) ReportSamples(n int64) { c.count.Add(n) }
--- /dev/null
+++ b/entry/peering/server.go
@@ -0,0 +1,183 @@
+// Package peering exchanges state with the other entry instances and serves
+// their requests.
+package peering
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/dispatch"
+	"marigoldfront.dev/core/membership"
+	"marigoldfront.dev/entry/convert"
+	"marigoldfront.dev/entry/engine"
+	"marigoldfront.dev/entry/peers"
+	"marigoldfront.dev/entry/routing"
+	"marigoldfront.dev/platform/tracing"
+	"marigoldfront.dev/wire"
+)
+
+const (
+	headerTime = 10 * time.Second
+	idleTime   = 2 * time.Minute
+	// maxMessageBytes bounds a peer message: a submission, or a part of a
+	// hand-over.
+	maxMessageBytes = 32 << 20
+)
+
+// Tickets serves the configuration to peers.
+type Tickets interface {
+	Fetch(after uint64) *wire.FetchTicketsReply
+}
+
+// ServerConfig holds the dependencies of a Server.
+type ServerConfig struct {
+	Log       *zap.Logger
+	Tracer    *tracing.Tracer
+	Router    *routing.Router
+	Engine    *engine.Engine
+	Peers     *peers.Peers
+	Tickets   Tickets
+	Exchanger *Exchanger
+	Draining  func() bool
+	// Secrets are the accepted peer secrets.
+	Secrets []string
+}
+
+// Server implements wire.Peer.
+type Server struct {
+	cfg    ServerConfig
+	self   membership.Identity
+	server *http.Server
+	done   chan struct{}
+}
+
+// NewServer returns a Server; Serve starts it.
+func NewServer(cfg ServerConfig) *Server {
+	s := &Server{cfg: cfg, done: make(chan struct{})}
+	cfg.Peers.With(func(r *membership.Roster) { s.self = r.Self() })
+	handler := http.MaxBytesHandler(wire.NewPeerServer(s), maxMessageBytes)
+	s.server = &http.Server{
+		Handler:           peers.Authenticate(handler, cfg.Secrets...),
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		ErrorLog:          zap.NewStdLog(cfg.Log),
+	}
+	return s
+}
+
+// Serve serves the listener until Close.
+func (s *Server) Serve(l net.Listener) error {
+	defer close(s.done)
+	if err := s.server.Serve(l); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+// Close waits for the requests in flight until ctx ends; then it cuts them.
+func (s *Server) Close(ctx context.Context) error {
+	err := s.server.Shutdown(ctx)
+	if err != nil {
+		_ = s.server.Close()
+	}
+	<-s.done
+	return err
+}
+
+// Forward implements wire.Peer.
+func (s *Server) Forward(ctx context.Context, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	ctx = tracing.Extract(ctx, req.GetTraceparent())
+	ctx, span := s.cfg.Tracer.Start(ctx, "forwarded")
+	defer span.End()
+	reply := s.cfg.Router.Forwarded(tracing.Ensure(ctx), req)
+	if reply == nil {
+		return nil, twirp.NewError(twirp.Canceled, "the request was given up")
+	}
+	return reply, nil
+}
+
+// Handover implements wire.Peer. FailedPrecondition means that this instance
+// drains itself and holds none of the sessions.
+func (s *Server) Handover(ctx context.Context, req *wire.HandoverRequest) (*wire.HandoverReply, error) {
+	if s.cfg.Draining() {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "the instance is draining")
+	}
+	records, err := convert.FromRecords(req.GetSessions())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("sessions", err.Error())
+	}
+	err = s.do(ctx, func(id dispatch.RequestID) dispatch.Event {
+		return dispatch.ImportSessions{Request: id, Records: records}
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.cfg.Peers.With(func(r *membership.Roster) {
+		now := time.Now()
+		for _, rec := range records {
+			r.AddMove(now, membership.Move{Incarnation: rec.Session.Incarnation, Successor: s.self.Address})
+		}
+		r.AddMove(now, membership.Move{Incarnation: req.GetIncarnation(), Successor: s.self.Address})
+	})
+	s.cfg.Log.Info("Sessions are taken over.", zap.String("from", req.GetFrom()), zap.Int("sessions", len(records)))
+	return &wire.HandoverReply{Accepted: uint32(len(records))}, nil
+}
+
+// Deliver implements wire.Peer.
+func (s *Server) Deliver(ctx context.Context, req *wire.DeliverRequest) (*wire.DeliverReply, error) {
+	answers, err := convert.FromDelivered(req.GetAnswers())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("answers", err.Error())
+	}
+	err = s.do(ctx, func(id dispatch.RequestID) dispatch.Event {
+		return dispatch.ImportAnswers{Request: id, Answers: answers}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &wire.DeliverReply{}, nil
+}
+
+// do hands an event to the engine and turns its reply into a twirp error.
+func (s *Server) do(ctx context.Context, event func(dispatch.RequestID) dispatch.Event) error {
+	action, err := s.cfg.Engine.Do(ctx, event)
+	if errors.Is(err, engine.ErrBusy) {
+		return twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	if err != nil {
+		return twirp.InternalErrorWith(err)
+	}
+	switch a := action.(type) {
+	case dispatch.ReplyDone:
+		return nil
+	case dispatch.ReplyRejected:
+		if a.Status == http.StatusServiceUnavailable {
+			return twirp.NewError(twirp.FailedPrecondition, a.Findings.Error())
+		}
+		return twirp.NewError(twirp.Unavailable, a.Findings.Error())
+	default:
+		panic("peering: unexpected reply to an import")
+	}
+}
+
+// Exchange implements wire.Peer.
+func (s *Server) Exchange(_ context.Context, req *wire.ExchangeMessage) (*wire.ExchangeMessage, error) {
+	s.cfg.Exchanger.Hear(req)
+	return s.cfg.Exchanger.Message(), nil
+}
+
+// FetchTickets implements wire.Peer.
+func (s *Server) FetchTickets(_ context.Context, req *wire.FetchTicketsRequest) (*wire.FetchTicketsReply, error) {
+	return s.cfg.Tickets.Fetch(req.GetAfter()), nil
+}
+
+// FetchSpeeds implements wire.Peer.
+func (s *Server) FetchSpeeds(context.Context, *wire.FetchSpeedsRequest) (*wire.FetchSpeedsReply, error) {
+	return &wire.FetchSpeedsReply{}, nil
+}
--- /dev/null
+++ b/entry/routing/router.go
@@ -0,0 +1,209 @@
+// Package routing finds the home of a request's session: this instance, which
+// serves the request, or another one, to which the request is forwarded.
+package routing
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/answer"
+	"marigoldfront.dev/core/membership"
+	"marigoldfront.dev/core/token"
+	"marigoldfront.dev/entry/convert"
+	"marigoldfront.dev/entry/home"
+	"marigoldfront.dev/entry/metrics"
+	"marigoldfront.dev/entry/peers"
+	"marigoldfront.dev/platform/tracing"
+	"marigoldfront.dev/wire"
+)
+
+const (
+	// forwardGrace is how long after its own time limit a forwarded request
+	// may still be answered by its home.
+	forwardGrace = 5 * time.Second
+	// openTries bounds the peers that a draining instance asks to open a
+	// session.
+	openTries = 3
+)
+
+// Mover tells where this instance's sessions went. Successor waits until the
+// successor has accepted them or ctx ends, and returns false where there is
+// none.
+type Mover interface {
+	Successor(ctx context.Context) (address string, ok bool)
+}
+
+// Config holds the dependencies of a Router.
+type Config struct {
+	Log     *zap.Logger
+	Metrics *metrics.Metrics
+	Tracer  *tracing.Tracer
+	Home    *home.Home
+	Signer  *token.Signer
+	Peers   *peers.Peers
+	Mover   Mover
+	// Draining says whether the planned stop has begun.
+	Draining func() bool
+}
+
+// Router serves or forwards the requests of callers and peers.
+type Router struct {
+	cfg  Config
+	self membership.Identity
+}
+
+// New returns a Router.
+func New(cfg Config) *Router {
+	r := &Router{cfg: cfg}
+	cfg.Peers.With(func(roster *membership.Roster) { r.self = roster.Self() })
+	return r
+}
+
+// Serve answers a request of a caller. It returns nil where ctx has ended.
+func (r *Router) Serve(ctx context.Context, req *wire.ForwardRequest) *wire.ForwardReply {
+	if req.GetOperation() == wire.Operation_OPERATION_OPEN_SESSION {
+		return r.open(ctx, req)
+	}
+	tok, err := r.cfg.Signer.Verify(req.GetSession())
+	if err != nil {
+		return home.Reject(http.StatusUnauthorized, "session", err.Error())
+	}
+	req.Caller = tok.Caller
+	address := r.locate(tok)
+	if address == "" {
+		reply, moved := r.cfg.Home.Serve(ctx, tok, req)
+		if !moved {
+			return reply
+		}
+		var ok bool
+		if address, ok = r.cfg.Mover.Successor(ctx); !ok {
+			return unreachable("the session has no home any more")
+		}
+	}
+	return r.follow(ctx, address, req)
+}
+
+// Forwarded answers a request that a peer has forwarded. It is never
+// forwarded again; the reply may name the session's successor instead.
+func (r *Router) Forwarded(ctx context.Context, req *wire.ForwardRequest) *wire.ForwardReply {
+	if req.GetOperation() == wire.Operation_OPERATION_OPEN_SESSION {
+		if r.cfg.Draining() {
+			return home.Reject(http.StatusServiceUnavailable, "session", "the instance is draining")
+		}
+		return r.cfg.Home.Open(ctx, req.GetCaller())
+	}
+	tok, err := r.cfg.Signer.Verify(req.GetSession())
+	if err != nil {
+		return home.Reject(http.StatusUnauthorized, "session", err.Error())
+	}
+	if tok.Caller != req.GetCaller() {
+		return home.Reject(http.StatusForbidden, "session", "the session belongs to another caller")
+	}
+	if address, ok := r.moved(tok.Incarnation); ok && address != r.self.Address && tok.Incarnation != r.self.Incarnation {
+		return &wire.ForwardReply{MovedTo: address}
+	}
+	reply, moved := r.cfg.Home.Serve(ctx, tok, req)
+	if !moved {
+		return reply
+	}
+	address, ok := r.cfg.Mover.Successor(ctx)
+	if !ok {
+		return unreachable("the session has no home any more")
+	}
+	return &wire.ForwardReply{MovedTo: address}
+}
+
+// locate returns the address of a session's home, "" for this instance.
+func (r *Router) locate(tok token.Token) string {
+	if tok.Incarnation == r.self.Incarnation {
+		return ""
+	}
+	address, ok := r.moved(tok.Incarnation)
+	if !ok {
+		address = tok.Address.String()
+	}
+	if address == r.self.Address {
+		return ""
+	}
+	return address
+}
+
+func (r *Router) moved(incarnation uint64) (address string, ok bool) {
+	r.cfg.Peers.With(func(roster *membership.Roster) {
+		address, ok = roster.FindMoved(time.Now(), incarnation)
+	})
+	return address, ok
+}
+
+// follow forwards a request and follows one successor. After that, or where
+// no reply comes, the answer is unknown: an earlier copy, or this one, may
+// have arrived at the home.
+func (r *Router) follow(ctx context.Context, address string, req *wire.ForwardRequest) *wire.ForwardReply {
+	for range 2 {
+		reply, err := r.forward(ctx, address, req)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			r.cfg.Metrics.Forward("unreachable")
+			r.cfg.Log.Info("A home is unreachable.", zap.String("address", address), zap.Error(err))
+			return unreachable("the home of the session gave no reply")
+		}
+		r.cfg.Metrics.Forward("ok")
+		if reply.GetMovedTo() == "" {
+			return reply
+		}
+		address = reply.GetMovedTo()
+	}
+	return unreachable("the session moved more than once")
+}
+
+func unreachable(message string) *wire.ForwardReply {
+	return &wire.ForwardReply{Answer: convert.Unknown(answer.CodeHomeUnreachable, message)}
+}
+
+func (r *Router) forward(ctx context.Context, address string, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	limit := time.Duration(max(req.GetWaitMs(), req.GetSubmission().GetTimeoutMs()))*time.Millisecond + forwardGrace
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ctx, span := r.cfg.Tracer.Start(ctx, "forward")
+	defer span.End()
+	req.Traceparent = tracing.Inject(ctx)
+	return r.cfg.Peers.Client(address).Forward(ctx, req)
+}
+
+// open opens a session here or, while this instance drains, at a peer.
+func (r *Router) open(ctx context.Context, req *wire.ForwardRequest) *wire.ForwardReply {
+	if !r.cfg.Draining() {
+		return r.cfg.Home.Open(ctx, req.GetCaller())
+	}
+	for _, address := range r.openAt() {
+		reply, err := r.forward(ctx, address, req)
+		if err == nil && reply.GetSession() != "" {
+			return reply
+		}
+	}
+	return home.Reject(http.StatusServiceUnavailable, "session", "the instance is draining and no peer opens sessions")
+}
+
+// openAt returns the peers that may open a session, those of the own
+// availability zone first.
+func (r *Router) openAt() []string {
+	var own, other []string
+	r.cfg.Peers.With(func(roster *membership.Roster) {
+		for _, p := range roster.Peers() {
+			switch {
+			case p.State != membership.Live || p.Region != r.self.Region:
+			case p.AvailabilityZone == r.self.AvailabilityZone:
+				own = append(own, p.Address)
+			default:
+				other = append(other, p.Address)
+			}
+		}
+	})
+	all := append(own, other...)
+	return all[:min(len(all), openTries)]
+}
--- /dev/null
+++ b/entry/run/settings.go
@@ -0,0 +1,117 @@
+// Package run composes an entry instance from its settings, and ends it
+// gracefully.
+package run
+
+import (
+	"net/netip"
+	"net/url"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"marigoldfront.dev/core/finding"
+	"marigoldfront.dev/platform/settings"
+)
+
+const (
+	defaultDrainLimitS = 600
+	maxDrainLimitS     = 86_400
+	minSecretBytes     = 16
+	maxNameBytes       = 255
+)
+
+// Settings are the contents of the settings file.
+type Settings struct {
+	Name             string `toml:"name"`
+	Region           string `toml:"region"`
+	AvailabilityZone string `toml:"availability_zone"`
+	// Listen is the IP:port for callers and operators, PeerListen the one for
+	// peers. The peer address is part of session tokens, so that it must be
+	// one that peers can reach.
+	Listen     string `toml:"listen"`
+	PeerListen string `toml:"peer_listen"`
+	// Store lists the IP:port of the store's members.
+	Store []string `toml:"store"`
+	// InstanceList is the base URL of the instance list.
+	InstanceList string `toml:"instance_list"`
+	PeerSecret   string `toml:"peer_secret"`
+	// PreviousPeerSecret is accepted too, for rotation.
+	PreviousPeerSecret string `toml:"previous_peer_secret"`
+	// DrainLimitS bounds a graceful stop, in seconds.
+	DrainLimitS int    `toml:"drain_limit_s"`
+	LogLevel    string `toml:"log_level"`
+	// Trace is off, stdout or the path of a file.
+	Trace string `toml:"trace"`
+	// Policy is default or baseline.
+	Policy string `toml:"policy"`
+}
+
+// LoadSettings reads and checks the file at path.
+func LoadSettings(path string) (Settings, finding.List) {
+	s := Settings{DrainLimitS: defaultDrainLimitS, LogLevel: "info", Trace: "off", Policy: "default"}
+	file, found := settings.Load(path, &s)
+	if file.Empty() {
+		return s, found
+	}
+	reported := map[string]bool{}
+	for _, f := range found {
+		reported[f.Place] = true
+	}
+	for _, f := range s.check(file) {
+		if !reported[f.Place] {
+			found = append(found, f)
+		}
+	}
+	return s, found
+}
+
+// check returns the findings of values that have the right type.
+func (s *Settings) check(file *settings.File) finding.List {
+	var found finding.List
+	add := func(key, message string) { found.Add(file.Place(key), "%s", message) }
+	for key, v := range map[string]string{"name": s.Name, "region": s.Region, "availability_zone": s.AvailabilityZone} {
+		if v == "" || len(v) > maxNameBytes {
+			add(key, "must have 1 to 255 bytes")
+		}
+	}
+	if _, err := netip.ParseAddrPort(s.Listen); err != nil {
+		add("listen", "must be an IP:port")
+	}
+	if a, err := netip.ParseAddrPort(s.PeerListen); err != nil || a.Addr().IsUnspecified() {
+		add("peer_listen", "must be an IP:port that peers can reach")
+	}
+	s.checkPlatform(add)
+	if len(s.PeerSecret) < minSecretBytes {
+		add("peer_secret", "must have at least 16 bytes")
+	}
+	if s.DrainLimitS < 1 || s.DrainLimitS > maxDrainLimitS {
+		add("drain_limit_s", "must be 1 to 86400")
+	}
+	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
+		add("log_level", "must be debug, info, warn or error")
+	}
+	if s.Policy != "default" && s.Policy != "baseline" {
+		add("policy", "must be default or baseline")
+	}
+	return found
+}
+
+func (s *Settings) checkPlatform(add func(key, message string)) {
+	if len(s.Store) == 0 {
+		add("store", "must list at least one IP:port")
+	}
+	for _, address := range s.Store {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			add("store", "must list IP:port only")
+			break
+		}
+	}
+	u, err := url.Parse(s.InstanceList)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		add("instance_list", "must be an http or https URL")
+	}
+}
+
+func (s *Settings) drainLimit() time.Duration {
+	return time.Duration(s.DrainLimitS) * time.Second
+}
--- /dev/null
+++ b/entry/run/status.go
@@ -0,0 +1,96 @@
+package run
+
+import (
+	"fmt"
+	"time"
+
+	"marigoldfront.dev/core/dispatch"
+	"marigoldfront.dev/core/membership"
+)
+
+// Status is the content of the status page.
+type Status struct {
+	Instance          string         `json:"instance"`
+	Region            string         `json:"region"`
+	AvailabilityZone  string         `json:"availability_zone"`
+	Incarnation       string         `json:"incarnation"`
+	State             string         `json:"state"`
+	Ticket            uint64         `json:"ticket"`
+	Digest            string         `json:"digest"`
+	KnownTicket       uint64         `json:"known_ticket"`
+	ConfirmationAgeMS int64          `json:"confirmation_age_ms"`
+	Sessions          int            `json:"sessions"`
+	Queue             QueueStatus    `json:"queue"`
+	Peers             []PeerStatus   `json:"peers"`
+	Targets           []TargetStatus `json:"targets"`
+}
+
+// QueueStatus is the work of the instance.
+type QueueStatus struct {
+	Jobs    int `json:"jobs"`
+	Tasks   int `json:"tasks"`
+	Running int `json:"running"`
+}
+
+// PeerStatus is one other entry instance.
+type PeerStatus struct {
+	Instance         string `json:"instance"`
+	AvailabilityZone string `json:"availability_zone"`
+	Address          string `json:"address"`
+	State            string `json:"state"`
+	Ticket           uint64 `json:"ticket"`
+}
+
+// TargetStatus is one target of the instance list.
+type TargetStatus struct {
+	Target  string `json:"target"`
+	Address string `json:"address"`
+	State   string `json:"state"`
+}
+
+func (in *Instance) status() any {
+	var stats dispatch.Stats
+	in.engine.Inspect(func() { stats = in.dispatcher.Stats() })
+	number, digest := in.configurer.InForce()
+	s := Status{
+		Instance: in.self.Name, Region: in.self.Region, AvailabilityZone: in.self.AvailabilityZone,
+		Incarnation: fmt.Sprintf("%016x", in.self.Incarnation), State: "live",
+		Ticket: number, Digest: fmt.Sprintf("%016x", digest), Sessions: stats.Sessions,
+		Queue: QueueStatus{Jobs: stats.ActiveJobs, Tasks: stats.QueuedTasks, Running: in.sender.InFlight()},
+		Peers: []PeerStatus{}, Targets: []TargetStatus{},
+	}
+	if in.draining.Load() {
+		s.State = "draining"
+	}
+	in.peers.With(func(r *membership.Roster) {
+		s.KnownTicket = r.Head()
+		s.ConfirmationAgeMS = r.ConfirmationAge(time.Now()).Milliseconds()
+		for _, p := range r.Peers() {
+			s.Peers = append(s.Peers, PeerStatus{
+				Instance: p.Name, AvailabilityZone: p.AvailabilityZone, Address: p.Address,
+				State: peerState(p.State), Ticket: p.Ticket,
+			})
+		}
+	})
+	for _, t := range in.lister.Targets() {
+		state := "live"
+		if t.Leaving {
+			state = "leaving"
+		}
+		s.Targets = append(s.Targets, TargetStatus{Target: t.Name, Address: t.Address, State: state})
+	}
+	return s
+}
+
+func peerState(s membership.State) string {
+	switch s {
+	case membership.Live:
+		return "live"
+	case membership.Draining:
+		return "draining"
+	case membership.Suspected:
+		return "suspected"
+	default:
+		panic("run: unknown peer state")
+	}
+}
