core: keep a target's own leave signal over changes of the configuration

Cause: the randomised runs found starts on a target that had said it is leaving: a ticket took it out of the configuration, the signal was dropped with it, and the next ticket put it back. Change: the signals are kept by name, apart from the configured targets. The model now has targets that signal, hedges, both policies and both hedge settings.

--- a/core/dispatch/model_test.go
+++ b/core/dispatch/model_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"marigoldfront.dev/core/answer"
+	"marigoldfront.dev/core/directory"
 )
 
 // world is a model of callers, targets and a chain of homes, each of which
@@ -40,6 +41,8 @@
 	// inbox holds the transfers of the predecessor.
 	inbox   []Event
 	leaving map[string]bool
+	// signalled holds when a target said that it is leaving.
+	signalled map[string]time.Time
 }
 
 // truth is what the model knows of a submission.
@@ -81,16 +84,28 @@
 		cfg.Answers.Answers = 4
 		cfg.MaxSessions = 4
 		cfg.IdleAfter = time.Second
+		if w.rarely(4) {
+			cfg.Policy = PolicyBaseline
+		}
 		cfg.MaxQueuedTasks = 12
 		h := &home{Dispatcher: New(cfg, rand.New(rand.NewPCG(1, uint64(i)))), index: i,
-			admissible: map[JobID]bool{}, leaving: map[string]bool{}}
+			admissible: map[JobID]bool{}, leaving: map[string]bool{}, signalled: map[string]time.Time{}}
 		w.homes = append(w.homes, h)
-		w.handle(h, DirectoryChanged{Directory: testDirectory(modelTargets, 2)})
+		w.handle(h, DirectoryChanged{Directory: w.directory(modelTargets, 2)})
 	}
 	w.openSession(w.homes[0])
 	return w
 }
 
+// directory returns a configuration that allows many hedges.
+func (w *world) directory(targets, slots int) *directory.Directory {
+	d := testDirectory(targets, slots)
+	s := d.State.Services["check"]
+	s.HedgePercent = 50 * w.draw(2)
+	d.State.Services["check"] = s
+	return d
+}
+
 func (w *world) draw(n int) int { return rapid.IntRange(0, n-1).Draw(w.t, "n") }
 
 // rarely is true once in n draws.
@@ -138,6 +153,11 @@
 	}
 }
 
+// isLeaving says whether the list, or lately the target, told the home so.
+func (w *world) isLeaving(h *home, name string) bool {
+	return h.leaving[name] || w.now.Sub(h.signalled[name]) < 3*time.Second
+}
+
 // started checks a start and decides what its target does.
 func (w *world) started(h *home, a StartAttempt) {
 	id := a.Attempt
@@ -151,7 +171,7 @@
 		w.t.Fatalf("P4: %v starts after the answer not_run", id)
 	case j.final != nil:
 		w.t.Fatalf("%v starts after the answer %+v", id, j.final)
-	case h.leaving[a.Target]:
+	case w.isLeaving(h, a.Target):
 		w.t.Fatalf("P6: %v starts on the leaving target %s", id, a.Target)
 	case a.StartBy.Before(w.now) || a.LeaseUntil.Before(a.StartBy):
 		w.t.Fatalf("%v starts at %v by %v with a lease until %v", id, w.now, a.StartBy, a.LeaseUntil)
@@ -175,7 +195,9 @@
 }
 
 func (w *world) fate(a StartAttempt) (bool, Outcome) {
-	switch w.draw(12) {
+	switch w.draw(13) {
+	case 6:
+		return false, Refused{Cause: Leaving}
 	case 7:
 		return true, TaskFailed{Message: "wrong"}
 	case 8:
--- a/core/dispatch/policy_baseline.go
+++ b/core/dispatch/policy_baseline.go
@@ -24,6 +24,9 @@
 	dir     *directory.Directory
 	targets map[string]*baseTarget
 	listed  map[string]ListedTarget
+	// signalled names the targets that said that they are leaving, also those
+	// that are not configured at the moment.
+	signalled map[string]bool
 	// byService holds the targets of each service, turn the next of them.
 	byService map[string][]*baseTarget
 	turn      map[string]int
@@ -37,8 +40,6 @@
 	directory.Target
 	address string
 	leaving bool
-	// signalled is set where the target itself said that it is leaving.
-	signalled bool
 }
 
 type delayed struct {
@@ -51,6 +52,8 @@
 		cfg: cfg, rng: rng,
 		targets: map[string]*baseTarget{},
 		listed:  map[string]ListedTarget{},
+
+		signalled: map[string]bool{},
 		turn:    map[string]int{},
 	}
 }
@@ -104,8 +107,9 @@
 	if !ok {
 		l = ListedTarget{Name: t.Name, Address: t.Address}
 	}
-	if l.Leaving || l.Address != t.address {
-		t.signalled = false
+	moved := t.address != "" && l.Address != t.address
+	if l.Leaving || moved {
+		delete(p.signalled, t.Name)
 	}
 	t.address, t.leaving = l.Address, l.Leaving
 }
@@ -122,7 +126,7 @@
 	}
 	serves, fits := false, false
 	for _, t := range p.byService[j.sub.Service] {
-		if !t.leaving && !t.signalled {
+		if !t.leaving && !p.signalled[t.Name] {
 			serves = true
 			fits = fits || t.fits(j)
 		}
@@ -195,7 +199,7 @@
 		at := (p.turn[service] + i) % len(ts)
 		t := ts[at]
 		switch {
-		case t.leaving, t.signalled, !t.fits(w.job):
+		case t.leaving, p.signalled[t.Name], !t.fits(w.job):
 		case slices.Contains(w.tried, t.Name):
 			other = t
 		default:
@@ -215,8 +219,8 @@
 	w.refusals++
 	switch o := ev.Outcome.(type) {
 	case Refused:
-		if t := p.targets[ev.Target]; t != nil && o.Cause == Leaving {
-			t.signalled = true
+		if o.Cause == Leaving {
+			p.signalled[ev.Target] = true
 		}
 	case TaskFailed, Lost:
 		w.refusals = 0
--- a/core/dispatch/random_test.go
+++ b/core/dispatch/random_test.go
@@ -39,7 +39,11 @@
 		w.flights = slices.Delete(w.flights, i, i+1)
 	}
 	f.reported = true
+	refused := f.home.stats.RefusedStarts
 	w.handle(f.home, ev)
+	if f.outcome == (Refused{Cause: Leaving}) && f.home.stats.RefusedStarts > refused {
+		f.home.signalled[ev.Target] = w.now
+	}
 }
 
 // hedge starts a running repeatable task a second time, as the policy may.
@@ -50,7 +54,7 @@
 	f := w.flights[w.draw(len(w.flights))]
 	d, id := f.home.Dispatcher, f.start.Attempt
 	j := d.jobs[id.Job]
-	if j == nil || !j.rec.Repeatable() || j.rec.Final() || j.rec.TaskInFlight(id.Task) != 1 || j.rec.TaskDone(id.Task) || f.home.leaving[f.start.Target] {
+	if j == nil || !j.rec.Repeatable() || j.rec.Final() || j.rec.TaskInFlight(id.Task) != 1 || j.rec.TaskDone(id.Task) || w.isLeaving(f.home, f.start.Target) {
 		return
 	}
 	w.jobs[id.Job].hedges++
@@ -73,6 +77,7 @@
 
 func (w *world) list(h *home) {
 	h.leaving = map[string]bool{}
+	clear(h.signalled)
 	var ev TargetsListed
 	for i := range modelTargets {
 		name := "ta" + string(rune('a'+i))
@@ -193,7 +198,7 @@
 	case 1, 5:
 		w.hedge()
 	case 2:
-		w.handle(h, DirectoryChanged{Directory: testDirectory(1+w.draw(modelTargets), 1+w.draw(3))})
+		w.handle(h, DirectoryChanged{Directory: w.directory(1+w.draw(modelTargets), 1+w.draw(3))})
 	default:
 		w.handle(h, Acknowledge{Request: w.ask(h, JobID{}, anyContent), Session: id.Session, Caller: "shop", Below: uint64(w.draw(20))})
 	}
--- a/core/dispatch/rules_test.go
+++ b/core/dispatch/rules_test.go
@@ -97,6 +97,24 @@
 	}
 }
 
+// Guards against new work for a target that signalled its leave, where a ticket
+// takes it out of the configuration and the next one puts it back (P6).
+func TestLeavingSurvivesTickets(t *testing.T) {
+	for _, name := range []PolicyName{PolicyLoad, PolicyBaseline} {
+		b := newBench(t, 1, 1)
+		cfg := DefaultConfig("e1", 7)
+		cfg.Policy = name
+		b.restart(cfg, testDirectory(1, 1))
+		started := one[StartAttempt](t, b.submit(1, 1, true))
+		b.handle(DirectoryChanged{Directory: testDirectory(0, 1)})
+		actions := append(b.end(started, Refused{Cause: Leaving}), b.handle(DirectoryChanged{Directory: testDirectory(1, 1)})...)
+		b.now = b.now.Add(900 * time.Millisecond)
+		if actions = append(actions, b.handle(Tick{})...); len(all[StartAttempt](actions)) > 0 {
+			t.Errorf("policy %s: %+v", name, actions)
+		}
+	}
+}
+
 // Guards against a sealed session that runs anything at its old home, and
 // against a repeated transfer that brings a closed session back (P1).
 func TestHandOver(t *testing.T) {
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -214,7 +214,7 @@
 func (t *Table) mark(now time.Time, p *pair) {
 	n, s := p.target, p.service
 	if !n.goneAt.IsZero() && now.Sub(n.goneAt) > directMark {
-		n.goneAt = time.Time{}
+		t.comeBack(n.Name)
 	}
 	others := n.others
 	// A slot of this instance's share that another one borrowed is free again
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -103,6 +103,9 @@
 	services map[string]*service
 	listed   map[string]Listed
 	known    map[string]bool
+	// signalled holds when a target said that it is leaving, also where it is
+	// not configured at the moment: it may be configured again at once.
+	signalled map[string]time.Time
 	// shares is the sum of the slots assigned to this instance on usable
 	// targets.
 	shares int
@@ -117,6 +120,8 @@
 		services: make(map[string]*service),
 		listed:   make(map[string]Listed),
 		known:    make(map[string]bool),
+
+		signalled: make(map[string]time.Time),
 	}
 }
 
@@ -150,6 +155,7 @@
 	}
 	oldPairs := n.pairs
 	n.Target, n.pairs = c, nil
+	n.goneAt = t.signalled[c.Name]
 	n.sameAZ = t.cfg.AvailabilityZone == "" || c.AvailabilityZone == t.cfg.AvailabilityZone
 	for _, name := range c.Services {
 		svc := t.services[name]
@@ -178,9 +184,8 @@
 	now := make(map[string]Listed, len(all))
 	for _, l := range all {
 		before, was := t.listed[l.Name]
-		if target := t.targets[l.Name]; target != nil && was && !l.Leaving &&
-			(before.Leaving || before.Address != l.Address) {
-			target.goneAt = time.Time{}
+		if was && !l.Leaving && (before.Leaving || before.Address != l.Address) {
+			t.comeBack(l.Name)
 		}
 		now[l.Name] = l
 		t.known[l.Name] = true
@@ -249,12 +254,21 @@
 
 // Leave notes a target's own word that it is leaving.
 func (t *Table) Leave(now time.Time, name string) {
+	t.signalled[name] = now
 	if n := t.targets[name]; n != nil {
 		n.goneAt = now
 		t.refresh()
 	}
 }
 
+// comeBack forgets that a target said it is leaving.
+func (t *Table) comeBack(name string) {
+	delete(t.signalled, name)
+	if n := t.targets[name]; n != nil {
+		n.goneAt = time.Time{}
+	}
+}
+
 // SetLimit bounds the outstanding attempts on a target; 0 excludes it and
 // Unlimited lifts the bound.
 func (t *Table) SetLimit(name string, limit int) {
