core/dispatch: exercise the policy's hedges in the model

Cause: the policy hedges only after 100 learned run times, which no random run reached. Change: half of the model's homes start with learned run times.

--- a/core/dispatch/model_test.go
+++ b/core/dispatch/model_test.go
@@ -92,11 +92,21 @@
 			admissible: map[JobID]bool{}, leaving: map[string]bool{}, signalled: map[string]time.Time{}}
 		w.homes = append(w.homes, h)
 		w.handle(h, DirectoryChanged{Directory: w.directory(modelTargets, 2)})
+		w.warmUp(h)
 	}
 	w.openSession(w.homes[0])
 	return w
 }
 
+// warmUp lets the policy know run times well enough for hedges.
+func (w *world) warmUp(h *home) {
+	if p, ok := h.policy.(*loadPolicy); ok && w.rarely(2) {
+		for range 100 {
+			p.table.Learn("check", "taa", 0, 10*time.Millisecond)
+		}
+	}
+}
+
 // directory returns a configuration that allows many hedges.
 func (w *world) directory(targets, slots int) *directory.Directory {
 	d := testDirectory(targets, slots)
@@ -209,7 +219,7 @@
 	case 11:
 		return false, Lost{Message: "reset before the run"}
 	}
-	return true, Done{Result: fmt.Appendf(nil, "%s#%d", a.Payload, a.Attempt.Number)}
+	return true, Done{Took: 10 * time.Millisecond, Result: fmt.Appendf(nil, "%s#%d", a.Payload, a.Attempt.Number)}
 }
 
 // replied checks that each request gets one reply from the home it went to.
