bench/soak: add the load, the failures and the verdict

Cause: the guarantees need to be tested with real processes under failures. Change: three availability zones of entry instances and targets behind proxies, a seeded schedule of failures, a load with duplicate submissions, and a comparison of answers with recorded starts. Targets record the mark of a payload.

--- /dev/null
+++ b/bench/soak/record.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// The states of answers.
+const (
+	stateComplete = "complete"
+	stateFailed   = "failed"
+	stateNotRun   = "not_run"
+	stateUnknown  = "unknown"
+)
+
+// observed is one answer that a caller received.
+type observed struct {
+	State   string   `json:"state"`
+	Code    string   `json:"code"`
+	Message string   `json:"message"`
+	Results [][]byte `json:"results"`
+	Starts  int      `json:"starts"`
+	// Instance is the instance that answered.
+	Instance string `json:"-"`
+}
+
+// record is what the caller knows about one of its jobs.
+type record struct {
+	ID         int
+	Session    string
+	Seq        uint64
+	Repeatable bool
+	Tasks      int
+	// Fails says that a task of the job fails by its payload, so that the job
+	// cannot be complete.
+	Fails bool
+
+	mu       sync.Mutex
+	answers  []observed
+	rejected []string
+}
+
+func (r *record) add(o observed) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers = append(r.answers, o)
+}
+
+func (r *record) reject(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rejected = append(r.rejected, text)
+}
+
+// outcome is the first answer that says what happened, else unknown, else
+// empty for a job without an answer.
+func (r *record) outcome() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := ""
+	for _, a := range r.answers {
+		if a.State != stateUnknown {
+			return a.State
+		}
+		state = stateUnknown
+	}
+	return state
+}
+
+// start is one start as a target recorded it.
+type start struct {
+	Target     string `json:"target"`
+	TimeUnixMS int64  `json:"time_unix_ms"`
+	Job        string `json:"job"`
+	Task       int    `json:"task"`
+	Attempt    int    `json:"attempt"`
+	Mark       string `json:"mark"`
+}
+
+// mark names a task in its payload and in its result.
+func mark(job, task int) string { return fmt.Sprintf("soak-%d-%d", job, task) }
+
+func parseMark(m string) (job, task int, ok bool) {
+	parts := strings.Split(m, "-")
+	if len(parts) != 3 || parts[0] != "soak" {
+		return 0, 0, false
+	}
+	job, err1 := strconv.Atoi(parts[1])
+	task, err2 := strconv.Atoi(parts[2])
+	return job, task, err1 == nil && err2 == nil
+}
--- /dev/null
+++ b/bench/soak/soak.go
@@ -0,0 +1,141 @@
+// Package soak runs the programs of the system under a seeded schedule of
+// failures, and compares what the callers were told with what the targets did.
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	zones          = 3
+	entriesPerZone = 2
+	targetsPerZone = 3
+	// healTime is given to the instances after the last failure, to find each
+	// other and the newest ticket again.
+	healTime = 6 * time.Second
+	// setupTime bounds the time until the first ticket is in force.
+	setupTime = 15 * time.Second
+)
+
+// Config describes a run.
+type Config struct {
+	Duration time.Duration
+	Seed     uint64
+	// Bin is the directory of the programs.
+	Bin string
+	// Out takes the progress and the schedule as it is carried out.
+	Out io.Writer
+}
+
+// Command is the subcommand soak.
+type Command struct {
+	Duration time.Duration `long:"duration" default:"2m" description:"time of load and failures"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the load and of the failures"`
+	Bin      string        `long:"bin" description:"directory of the programs; default is that of this one"`
+}
+
+// Execute implements flags.Commander.
+func (c *Command) Execute([]string) error {
+	if c.Bin == "" {
+		exe, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		c.Bin = filepath.Dir(exe)
+	}
+	s, err := Run(Config{Duration: c.Duration, Seed: c.Seed, Bin: c.Bin, Out: os.Stdout})
+	if err != nil {
+		return err
+	}
+	if s.Faulty() {
+		return errors.New("a guarantee was broken:\n" + strings.Join(s.Details, "\n"))
+	}
+	return nil
+}
+
+// Run carries out one run and prints its verdict. The error is that of a run
+// that could not be carried out, or of a program that ended by itself.
+func Run(cfg Config) (Summary, error) {
+	fmt.Fprintf(cfg.Out, "soak: seed %d, duration %v, %d entry instances, %d targets\n",
+		cfg.Seed, cfg.Duration, zones*entriesPerZone, zones*targetsPerZone)
+	c, err := newCluster(cfg.Bin, zones, entriesPerZone, targetsPerZone, cfg.Seed)
+	if err != nil {
+		return Summary{}, err
+	}
+	defer c.close()
+	if err := c.awaitTicket(setupTime); err != nil {
+		return Summary{}, err
+	}
+	l := &load{c: c, api: newAPI(callerToken)}
+	disturbAndLoad(cfg, c, l)
+	time.Sleep(healTime)
+	ticketErr := c.awaitTicket(healTime)
+	l.settle(cfg.Seed)
+	starts, crashes := c.finish()
+	s := verify(l.records, starts)
+	fmt.Fprintf(cfg.Out, "soak: answers %v\n%v\n", s.Answers, s)
+	for _, crash := range crashes {
+		err = errors.Join(err, errors.New(crash))
+	}
+	return s, errors.Join(err, ticketErr)
+}
+
+func disturbAndLoad(cfg Config, c *cluster, l *load) {
+	ctx, cancel := context.WithTimeout(context.Background(), cfg.Duration)
+	defer cancel()
+	var mu sync.Mutex
+	ch := &chaos{c: c, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), began: time.Now(), log: func(text string) {
+		mu.Lock()
+		defer mu.Unlock()
+		fmt.Fprintln(cfg.Out, text)
+	}}
+	var wg sync.WaitGroup
+	wg.Go(func() { ch.run(ctx) })
+	wg.Go(func() { l.run(ctx, cfg.Seed) })
+	wg.Wait()
+}
+
+// awaitTicket waits until the newest ticket is in force at every instance.
+func (c *cluster) awaitTicket(limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	head, err := c.log().Head(ctx)
+	if err != nil {
+		return err
+	}
+	a := newAPI("")
+	for _, e := range c.entries {
+		var s struct {
+			Ticket uint64 `json:"ticket"`
+		}
+		for {
+			_, err := a.call(ctx, "GET", e.url()+"/v1/status", nil, &s)
+			if err == nil && s.Ticket >= head {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("%s has ticket %d after %v, the newest is %d (%w)", e.name, s.Ticket, limit, head, err)
+			}
+			sleep(ctx, retryWait)
+		}
+	}
+	return nil
+}
+
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("soak: plain fields not encoded: %v", err))
+	}
+	return b
+}
--- /dev/null
+++ b/bench/soak/verify_test.go
@@ -0,0 +1,63 @@
+package soak
+
+import "testing"
+
+func answered(repeatable bool, answers ...observed) []*record {
+	return []*record{{ID: 1, Repeatable: repeatable, Tasks: 2, answers: answers}}
+}
+
+func begun(task, attempt int) start {
+	return start{Target: "t", Job: "a-1-1", Task: task, Attempt: attempt, Mark: mark(1, task)}
+}
+
+// Guards against a verdict that misses a broken guarantee, or that blames an
+// allowed course.
+func TestVerify(t *testing.T) {
+	whole := observed{State: stateComplete, Starts: 2, Results: [][]byte{[]byte(mark(1, 0)), []byte(mark(1, 1))}}
+	swapped := observed{State: stateComplete, Starts: 2, Results: [][]byte{[]byte(mark(1, 1)), []byte(mark(1, 0))}}
+	cut := observed{State: stateComplete, Starts: 2, Results: whole.Results[:1]}
+	failed := observed{State: stateFailed, Code: "deadline", Starts: 2}
+	leaky := observed{State: stateFailed, Results: whole.Results}
+	notRun, unknown := observed{State: stateNotRun, Code: "deadline"}, observed{State: stateUnknown}
+	both := []start{begun(0, 1), begun(1, 1)}
+	other := begun(1, 2)
+	other.Job = "b-1-1"
+	foreign := begun(1, 2)
+	foreign.Mark = mark(7, 1)
+	tests := map[string]struct {
+		records                          []*record
+		starts                           []start
+		twice, partial, wrong, falseNots int
+	}{
+		"complete":                  {answered(true, whole, whole, unknown), both, 0, 0, 0, 0},
+		"retry of repeatable":       {answered(true, failed), append(both, begun(1, 2)), 0, 0, 0, 0},
+		"retry of not repeatable":   {answered(false, failed), append(both, begun(1, 2)), 1, 0, 0, 0},
+		"one attempt twice":         {answered(true, failed), append(both, begun(1, 1)), 1, 0, 0, 0},
+		"two homes":                 {answered(true, failed), append(both, other), 1, 0, 0, 0},
+		"foreign payload":           {answered(true, failed), append(both, foreign), 0, 0, 1, 0},
+		"swapped results":           {answered(true, swapped), both, 0, 0, 1, 0},
+		"too few results":           {answered(true, cut), both, 0, 1, 0, 0},
+		"failed with results":       {answered(true, leaky), both, 0, 1, 0, 0},
+		"not run":                   {answered(true, notRun, notRun), nil, 0, 0, 0, 0},
+		"false not run":             {answered(true, notRun), both[:1], 0, 0, 0, 1},
+		"contradiction":             {answered(true, whole, failed), both, 0, 0, 1, 0},
+		"result without a start":    {answered(true, whole), both[:1], 0, 0, 1, 0},
+		"more starts than answered": {answered(true, whole), append(both, begun(1, 2)), 0, 0, 1, 0},
+		"no answer":                 {answered(true), both, 0, 0, 0, 0},
+	}
+	for name, tc := range tests {
+		s := verify(tc.records, tc.starts)
+		if s.StartedTwice != tc.twice || s.Partial != tc.partial || s.Wrong != tc.wrong || s.FalseNotRun != tc.falseNots {
+			t.Errorf("%s: %v\n%v", name, s, s.Details)
+		}
+		if s.Faulty() != (tc.twice+tc.partial+tc.wrong+tc.falseNots > 0) {
+			t.Errorf("%s: faulty is %v", name, s.Faulty())
+		}
+	}
+	if s := verify(answered(true, unknown), nil); s.Unknown != 1 || s.Lost != 0 {
+		t.Errorf("unknown: %v", s)
+	}
+	if s := verify(answered(true), nil); s.Lost != 1 {
+		t.Errorf("lost: %v", s)
+	}
+}
--- a/standin/target/run.go
+++ b/standin/target/run.go
@@ -52,8 +52,9 @@
 	case overLimit || t.running >= t.cfg.Slots:
 		return http.StatusTooManyRequests, plan{}, nil
 	}
+	p := t.plan(r)
 	s := Start{Target: t.cfg.Name, TimeUnixMS: now.UnixMilli(), Job: r.Job, Task: r.Task, Attempt: r.Attempt,
-		Service: r.Service, Caller: r.Caller}
+		Service: r.Service, Caller: r.Caller, Mark: p.mark}
 	t.starts = append(t.starts, s)
 	if t.cfg.OnStart != nil {
 		t.cfg.OnStart(s)
@@ -61,7 +62,7 @@
 	t.running++
 	stop := make(chan struct{})
 	t.stops[r.key()] = append(t.stops[r.key()], stop)
-	return http.StatusOK, t.plan(r), stop
+	return http.StatusOK, p, stop
 }
 
 // wait lets the task run and returns why it ended early, if it did.
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -52,6 +52,8 @@
 	Attempt    int    `json:"attempt"`
 	Service    string `json:"service"`
 	Caller     string `json:"caller"`
+	// Mark is the mark of the task's payload, if it has one.
+	Mark string `json:"mark,omitempty"`
 }
 
 // Target runs tasks. It is safe for concurrent use.
@@ -95,11 +97,12 @@
 }
 
 // payload is the optional form of a task's payload that sets its run time,
-// its failure and its result.
+// its failure, its result, and a mark by which a test finds its start again.
 type payload struct {
 	RunMS  *int64  `json:"run_ms"`
 	Fail   bool    `json:"fail"`
 	Result *string `json:"result"`
+	Mark   string  `json:"mark"`
 }
 
 // plan is what will happen to a task.
@@ -107,6 +110,7 @@
 	run    time.Duration
 	fail   bool
 	result []byte
+	mark   string
 }
 
 // plan draws run times by job and task, so that a task takes equally long on
@@ -121,7 +125,7 @@
 	}
 	var own payload
 	if json.Unmarshal(r.Payload, &own) == nil {
-		p.fail = own.Fail
+		p.fail, p.mark = own.Fail, own.Mark
 		if own.RunMS != nil {
 			run = float64(*own.RunMS) * float64(time.Millisecond)
 		}
