entry, bench/soak: let peers use another address than the listener's

Cause: session tokens and exchange messages carried the listener's address, so that a proxy in front of an instance was passed by. Change: the optional setting peer_address names the address that peers use. Conclusion: forwards, hand-overs and exchanges now pass the failures as well.

--- a/bench/soak/instance.go
+++ b/bench/soak/instance.go
@@ -73,7 +73,7 @@
 	AvailabilityZone string   `toml:"availability_zone"`
 	Listen           string   `toml:"listen"`
 	PeerListen       string   `toml:"peer_listen"`
-	PeerAddress      string   `toml:"peer_address,omitempty"`
+	PeerAddress      string   `toml:"peer_address"`
 	Store            []string `toml:"store"`
 	InstanceList     string   `toml:"instance_list"`
 	PeerSecret       string   `toml:"peer_secret"`
@@ -83,7 +83,7 @@
 
 func (e *entry) start() error {
 	s := settings{Name: e.name, Region: region, AvailabilityZone: e.zone, Listen: loopback, PeerListen: loopback,
-		Store: []string{e.platform}, InstanceList: "http://" + e.platform,
+		PeerAddress: e.proxy.Addr(), Store: []string{e.platform}, InstanceList: "http://" + e.platform,
 		PeerSecret: peerSecret, DrainLimitS: drainLimitS, LogLevel: "info"}
 	b, err := toml.Marshal(s)
 	if err != nil {
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -32,7 +32,9 @@
 	renewShare = 0.02
 )
 
-var timeouts = []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second, 3 * time.Second, 5 * time.Second}
+const longestTimeout = 5 * time.Second
+
+var timeouts = []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second, 3 * time.Second, longestTimeout}
 
 // load submits jobs and records the answers.
 type load struct {
@@ -119,6 +121,7 @@
 		}
 		b.Tasks = append(b.Tasks, taskBody{Payload: encode(p), DeclaredMS: 30})
 	}
+	r.body = b
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.records = append(l.records, r)
@@ -174,6 +177,9 @@
 // should be repeated.
 func (l *load) take(r *record, e *entry, request func() (observed, error)) bool {
 	o, err := request()
+	if err != nil {
+		r.noAnswer(e.name, err)
+	}
 	var rejected *rejectedError
 	if errors.As(err, &rejected) {
 		if rejected.status >= http.StatusInternalServerError || rejected.status == http.StatusTooManyRequests {
@@ -212,17 +218,32 @@
 	wg.Wait()
 }
 
+// ask submits a job without any answer again under its own id, because its
+// request may never have arrived, and asks for the answer of the others.
 func (l *load) ask(rng *rand.Rand, r *record) {
 	for range collectTries {
 		e := l.entry(rng)
-		ctx, cancel := context.WithTimeout(context.Background(), collectWait+grace)
-		o, final, err := l.api.collect(ctx, e.url(), r.Session, r.Seq, collectWait)
+		ctx, cancel := context.WithTimeout(context.Background(), longestTimeout+grace)
+		done := false
+		if r.outcome() == "" {
+			done = l.take(r, e, func() (observed, error) { return l.api.put(ctx, e.url(), r.Session, r.Seq, r.body) })
+		} else {
+			done = l.collect(ctx, e, r)
+		}
 		cancel()
-		if err == nil && final {
-			o.Instance = e.name
-			r.add(o)
+		if done {
 			return
 		}
 		time.Sleep(retryWait)
 	}
 }
+
+func (l *load) collect(ctx context.Context, e *entry, r *record) bool {
+	o, final, err := l.api.collect(ctx, e.url(), r.Session, r.Seq, collectWait)
+	if err != nil || !final {
+		return false
+	}
+	o.Instance = e.name
+	r.add(o)
+	return true
+}
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -36,10 +36,13 @@
 	// Fails says that a task of the job fails by its payload, so that the job
 	// cannot be complete.
 	Fails bool
+	body  jobBody
 
 	mu       sync.Mutex
 	answers  []observed
 	rejected []string
+	// last is the last request without an answer, for jobs that are lost.
+	last string
 }
 
 func (r *record) add(o observed) {
@@ -54,6 +57,12 @@
 	r.rejected = append(r.rejected, text)
 }
 
+func (r *record) noAnswer(instance string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = fmt.Sprintf("%s: %v", instance, err)
+}
+
 // outcome is the first answer that says what happened, else unknown, else
 // empty for a job without an answer.
 func (r *record) outcome() string {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 )
@@ -58,7 +57,7 @@
 		return err
 	}
 	if s.Faulty() {
-		return errors.New("a guarantee was broken:\n" + strings.Join(s.Details, "\n"))
+		return errors.New("a guarantee was broken")
 	}
 	return nil
 }
@@ -83,6 +82,9 @@
 	l.settle(cfg.Seed)
 	starts, crashes := c.finish()
 	s := verify(l.records, starts)
+	for _, d := range s.Details {
+		fmt.Fprintln(cfg.Out, "soak: "+d)
+	}
 	fmt.Fprintf(cfg.Out, "soak: answers %v\n%v\n", s.Answers, s)
 	for _, crash := range crashes {
 		err = errors.Join(err, errors.New(crash))
--- a/bench/soak/verify.go
+++ b/bench/soak/verify.go
@@ -27,7 +27,7 @@
 	Unknown, Lost int
 	// Answers counts jobs by the state of their answer.
 	Answers map[string]int
-	// Details describes the first faults.
+	// Details describes the first faults and lost jobs.
 	Details []string
 }
 
@@ -111,7 +111,7 @@
 	case stateUnknown:
 		s.Unknown++
 	case "":
-		s.Lost++
+		s.fault(&s.Lost, "job %d was lost; the last request: %s", r.ID, r.last)
 	}
 }
 
--- a/entry/run/instance.go
+++ b/entry/run/instance.go
@@ -89,6 +89,9 @@
 		Name: s.Name, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
 		Address: in.peerListener.Addr().String(), Incarnation: newIncarnation(),
 	}
+	if s.PeerAddress != "" {
+		in.self.Address = s.PeerAddress
+	}
 	in.metrics = metrics.New()
 	if err := in.compose(); err != nil {
 		return nil, err
@@ -190,7 +193,7 @@
 
 // Addresses returns the addresses of the two listeners.
 func (in *Instance) Addresses() (listen, peerListen string) {
-	return in.listener.Addr().String(), in.self.Address
+	return in.listener.Addr().String(), in.peerListener.Addr().String()
 }
 
 // Serve runs the instance. The first value of stop begins the graceful stop,
@@ -207,7 +210,7 @@
 	in.wg.Go(func() { failed <- in.server.Serve(in.peerListener) })
 	in.wg.Go(func() { failed <- in.gateway.Serve(in.listener) })
 	in.log.Info("The instance serves.", zap.String("listen", in.listener.Addr().String()),
-		zap.String("peer_listen", in.self.Address), zap.String("incarnation", fmt.Sprintf("%016x", in.self.Incarnation)))
+		zap.String("peer_address", in.self.Address), zap.String("incarnation", fmt.Sprintf("%016x", in.self.Incarnation)))
 	select {
 	case <-stop:
 		finished = in.drain(ctx, stop)
--- a/entry/run/settings.go
+++ b/entry/run/settings.go
@@ -30,6 +30,9 @@
 	// one that peers can reach.
 	Listen     string `toml:"listen"`
 	PeerListen string `toml:"peer_listen"`
+	// PeerAddress is the IP:port that peers use where it is not that of
+	// PeerListen, for example because the address is translated.
+	PeerAddress string `toml:"peer_address"`
 	// Store lists the IP:port of the store's members.
 	Store []string `toml:"store"`
 	// InstanceList is the base URL of the instance list.
@@ -80,6 +83,9 @@
 	if a, err := netip.ParseAddrPort(s.PeerListen); err != nil || a.Addr().IsUnspecified() {
 		add("peer_listen", "must be an IP:port that peers can reach")
 	}
+	if a, err := netip.ParseAddrPort(s.PeerAddress); s.PeerAddress != "" && (err != nil || a.Addr().IsUnspecified()) {
+		add("peer_address", "must be an IP:port that peers can reach")
+	}
 	s.checkPlatform(add)
 	if len(s.PeerSecret) < minSecretBytes {
 		add("peer_secret", "must have at least 16 bytes")
