--- a/core/dispatch/random_test.go
+++ b/core/dispatch/random_test.go
@@ -39,7 +39,11 @@
 		w.flights = slices.Delete(w.flights, i, i+1)
 	}
 	f.reported = true
+	refused := f.home.stats.RefusedStarts
 	w.handle(f.home, ev)
+	if f.outcome == (Refused{Cause: Leaving}) && f.home.stats.RefusedStarts > refused {
+		f.home.signalled[ev.Target] = w.now
+	}
 }
 
 // hedge starts a running repeatable task a second time, as the policy may.
@@ -50,7 +54,7 @@
 	f := w.flights[w.draw(len(w.flights))]
 	d, id := f.home.Dispatcher, f.start.Attempt
 	j := d.jobs[id.Job]
-	if j == nil || !j.rec.Repeatable() || j.rec.Final() || j.rec.TaskInFlight(id.Task) != 1 || j.rec.TaskDone(id.Task) || f.home.leaving[f.start.Target] {
+	if j == nil || !j.rec.Repeatable() || j.rec.Final() || j.rec.TaskInFlight(id.Task) != 1 || j.rec.TaskDone(id.Task) || w.isLeaving(f.home, f.start.Target) {
 		return
 	}
 	w.jobs[id.Job].hedges++
@@ -73,6 +77,7 @@
 
 func (w *world) list(h *home) {
 	h.leaving = map[string]bool{}
+	clear(h.signalled)
 	var ev TargetsListed
 	for i := range modelTargets {
 		name := "ta" + string(rune('a'+i))
@@ -115,12 +120,34 @@
 	if len(h.inbox) == 0 {
 		return
 	}
-	i := w.draw(len(h.inbox))
+	w.deliver(h, w.draw(len(h.inbox)), w.rarely(3))
+}
+
+// deliver delivers a message, which is sent again if it came too early.
+func (w *world) deliver(h *home, i int, again bool) {
 	ev := h.inbox[i]
-	if !w.rarely(3) {
-		h.inbox = slices.Delete(h.inbox, i, i+1)
+	h.inbox = slices.Delete(h.inbox, i, i+1)
+	w.status = 0
+	if w.handle(h, ev); again || w.status == 422 {
+		h.inbox = append(h.inbox, ev)
+	}
+}
+
+// deliverAll ends all jobs at their homes and delivers all transfers. Then no
+// home may wait for the answer of another one.
+func (w *world) deliverAll() {
+	w.now = w.now.Add(4 * time.Second)
+	for _, h := range w.homes {
+		w.handle(h, Tick{})
+		for n := 3 * len(h.inbox); n > 0 && len(h.inbox) > 0; n-- {
+			w.deliver(h, 0, false)
+		}
+		for id, j := range h.jobs {
+			if j.rec == nil {
+				w.t.Fatalf("home %d still waits for the answer of %v", h.index, id)
+			}
+		}
 	}
-	w.handle(h, ev)
 }
 
 // step does one random thing.
@@ -142,7 +169,7 @@
 		w.list(h)
 	case n == 33 && w.rarely(4):
 		w.drain()
-	case n == 34 && len(w.sessions) < 6:
+	case n == 34 && len(w.sessions) < 10:
 		w.openSession(h)
 	case !found:
 	case n == 35:
@@ -171,7 +198,7 @@
 	case 1, 5:
 		w.hedge()
 	case 2:
-		w.handle(h, DirectoryChanged{Directory: testDirectory(1+w.draw(modelTargets), 1+w.draw(3))})
+		w.handle(h, DirectoryChanged{Directory: w.directory(1+w.draw(modelTargets), 1+w.draw(3))})
 	default:
 		w.handle(h, Acknowledge{Request: w.ask(h, JobID{}, anyContent), Session: id.Session, Caller: "shop", Below: uint64(w.draw(20))})
 	}
@@ -186,12 +213,16 @@
 	}
 }
 
-// finish lets every deadline pass and checks that every request has its reply
-// and that nothing is left behind.
+// finish follows NextWake until nothing is due any more, and checks that every
+// request has its reply and that nothing is left behind.
 func (w *world) finish() {
-	for range 4 {
-		w.now = w.now.Add(11 * time.Minute)
-		for _, h := range w.homes {
+	w.deliverAll()
+	for _, h := range w.homes {
+		for n := 0; !h.NextWake().IsZero(); n++ {
+			if n > 10_000 {
+				w.t.Fatalf("home %d does not come to rest, next wake %v, %+v", h.index, h.NextWake(), h.Stats())
+			}
+			w.now = latest(w.now, h.NextWake())
 			w.handle(h, Tick{})
 		}
 	}
