core/health: judge by attempts since the last failure, pace probes

Cause: with 60% of the targets failing, 25% of the jobs failed. Results of tasks sent before the fault cleared the count of failures, and the job-at-fault rule blamed job after job and cleared it as well. Change: only attempts sent after a target's last failure clear it; no job is blamed while another failed within 1 s; a failed task goes to targets without failures; probes are 1 s apart over all targets until one succeeds, which makes targets due that were ejected together. The threshold counts the targets on which the instance has slots, and is off by default.

--- a/bench/policyrun/scenario.go
+++ b/bench/policyrun/scenario.go
@@ -31,8 +31,6 @@
 	// the others are measured.
 	Flood     float64
 	Threshold float64
-	// Goal bounds what the row is measured against.
-	Fast bool
 }
 
 const faultAt = 10 * time.Second
@@ -59,6 +57,7 @@
 		with("one-fails-fast", func(s *Scenario) { s.Fault, s.Faulty = failing, 1 }),
 		with("60-percent-fail", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Repaired = failing, 29, 0.35, 25*time.Second }),
 		with("60-percent-flaky", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Repaired = flaky, 29, 0.35, 25*time.Second }),
+		with("all-flaky", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Repaired = flaky, targets, 0.35, 25*time.Second }),
 		with("target-dies", func(s *Scenario) { s.Fault, s.Faulty = dead, 1 }),
 		with("never-run", func(s *Scenario) { s.TooLarge, s.Poison = 0.2, 0.02 }),
 		with("cancel-wave", func(s *Scenario) { s.Cancel, s.Load = true, 0.9 }),
--- a/core/dispatch/policy_end.go
+++ b/core/dispatch/policy_end.go
@@ -66,7 +66,7 @@
 	switch out := ev.Outcome.(type) {
 	case Done:
 		p.table.Learn(o.need.Service, ev.Target, o.need.Declared, out.Took)
-		p.health.Succeed(now, ev.Target, key)
+		p.health.Succeed(now, o.at, ev.Target, key)
 		p.budget.Succeed()
 	case TaskFailed:
 		w.tried = append(w.tried, ev.Target)
--- a/core/dispatch/policy_load.go
+++ b/core/dispatch/policy_load.go
@@ -109,7 +109,7 @@
 
 // resize follows a change of the targets or of this instance's share of them.
 func (p *loadPolicy) resize() {
-	p.health.SetTargets(p.table.Targets())
+	p.health.SetTargets(p.table.Targets(), p.table.Assigned())
 	p.queue.SetLimits(queue.Limits{
 		Tasks:  p.cfg.MaxQueuedTasks,
 		Bytes:  p.cfg.MaxQueuedBytes,
@@ -226,6 +226,8 @@
 	n := w.job.plan.need
 	n.Declared = w.job.sub.Tasks[w.task].Declared
 	n.Tried = w.tried
+	// A task that has failed goes to targets without failures.
+	n.Sure = n.Sure || len(w.tried) > 0
 	n.Ahead, _ = p.queue.Len()
 	return n
 }
--- a/core/dispatch/policy_next.go
+++ b/core/dispatch/policy_next.go
@@ -120,7 +120,7 @@
 			continue
 		}
 		if c, ok := p.table.Probe(name, n); ok {
-			p.health.Probe(name)
+			p.health.Probe(now, name)
 			return c, true
 		}
 	}
--- a/core/health/monitor.go
+++ b/core/health/monitor.go
@@ -24,9 +24,17 @@
 	faultTargets  = 2
 	firstProbe    = time.Second
 	lastProbe     = 30 * time.Second
+	// probePace is the time between probes of any targets until one succeeds,
+	// so that a fault of many targets does not cost a task for each of them.
+	probePace = time.Second
+	// ejectedTogether is the time within which targets are ejected together.
+	ejectedTogether = 2 * time.Second
 	// servesWell is how recent a success makes a target count as serving
 	// other jobs well.
 	servesWell = 10 * time.Second
+	// failsTogether is the time within which failures of two jobs are taken to
+	// have one cause.
+	failsTogether = time.Second
 	// anyProbeAfter is the time without repeatable work after which a task
 	// that is not repeatable may be the probe.
 	anyProbeAfter = 10 * time.Second
@@ -45,9 +53,11 @@
 type target struct {
 	// failures are the jobs of the failures in a row, newest last.
 	failures    []uint64
+	failedAt    time.Time
 	lastSuccess time.Time
 	lastJob     uint64
 	ejected     bool
+	ejectedAt   time.Time
 	probing     bool
 	interval    time.Duration
 	probeAt     time.Time
@@ -65,6 +75,15 @@
 	jobs   map[uint64][]string
 	order  []uint64
 	faulty map[uint64]bool
+	// pacedUntil is the earliest time of the next probe of any target.
+	pacedUntil time.Time
+	// recent are the last two jobs that failed, with their times, newest first.
+	recent [2]jobFailure
+}
+
+type jobFailure struct {
+	job uint64
+	at  time.Time
 }
 
 // New returns a Monitor to which all targets look healthy.
@@ -77,9 +96,10 @@
 	}
 }
 
-// SetTargets sets the targets that serve; the others are forgotten.
-func (m *Monitor) SetTargets(names []string) {
-	m.population = len(names)
+// SetTargets sets the targets that serve; the others are forgotten. The
+// threshold counts the population, those that the instance uses regularly.
+func (m *Monitor) SetTargets(names []string, population int) {
+	m.population = population
 	keep := make(map[string]bool, len(names))
 	for _, n := range names {
 		keep[n] = true
@@ -101,15 +121,32 @@
 	return t
 }
 
-// Succeed notes that a target did a task of the job.
-func (m *Monitor) Succeed(now time.Time, name string, job uint64) {
+// Succeed notes that a target did a task of the job. An attempt that was sent
+// before the target's last failure says nothing about it since.
+func (m *Monitor) Succeed(now, sent time.Time, name string, job uint64) {
 	t := m.target(name)
+	if sent.Before(t.failedAt) {
+		return
+	}
 	t.failures = t.failures[:0]
 	t.lastSuccess, t.lastJob = now, job
 	t.probing = false
 	if t.ejected {
 		t.ejected, t.interval = false, 0
 		m.ejected = slices.DeleteFunc(m.ejected, func(n string) bool { return n == name })
+		m.probeTogether(now, t)
+	}
+}
+
+// probeTogether makes the targets due that were ejected at about the same
+// time as one that has returned, because they may have had the same fault.
+func (m *Monitor) probeTogether(now time.Time, back *target) {
+	m.pacedUntil = time.Time{}
+	for _, n := range m.ejected {
+		t := m.targets[n]
+		if d := t.ejectedAt.Sub(back.ejectedAt).Abs(); d <= ejectedTogether && now.Before(t.probeAt) {
+			t.probeAt = now
+		}
 	}
 }
 
@@ -124,12 +161,13 @@
 	if m.noteJob(now, name, job) {
 		return true
 	}
+	t.failedAt = now
 	t.failures = append(t.failures, job)
 	if len(t.failures) > 2*ejectFailures {
 		t.failures = slices.Delete(t.failures, 0, 1)
 	}
 	if m.condemned(t) && m.mayEject() {
-		t.ejected, t.interval = true, firstProbe
+		t.ejected, t.ejectedAt, t.interval = true, now, firstProbe
 		t.probeAt = now.Add(firstProbe)
 		m.ejected = append(m.ejected, name)
 	}
@@ -176,6 +214,14 @@
 	if !slices.Contains(m.jobs[job], name) {
 		m.jobs[job] = append(m.jobs[job], name)
 	}
+	if m.recent[0].job != job || m.recent[0].at.IsZero() {
+		m.recent[1] = m.recent[0]
+	}
+	m.recent[0] = jobFailure{job, now}
+	// Where other jobs fail as well, the targets are the likelier cause.
+	if o := m.recent[1]; !o.at.IsZero() && now.Sub(o.at) < failsTogether {
+		return false
+	}
 	well := 0
 	for _, n := range m.jobs[job] {
 		if m.servesOthers(now, n, job) {
@@ -235,7 +281,7 @@
 // ProbeDue says whether an ejected target is to be probed with a task.
 func (m *Monitor) ProbeDue(now time.Time, name string, repeatable bool) bool {
 	t := m.targets[name]
-	if t == nil || !t.ejected || t.probing {
+	if t == nil || !t.ejected || t.probing || now.Before(m.pacedUntil) {
 		return false
 	}
 	if !repeatable {
@@ -245,9 +291,10 @@
 }
 
 // Probe notes that a probe is sent to a target.
-func (m *Monitor) Probe(name string) {
+func (m *Monitor) Probe(now time.Time, name string) {
 	if t := m.targets[name]; t != nil {
 		t.probing = true
+		m.pacedUntil = now.Add(probePace)
 	}
 }
 
@@ -268,5 +315,8 @@
 			next = t.probeAt
 		}
 	}
+	if !next.IsZero() && next.Before(m.pacedUntil) {
+		return m.pacedUntil
+	}
 	return next
 }
--- a/core/health/monitor_test.go
+++ b/core/health/monitor_test.go
@@ -22,10 +22,10 @@
 	if m.Limit("a") != Excluded {
 		t.Fatalf("limit %d after failures of two jobs", m.Limit("a"))
 	}
-	m.Succeed(start, "b", 3)
+	m.Succeed(start, start, "b", 3)
 	m.Fail(start, "b", 1)
 	m.Fail(start, "b", 2)
-	m.Succeed(start, "b", 3)
+	m.Succeed(start, start, "b", 3)
 	m.Fail(start, "b", 1)
 	if m.Limit("b") != OneAtATime {
 		t.Fatal("failures with a success in between ejected a target")
@@ -36,7 +36,7 @@
 func TestJobAtFault(t *testing.T) {
 	m := New(Config{})
 	for _, name := range []string{"a", "b", "c"} {
-		m.Succeed(start, name, 1)
+		m.Succeed(start, start, name, 1)
 	}
 	if m.Fail(start, "a", 66) {
 		t.Fatal("one failure blamed on the job")
@@ -69,16 +69,41 @@
 			t.Fatal("wrong time for a probe with a task that is not repeatable")
 		}
 		now = due
-		m.Probe("a")
+		m.Probe(now, "a")
 		m.Fail(now, "a", 10)
 	}
-	m.Probe("a")
-	m.Succeed(now, "a", 11)
+	m.Probe(now, "a")
+	m.Succeed(now, now, "a", 11)
 	if m.Limit("a") != NoLimit || len(m.Ejected()) != 0 {
 		t.Fatal("target did not return after a successful probe")
 	}
 }
 
+// Guards against a probe of every target at once when many have failed, and
+// against the others staying out when the common fault is over.
+func TestProbesOfManyTargets(t *testing.T) {
+	m := New(Config{})
+	for _, n := range []string{"a", "b", "c"} {
+		for job := range uint64(3) {
+			m.Fail(start, n, job)
+		}
+	}
+	now := start.Add(time.Second)
+	m.Probe(now, "a")
+	if m.ProbeDue(now, "b", true) {
+		t.Fatal("two probes at once")
+	}
+	m.Fail(now, "a", 7)
+	now = now.Add(probePace)
+	m.Probe(now, "b")
+	m.Succeed(now, now, "b", 8)
+	for _, n := range []string{"a", "c"} {
+		if !m.ProbeDue(now, n, true) {
+			t.Fatalf("%s not due after b returned", n)
+		}
+	}
+}
+
 // Guards against the threshold being ignored, or in force when it is off.
 func TestThreshold(t *testing.T) {
 	for _, c := range []struct {
@@ -90,7 +115,7 @@
 		for i := range 10 {
 			names = append(names, fmt.Sprint(i))
 		}
-		m.SetTargets(names)
+		m.SetTargets(names, len(names))
 		for _, n := range names {
 			for job := range uint64(3) {
 				m.Fail(start, n, job)
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -286,6 +286,17 @@
 // this instance.
 func (t *Table) Slots() int { return t.shares }
 
+// Assigned returns the number of targets on which this instance has slots.
+func (t *Table) Assigned() int {
+	n := 0
+	for _, tg := range t.targets {
+		if tg.share > 0 && !tg.gone() {
+			n++
+		}
+	}
+	return n
+}
+
 // Serving returns the names of the targets of a service that are not leaving.
 func (t *Table) Serving(name string) []string {
 	svc := t.services[name]
