core/placement: use other zones when stranded; core/health: end suspicion

A target with a failure waited for ever where only tasks exist that avoid such targets. Change: with a quarter or less of the assigned slots left, a quarter of each other zone's target may be used without a report. The limit of one attempt ends 1 s after the last failure; the count of failures stays.

--- a/bench/policyrun/scenario.go
+++ b/bench/policyrun/scenario.go
@@ -1,6 +1,7 @@
 package policyrun
 
 import (
+	"slices"
 	"time"
 )
 
@@ -26,7 +27,9 @@
 	Fault    mode
 	Faulty   int
 	Repaired time.Duration
-	Cancel   bool
+	// Zone makes the faulty targets those of the first availability zone.
+	Zone   bool
+	Cancel bool
 	// Flood is the load of the team that floods from 10 s on. Only the jobs of
 	// the others are measured.
 	Flood     float64
@@ -61,6 +64,7 @@
 		with("60-percent-flaky", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Repaired = flaky, 29, 0.35, 25*time.Second }),
 		with("all-flaky", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Repaired = flaky, targets, 0.35, 25*time.Second }),
 		with("target-dies", func(s *Scenario) { s.Fault, s.Faulty = dead, 1 }),
+		with("zone-dies", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Zone = dead, targets/zones, 0.5, true }),
 		with("never-run", func(s *Scenario) { s.TooLarge, s.Poison = 0.2, 0.02 }),
 		with("cancel-wave", func(s *Scenario) { s.Cancel, s.Load = true, 0.9 }),
 		with("flood-off", func(s *Scenario) { s.Load = 0.4 }),
@@ -102,8 +106,15 @@
 	}
 }
 
+func (w *world) faulty() []*target {
+	if !w.sc.Zone {
+		return w.targets[:w.sc.Faulty]
+	}
+	return slices.DeleteFunc(slices.Clone(w.targets), func(t *target) bool { return t.zone != 0 })
+}
+
 func (w *world) breakTargets() {
-	for _, t := range w.targets[:w.sc.Faulty] {
+	for _, t := range w.faulty() {
 		if w.sc.Fault == dead {
 			w.kill(t)
 			continue
@@ -120,7 +131,7 @@
 }
 
 func (w *world) repairTargets() {
-	for _, t := range w.targets[:w.sc.Faulty] {
+	for _, t := range w.faulty() {
 		t.mode = serving
 	}
 }
--- a/core/dispatch/policy_load.go
+++ b/core/dispatch/policy_load.go
@@ -153,7 +153,7 @@
 	}
 	pl.queue.Expected = r.Longest
 	r.Ever, r.Now = p.table.Fit(j.sub.Service, j.sub.MemoryMB, j.sub.Accelerators)
-	if len(p.table.Serving(j.sub.Service)) == 0 {
+	if p.table.Serving(j.sub.Service) == 0 {
 		return answer.CodeNoTarget, "no target of the service is in service"
 	}
 	j.plan = pl
--- a/core/dispatch/policy_next.go
+++ b/core/dispatch/policy_next.go
@@ -42,6 +42,9 @@
 
 func (p *loadPolicy) next(now time.Time) (choice, bool) {
 	p.fund()
+	for _, name := range p.health.Relax(now) {
+		p.table.SetLimit(name, p.health.Limit(name))
+	}
 	if len(p.jobs) == 0 {
 		return choice{}, false
 	}
--- a/core/health/monitor.go
+++ b/core/health/monitor.go
@@ -32,6 +32,8 @@
 	// servesWell is how recent a success makes a target count as serving
 	// other jobs well.
 	servesWell = 10 * time.Second
+	// suspectFor is how long a failure limits a target to one attempt.
+	suspectFor = time.Second
 	// failsTogether is the time within which failures of two jobs are taken to
 	// have one cause.
 	failsTogether = time.Second
@@ -54,6 +56,7 @@
 	// failures are the jobs of the failures in a row, newest last.
 	failures    []uint64
 	failedAt    time.Time
+	relaxed     bool
 	lastSuccess time.Time
 	lastJob     uint64
 	ejected     bool
@@ -69,7 +72,9 @@
 	cfg     Config
 	targets map[string]*target
 	// ejected lists the ejected targets, in the order of ejection.
-	ejected    []string
+	ejected []string
+	// suspects lists targets that failed since their last success.
+	suspects   []string
 	population int
 	// jobs holds the targets on which a job has failed, without success.
 	jobs   map[uint64][]string
@@ -161,7 +166,10 @@
 	if m.noteJob(now, name, job) {
 		return true
 	}
-	t.failedAt = now
+	t.failedAt, t.relaxed = now, false
+	if !slices.Contains(m.suspects, name) {
+		m.suspects = append(m.suspects, name)
+	}
 	t.failures = append(t.failures, job)
 	if len(t.failures) > 2*ejectFailures {
 		t.failures = slices.Delete(t.failures, 0, 1)
@@ -266,15 +274,35 @@
 func (m *Monitor) Limit(name string) int {
 	t := m.targets[name]
 	switch {
-	case t == nil, len(t.failures) == 0 && !t.ejected:
-		return NoLimit
-	case t.ejected:
+	case t != nil && t.ejected:
 		return Excluded
+	case t == nil, t.relaxed, len(t.failures) == 0:
+		return NoLimit
 	default:
 		return OneAtATime
 	}
 }
 
+// Relax returns the targets whose limit of one attempt has ended because
+// nothing failed since. Without it a target could wait for ever for a success
+// where only tasks exist that avoid targets with failures.
+func (m *Monitor) Relax(now time.Time) []string {
+	var relaxed []string
+	m.suspects = slices.DeleteFunc(m.suspects, func(n string) bool {
+		t := m.targets[n]
+		if t == nil || t.ejected || len(t.failures) == 0 {
+			return true
+		}
+		if now.Sub(t.failedAt) < suspectFor {
+			return false
+		}
+		t.relaxed = true
+		relaxed = append(relaxed, n)
+		return true
+	})
+	return relaxed
+}
+
 // Ejected returns the ejected targets.
 func (m *Monitor) Ejected() []string { return m.ejected }
 
--- a/core/health/monitor_test.go
+++ b/core/health/monitor_test.go
@@ -104,6 +104,24 @@
 	}
 }
 
+// Guards against a target that stays limited for good because nothing is sent
+// to it that could succeed.
+func TestRelax(t *testing.T) {
+	m := New(Config{})
+	m.Fail(start, "a", 1)
+	if got := m.Relax(start.Add(suspectFor - 1)); len(got) != 0 || m.Limit("a") != OneAtATime {
+		t.Fatal("limit ended early")
+	}
+	if got := m.Relax(start.Add(suspectFor)); len(got) != 1 || m.Limit("a") != NoLimit {
+		t.Fatal("limit did not end")
+	}
+	m.Fail(start.Add(2*suspectFor), "a", 2)
+	m.Fail(start.Add(2*suspectFor), "a", 2)
+	if m.Limit("a") != Excluded {
+		t.Fatal("earlier failure was forgotten without a success")
+	}
+}
+
 // Guards against the threshold being ignored, or in force when it is off.
 func TestThreshold(t *testing.T) {
 	for _, c := range []struct {
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -15,6 +15,11 @@
 	// blindFrom is the backlog from which a target may be tried of which
 	// nothing is known.
 	blindFrom = 4 * time.Second
+	// strandedPart is the part of the assigned slots that must be left, or else
+	// the targets of other availability zones are used without a report, up to
+	// spillPart of each one's slots.
+	strandedPart = 4
+	spillPart    = 4
 	// withinShare is the part of a job's time that the forecast of a task on a
 	// slow target may take up, because forecasts err. With 0.6 or 0.9 the p99
 	// slowdown at fourfold speeds was 1.75 or 1.63 instead of 1.58.
@@ -131,7 +136,7 @@
 func (t *Table) first(now time.Time, s *service, tier int, n *Need) (found *pair, free bool) {
 	for i := s.free[tier].next(0); i >= 0; i = s.free[tier].next(i + 1) {
 		p := s.order[i]
-		if tier != assigned && now.Sub(p.target.reportedAt) > freshReport {
+		if tier != assigned && now.Sub(p.target.reportedAt) > freshReport && !(t.stranded && tier == otherZone) {
 			s.free[tier].set(i, false)
 			continue
 		}
@@ -227,11 +232,14 @@
 // refresh rebuilds all indexes after a change of targets, shares or limits.
 func (t *Table) refresh() {
 	t.shares = 0
+	all := 0
 	for _, n := range t.targets {
+		all += n.share
 		if n.usable() {
 			t.shares += n.share
 		}
 	}
+	t.stranded = t.shares*strandedPart <= all
 	for _, s := range t.services {
 		s.sortedAt = time.Time{}
 	}
@@ -261,6 +269,7 @@
 	free := n.Slots - n.outstanding - others
 	s.free[assigned].set(p.pos, room && n.outstanding < n.share && free > 0)
 	borrow := room && free > reserve && !n.reportedAt.IsZero()
+	spill := t.stranded && room && free > 0 && n.outstanding < max(1, n.Slots/spillPart)
 	s.free[sameZone].set(p.pos, borrow && n.sameAZ)
-	s.free[otherZone].set(p.pos, borrow && !n.sameAZ)
+	s.free[otherZone].set(p.pos, (borrow || spill) && !n.sameAZ)
 }
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -112,6 +112,8 @@
 	// shares is the sum of the slots assigned to this instance on usable
 	// targets.
 	shares int
+	// stranded is set where few of them are left.
+	stranded bool
 }
 
 // New returns a Table without targets.
@@ -134,7 +136,7 @@
 	t.services = make(map[string]*service)
 	for name, s := range d.State.Services {
 		svc := newService(s)
-		if o := oldServices[name]; o != nil {
+		if o := oldServices[name]; o != nil && o.samples > 0 {
 			svc.learned = o.learned
 		}
 		t.services[name] = svc
@@ -301,19 +303,19 @@
 	return n
 }
 
-// Serving returns the names of the targets of a service that are not leaving.
-func (t *Table) Serving(name string) []string {
+// Serving returns the number of targets of a service that are not leaving.
+func (t *Table) Serving(name string) int {
 	svc := t.services[name]
 	if svc == nil {
-		return nil
+		return 0
 	}
-	var names []string
+	n := 0
 	for _, p := range svc.order {
-		if n := p.target; !n.gone() {
-			names = append(names, n.Name)
+		if !p.target.gone() {
+			n++
 		}
 	}
-	return names
+	return n
 }
 
 // Address returns the address of a target, or an empty one.
