--- a/core/dispatch/policy_load.go
+++ b/core/dispatch/policy_load.go
@@ -24,7 +24,7 @@
 	retryBurst = 100
 	// teamCredit is the slot time, for each slot, that an idle team may be
 	// behind the others.
-	teamCredit = 250 * time.Millisecond
+	teamCredit = 600 * time.Millisecond
 	// queueTick is how often a waiting queue is looked at without an event,
 	// because what is known of free slots ages.
 	queueTick = 10 * time.Millisecond
@@ -67,6 +67,7 @@
 		cfg: cfg,
 		table: placement.New(placement.Config{
 			Instance: cfg.Instance, Region: cfg.Region, AvailabilityZone: cfg.AvailabilityZone, Spread: zoneSpread,
+			BorrowFrom: cfg.BorrowFrom,
 		}),
 		queue:   queue.New(limits),
 		gate:    admission.New(admission.Limits{Tasks: cfg.MaxQueuedTasks, Bytes: cfg.MaxQueuedBytes}),
@@ -109,7 +110,7 @@
 
 // resize follows a change of the targets or of this instance's share of them.
 func (p *loadPolicy) resize() {
-	p.health.SetTargets(p.table.Targets())
+	p.health.SetTargets(p.table.Targets(), p.table.Assigned())
 	p.queue.SetLimits(queue.Limits{
 		Tasks:  p.cfg.MaxQueuedTasks,
 		Bytes:  p.cfg.MaxQueuedBytes,
@@ -152,7 +153,7 @@
 	}
 	pl.queue.Expected = r.Longest
 	r.Ever, r.Now = p.table.Fit(j.sub.Service, j.sub.MemoryMB, j.sub.Accelerators)
-	if len(p.table.Serving(j.sub.Service)) == 0 {
+	if p.table.Serving(j.sub.Service) == 0 {
 		return answer.CodeNoTarget, "no target of the service is in service"
 	}
 	j.plan = pl
@@ -165,7 +166,7 @@
 	return admission.Load{
 		QueuedTasks: tasks + len(p.unfunded), QueuedBytes: bytes,
 		TeamTasks: own.Queued, TeamWork: own.Work,
-		Work: p.queue.Work(), Slots: p.table.Slots(), Share: p.queue.Share(team),
+		Work: p.queue.Work(), Slots: p.table.Slots(), Share: p.queue.Share(team, p.table.Slots()),
 	}
 }
 
@@ -226,6 +227,8 @@
 	n := w.job.plan.need
 	n.Declared = w.job.sub.Tasks[w.task].Declared
 	n.Tried = w.tried
+	// A task that has failed goes to targets without failures.
+	n.Sure = n.Sure || len(w.tried) > 0
 	n.Ahead, _ = p.queue.Len()
 	return n
 }
