--- a/entry/integration/cluster_test.go
+++ b/entry/integration/cluster_test.go
@@ -196,6 +196,16 @@
 	return a
 }
 
+func decodeAnswer(resp *http.Response, err error) (a answer) {
+	if err != nil {
+		return answer{Err: err}
+	}
+	defer resp.Body.Close()
+	a.Status = resp.StatusCode
+	a.Err = json.NewDecoder(resp.Body).Decode(&a)
+	return a
+}
+
 func (e *entry) open() string {
 	e.t.Helper()
 	status, text, err := call(http.DefaultClient, http.MethodPost, e.url()+"/v1/sessions",
--- a/entry/integration/process_test.go
+++ b/entry/integration/process_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,6 +13,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime/debug"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -28,8 +31,12 @@
 		}
 		defer os.RemoveAll(dir)
 		programs = dir
-		build := exec.Command("go", "build", "-o", dir+"/",
-			"marigoldfront.dev/entry/cmd/marigold-entry", "marigoldfront.dev/standin/cmd/marigold-standin")
+		args := []string{"build", "-o", dir + "/"}
+		if info, ok := debug.ReadBuildInfo(); ok && slices.Contains(info.Settings, debug.BuildSetting{Key: "-race", Value: "true"}) {
+			args = append(args, "-race")
+		}
+		args = append(args, "marigoldfront.dev/entry/cmd/marigold-entry", "marigoldfront.dev/standin/cmd/marigold-standin")
+		build := exec.Command("go", args...)
 		if out, err := build.CombinedOutput(); err != nil {
 			fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 			return 1
@@ -66,7 +73,11 @@
 	t.Cleanup(func() {
 		p.kill()
 		log.Close()
-		if text, err := os.ReadFile(log.Name()); t.Failed() && err == nil {
+		text, _ := os.ReadFile(log.Name())
+		if bytes.Contains(text, []byte("DATA RACE")) || bytes.Contains(text, []byte("panic:")) {
+			t.Errorf("%s has a data race or a panic", name)
+		}
+		if t.Failed() {
 			t.Logf("log of %s:\n%s", name, text)
 		}
 	})
--- /dev/null
+++ b/entry/sender/sender_test.go
@@ -0,0 +1,241 @@
+package sender
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/dispatch"
+	"marigoldfront.dev/entry/metrics"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// wireTarget accepts connections and gives each request on them to serve,
+// which writes raw bytes. It counts the requests seen on the wire.
+type wireTarget struct {
+	l        net.Listener
+	requests atomic.Int64
+	conns    atomic.Int64
+}
+
+func newWireTarget(t *testing.T, serve func(n int64, c net.Conn)) *wireTarget {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &wireTarget{l: l}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			w.conns.Add(1)
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					serve(w.requests.Add(1), c)
+				}
+			}()
+		}
+	}()
+	return w
+}
+
+func newSender(t *testing.T) (*Sender, chan dispatch.AttemptEnded) {
+	ended := make(chan dispatch.AttemptEnded, 16)
+	m := metrics.New()
+	s := New(Config{Log: zap.NewNop(), Metrics: m, Ended: func(e dispatch.AttemptEnded) { ended <- e }})
+	t.Cleanup(func() {
+		s.Close()
+		m.Close()
+	})
+	return s, ended
+}
+
+func attempt(address string, number int) dispatch.StartAttempt {
+	return dispatch.StartAttempt{
+		Attempt: dispatch.AttemptID{
+			Job:  dispatch.JobID{Session: dispatch.SessionID{Incarnation: 0xab, Number: 2}, Seq: 3},
+			Task: 4, Number: number,
+		},
+		Address: address, Caller: "c", Service: "s", Payload: []byte("p"),
+		StartBy: time.Now().Add(time.Second), LeaseUntil: time.Now().Add(time.Second),
+	}
+}
+
+func response(status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+func doneReply(attempt int) string {
+	return fmt.Sprintf(`{"job":"ab-2-3","task":4,"attempt":%d,"outcome":"done","result":"cg==","running":1,"slots":8}`, attempt)
+}
+
+// Guards against a start that goes on the wire twice because a reused
+// connection is dropped: right after the request was read, in the middle of
+// the reply, and while the connection is idle.
+func TestDroppedReusedConnectionSendsOnce(t *testing.T) {
+	drops := map[string]func(net.Conn){
+		"after the request": func(c net.Conn) { c.Close() },
+		"reset":             func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); c.Close() },
+		"inside the reply":  func(c net.Conn) { _, _ = io.WriteString(c, response(200, doneReply(2))[:90]); c.Close() },
+	}
+	for name, drop := range drops {
+		t.Run(name, func(t *testing.T) {
+			target := newWireTarget(t, func(n int64, c net.Conn) {
+				if n == 1 {
+					_, _ = io.WriteString(c, response(200, doneReply(1)))
+					return
+				}
+				drop(c)
+			})
+			s, ended := newSender(t)
+			address := target.l.Addr().String()
+			s.Start(attempt(address, 1))
+			if _, ok := (<-ended).Outcome.(dispatch.Done); !ok {
+				t.Fatal("the first start is not done")
+			}
+			s.Start(attempt(address, 2))
+			if got := <-ended; !isLost(got.Outcome) {
+				t.Errorf("outcome %#v, want Lost", got.Outcome)
+			}
+			// A second request would follow at once, on any connection.
+			time.Sleep(50 * time.Millisecond)
+			if n, c := target.requests.Load(), target.conns.Load(); n != 2 || c != 1 {
+				t.Errorf("%d requests on %d connections, want 2 on 1", n, c)
+			}
+		})
+	}
+}
+
+func isLost(o dispatch.Outcome) bool {
+	_, ok := o.(dispatch.Lost)
+	return ok
+}
+
+// Guards against replies that are taken for more than they prove.
+func TestOutcomes(t *testing.T) {
+	wrong := func(old, text string) string { return strings.Replace(doneReply(1), old, text, 1) }
+	cases := map[string]struct {
+		raw  string
+		want string
+	}{
+		"done":             {response(200, doneReply(1)), "dispatch.Done"},
+		"failed":           {response(200, wrong(`"done"`, `"failed"`)), "dispatch.TaskFailed"},
+		"other job":        {response(200, wrong("ab-2-3", "ab-2-4")), "dispatch.Lost"},
+		"other task":       {response(200, wrong(`"task":4`, `"task":5`)), "dispatch.Lost"},
+		"other attempt":    {response(200, doneReply(2)), "dispatch.Lost"},
+		"other outcome":    {response(200, wrong(`"done"`, `"maybe"`)), "dispatch.Lost"},
+		"malformed":        {response(200, doneReply(1)[:40]), "dispatch.Lost"},
+		"cut":              {"HTTP/1.1 200 X\r\nContent-Length: 500\r\n\r\n{", "dispatch.Lost"},
+		"server error":     {response(500, `{}`), "dispatch.Lost"},
+		"large":            {response(200, wrong("cg==", strings.Repeat("AAAA", maxResultBytes/3+1))), "dispatch.Lost"},
+		"no slot":          {response(429, `{"running":8,"slots":8}`), "dispatch.Refused"},
+		"leaving":          {response(410, `{}`), "dispatch.Refused"},
+		"expired":          {response(412, `{}`), "dispatch.Refused"},
+		"malformed refuse": {response(429, `<html>`), "dispatch.Lost"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			target := newWireTarget(t, func(_ int64, c net.Conn) {
+				_, _ = io.WriteString(c, tc.raw)
+				c.Close()
+			})
+			s, ended := newSender(t)
+			s.Start(attempt(target.l.Addr().String(), 1))
+			if got := <-ended; fmt.Sprintf("%T", got.Outcome) != tc.want {
+				t.Errorf("outcome %#v, want %s", got.Outcome, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a start that is called not sent although bytes of it were
+// written, or lost although none were, and against late starts.
+func TestNotSent(t *testing.T) {
+	hold := make(chan struct{})
+	target := newWireTarget(t, func(int64, net.Conn) { <-hold })
+	address := target.l.Addr().String()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	s, ended := newSender(t)
+	s.SetLimits(Limits{address: 1})
+
+	s.Start(attempt(closed.Addr().String(), 1))
+	if got, ok := (<-ended).Outcome.(dispatch.NotSent); !ok || got.Late {
+		t.Errorf("refused connection: %#v", got)
+	}
+	late := attempt(address, 1)
+	late.StartBy = time.Now().Add(-time.Millisecond)
+	s.Start(late)
+	if got, ok := (<-ended).Outcome.(dispatch.NotSent); !ok || !got.Late {
+		t.Errorf("late start: %#v", got)
+	}
+	// The first start holds the one connection; the second waits for it until
+	// its latest start time.
+	first, second := attempt(address, 1), attempt(address, 2)
+	first.LeaseUntil = time.Now().Add(time.Minute)
+	s.Start(first)
+	for target.requests.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	second.StartBy = time.Now().Add(50 * time.Millisecond)
+	s.Start(second)
+	if got, ok := (<-ended).Outcome.(dispatch.NotSent); !ok || !got.Late {
+		t.Errorf("start without a connection: %#v", got)
+	}
+	s.cancel()
+	if got := <-ended; !isLost(got.Outcome) {
+		t.Errorf("start that was written and given up: %#v", got.Outcome)
+	}
+	close(hold)
+	if n := target.requests.Load(); n != 1 {
+		t.Errorf("%d requests on the wire, want 1", n)
+	}
+}
+
+// Guards against a write after the attempt was already classified as not
+// sent, and against a write after the latest start time.
+func TestConnDecidesTheRace(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	c := &conn{Conn: near}
+	defer c.Close()
+	c.arm(time.Now().Add(-time.Second))
+	if n, err := c.Write([]byte("x")); n != 0 || err != errLate {
+		t.Errorf("late write: %d, %v", n, err)
+	}
+	if written, late := c.seal(); written || !late {
+		t.Errorf("after a late write: written %v, late %v", written, late)
+	}
+	c = &conn{Conn: near}
+	c.arm(time.Now().Add(time.Second))
+	if written, _ := c.seal(); written {
+		t.Error("an unused connection counts as written")
+	}
+	if n, err := c.Write([]byte("x")); n != 0 || err != errSealed {
+		t.Errorf("write after the seal: %d, %v", n, err)
+	}
+}
