--- a/entry/run/main.go
+++ b/entry/run/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"runtime/pprof"
 	"syscall"
 
@@ -64,7 +65,17 @@
 	return serve(settings, stdout, stderr)
 }
 
+// gcPercent and memoryLimit trade memory for processor time: the live heap of
+// an instance is a few MB, so that the default percentage would collect it
+// many times a second under load.
+const (
+	gcPercent   = 400
+	memoryLimit = 512 << 20
+)
+
 func serve(settings Settings, stdout, stderr io.Writer) int {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	in, err := New(settings)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -51,6 +51,7 @@
 	done  chan struct{}
 	wg    sync.WaitGroup
 
+	// ctx bounds the stop messages.
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -130,7 +131,9 @@
 }
 
 func (s *Sender) attempt(a dispatch.StartAttempt) dispatch.AttemptEnded {
-	ctx, cancel := context.WithDeadline(s.ctx, a.LeaseUntil.Add(leaseGrace))
+	// The context has no parent, because a shared one is a lock that all
+	// attempts meet at. Close cancels the attempts one by one.
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.track(a.Attempt, cancel)
 	defer s.untrack(a.Attempt)
@@ -141,13 +144,13 @@
 		defer span.End()
 		ctx = c
 	}
-	outcome, load := s.send(ctx, &a)
+	outcome, load := s.send(ctx, cancel, &a)
 	s.count(outcome)
 	return dispatch.AttemptEnded{Attempt: a.Attempt, Target: a.Target, Outcome: outcome, Load: load}
 }
 
 // send writes the start and reads its reply.
-func (s *Sender) send(ctx context.Context, a *dispatch.StartAttempt) (dispatch.Outcome, dispatch.Load) {
+func (s *Sender) send(ctx context.Context, cancel context.CancelFunc, a *dispatch.StartAttempt) (dispatch.Outcome, dispatch.Load) {
 	if time.Now().After(a.StartBy) {
 		return dispatch.NotSent{Message: errLate.Error(), Late: true}, dispatch.Load{}
 	}
@@ -156,12 +159,10 @@
 	var used *conn
 	// The attempt gives up its place in the wait for a connection when its
 	// latest start time passes; once it has one, the lease bounds it.
-	waitCtx, cancelWait := context.WithCancel(ctx)
-	defer cancelWait()
-	wait := time.AfterFunc(time.Until(a.StartBy), cancelWait)
-	defer wait.Stop()
-	ctx = httptrace.WithClientTrace(waitCtx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		wait.Stop()
+	limit := time.AfterFunc(time.Until(a.StartBy), cancel)
+	defer limit.Stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		limit.Reset(time.Until(a.LeaseUntil) + leaseGrace)
 		used = info.Conn.(*conn)
 		used.arm(a.StartBy)
 	}})
@@ -242,7 +243,11 @@
 func (s *Sender) track(id dispatch.AttemptID, cancel context.CancelFunc) {
 	s.mu.Lock()
 	s.flights[id] = cancel
+	closed := s.closed
 	s.mu.Unlock()
+	if closed {
+		cancel()
+	}
 }
 
 func (s *Sender) untrack(id dispatch.AttemptID) {
@@ -301,6 +306,9 @@
 func (s *Sender) Close() {
 	s.mu.Lock()
 	s.closed = true
+	for _, cancel := range s.flights {
+		cancel()
+	}
 	s.mu.Unlock()
 	s.cancel()
 	close(s.done)
