Add marigoldctl

Callers and operators had no program. marigoldctl opens sessions, submits, collects and cancels jobs, and checks, applies, shows, compares and verifies tickets; it answers who owns a caller and which targets serve it, now or as of a ticket. Each kind of failure has its own exit code and says what to do next. Findings name the file, line and key. goldie files hold the outputs.

--- /dev/null
+++ b/ctl/command/command_test.go
@@ -0,0 +1,189 @@
+package command
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"marigoldfront.dev/ctl/exit"
+	"marigoldfront.dev/standin/platform"
+)
+
+// changing matches what differs between two runs.
+var changing = regexp.MustCompile(`("nonce": |"created_unix_ms": |created: |127\.0\.0\.1:)[^,\s]+`)
+
+// progress lines depend on the time that a run takes.
+var progressLine = regexp.MustCompile(`(?m)^\d+ of \d+ jobs answered\n`)
+
+// recorder runs commands one after the other and records what they print.
+type recorder struct {
+	global []string
+	log    bytes.Buffer
+}
+
+func (r *recorder) run(args ...string) exit.Code {
+	var out, errOut bytes.Buffer
+	code := New(&out, &errOut).Run(append(append([]string{}, r.global...), args...))
+	fmt.Fprintf(&r.log, "$ marigoldctl %s\n%s%sexit code %d\n\n", strings.Join(args, " "), out.String(), errOut.String(), code)
+	return code
+}
+
+func (r *recorder) compare(t *testing.T, name string) {
+	t.Helper()
+	log := progressLine.ReplaceAll(r.log.Bytes(), nil)
+	goldie.New(t).Assert(t, name, changing.ReplaceAll(log, []byte("$1*")))
+}
+
+func newRecorder(t *testing.T) *recorder {
+	s := httptest.NewServer(platform.New())
+	t.Cleanup(s.Close)
+	return &recorder{global: []string{"--store", strings.TrimPrefix(s.URL, "http://"), "--instance-list", s.URL}}
+}
+
+// Guards against operators losing a question that the product must answer:
+// what a ticket changes, who owns a caller, which target serves it, now and
+// as of an earlier ticket.
+func TestOperatorCommands(t *testing.T) {
+	r := newRecorder(t)
+	for _, step := range []struct {
+		args string
+		want exit.Code
+	}{
+		{"ticket check testdata/first.toml", exit.OK},
+		{"ticket verify 1", exit.NotFound},
+		{"ticket apply testdata/first.toml", exit.OK},
+		{"ticket apply testdata/second.toml", exit.OK},
+		{"ticket apply testdata/second.toml", exit.Conflict},
+		{"ticket show 2", exit.OK},
+		{"ticket show 3", exit.NotFound},
+		{"ticket diff 1 2", exit.OK},
+		{"--output json ticket diff 1 2", exit.OK},
+		{"ticket verify 2", exit.OK},
+		{"owner customs-valuations", exit.OK},
+		{"owner customs-valuations --as-of 1", exit.OK},
+		{"owner nobody", exit.NotFound},
+		{"targets appraisal-desk", exit.OK},
+		{"targets --caller customs-valuations --as-of 1", exit.OK},
+		{"--output json targets appraisal-desk", exit.OK},
+		{"targets", exit.Usage},
+		{"instances", exit.OK},
+	} {
+		if got := r.run(strings.Fields(step.args)...); got != step.want {
+			t.Errorf("%s: exit code %d, want %d", step.args, got, step.want)
+		}
+	}
+	r.compare(t, "operator")
+}
+
+// Guards against a wrong ticket being written, and against findings that do
+// not name the file, line and key.
+func TestFindings(t *testing.T) {
+	r := newRecorder(t)
+	for _, file := range []string{"wrong_types.toml", "wrong_values.toml", "missing.toml"} {
+		if got := r.run("ticket", "apply", "testdata/"+file); got != exit.Findings {
+			t.Errorf("%s: exit code %d, want %d", file, got, exit.Findings)
+		}
+	}
+	if got := r.run("job", "submit", "testdata/wrong_jobs.toml"); got != exit.Findings {
+		t.Errorf("wrong jobs: exit code %d", got)
+	}
+	if got := r.run("ticket", "show", "1"); got != exit.NotFound {
+		t.Errorf("a ticket with findings was written: exit code %d", got)
+	}
+	r.compare(t, "findings")
+}
+
+// Guards against an operator who is not told that nothing was changed while
+// the store is down.
+func TestStoreOutage(t *testing.T) {
+	r := &recorder{global: []string{"--store", "127.0.0.1:1"}}
+	if got := r.run("ticket", "apply", "testdata/first.toml"); got != exit.Unreachable {
+		t.Errorf("exit code %d, want %d", got, exit.Unreachable)
+	}
+	if !strings.Contains(r.log.String(), "Nothing was changed") {
+		t.Errorf("the output does not say that nothing was changed:\n%s", r.log.String())
+	}
+}
+
+// entryStub answers the four jobs of a session with the four states.
+func entryStub(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Method == http.MethodPost:
+		w.WriteHeader(http.StatusCreated)
+		io.WriteString(w, `{"session":"s1","window":1024}`)
+	case strings.HasSuffix(r.URL.Path, "/jobs/1"):
+		io.WriteString(w, `{"state":"complete","results":["b2s="],"starts":1,"trace_id":"t1"}`)
+	case strings.HasSuffix(r.URL.Path, "/jobs/2"):
+		io.WriteString(w, `{"state":"failed","code":"task_failed","message":"no such rug","starts":2}`)
+	case strings.HasSuffix(r.URL.Path, "/jobs/3"):
+		io.WriteString(w, `{"state":"not_run","code":"never_fits","message":"1 task needs 9 MB","starts":0}`)
+	case strings.HasSuffix(r.URL.Path, "/jobs/4"):
+		io.WriteString(w, `{"state":"unknown","code":"ambiguous_attempt","message":"connection lost","starts":1}`)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// Guards against an unknown or failed answer that a script takes for success.
+func TestCallerCommands(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(entryStub))
+	defer s.Close()
+	r := &recorder{global: []string{"--entry", s.URL, "--caller", "dealer-checks"}}
+	for _, step := range []struct {
+		args string
+		want exit.Code
+	}{
+		{"session open", exit.OK},
+		{"job submit testdata/jobs.toml --parallel 1", exit.Unknown},
+		{"job collect --session s1 --seq 1", exit.OK},
+		{"job collect --session s1 --seq 2", exit.NotComplete},
+		{"--output json job cancel --session s1 --seq 4", exit.Unknown},
+	} {
+		if got := r.run(strings.Fields(step.args)...); got != step.want {
+			t.Errorf("%s: exit code %d, want %d", step.args, got, step.want)
+		}
+	}
+	r.compare(t, "caller")
+}
+
+// Guards against options and examples that the help does not show.
+func TestHelp(t *testing.T) {
+	t.Setenv("MARIGOLD_TOKEN", "secret-in-the-environment")
+	r := &recorder{}
+	for _, args := range []string{"--help", "ticket apply --help", "job submit --help", "job submit"} {
+		r.run(strings.Fields(args)...)
+	}
+	if strings.Contains(r.log.String(), "secret-in-the-environment") {
+		t.Error("the help shows the token")
+	}
+	r.compare(t, "help")
+}
+
+// Guards against sample files that no longer work.
+func TestExamples(t *testing.T) {
+	for _, user := range []string{"guild", "chama-segura"} {
+		dir := filepath.Join("..", "..", "examples", user)
+		r := newRecorder(t)
+		if got := r.run("ticket", "apply", filepath.Join(dir, "ticket.toml")); got != exit.OK {
+			t.Errorf("%s: %s", user, r.log.String())
+		}
+		if got := r.run("ticket", "verify", "1"); got != exit.OK || !strings.Contains(r.log.String(), "48 targets") {
+			t.Errorf("%s: want 48 targets: %s", user, r.log.String())
+		}
+		if _, err := os.Stat(filepath.Join(dir, "jobs.toml")); err != nil {
+			t.Error(err)
+		}
+		if got := r.run("job", "submit", filepath.Join(dir, "jobs.toml")); got != exit.Usage {
+			t.Errorf("%s: jobs.toml has findings: %s", user, r.log.String())
+		}
+	}
+}
--- /dev/null
+++ b/ctl/command/help.go
@@ -0,0 +1,60 @@
+package command
+
+const rootHelp = `Submits jobs for callers, and checks, applies and inspects change tickets for operators.
+
+Exit codes: 0 done; 1 other failure; 2 wrong command line; 3 findings in an input, nothing changed; 4 the ticket lost a race, nothing changed; 5 store, instance list or entry instance not reachable; 6 a job was answered failed or not_run; 7 the outcome is unknown; 8 no such object; 9 a ticket is not in force everywhere.`
+
+const sessionOpenHelp = `Opens a session at an entry instance. The token that is printed can be used with --session of the job commands.
+
+Example: marigoldctl --entry http://127.0.0.1:7400 --caller rug-dealers session open`
+
+const jobSubmitHelp = `Submits the jobs of a TOML file, each once, and waits for their answers. Progress goes to the error output. A job that is answered unknown is not submitted again: it may have run.
+
+A file holds [[jobs]] with service, repeatable, timeout_ms, memory_mb, accelerators and count, each with [[jobs.tasks]] that hold payload, declared_ms and count.
+
+Example: marigoldctl --entry http://127.0.0.1:7400 --caller rug-dealers job submit examples/guild/jobs.toml --parallel 16`
+
+const jobCollectHelp = `Asks for the answer of a submitted job. An answer is kept until a later submission of the session acknowledges it.
+
+Example: marigoldctl --entry http://127.0.0.1:7400 --caller rug-dealers job collect --session TOKEN --seq 3 --wait 5s`
+
+const jobCancelHelp = `Cancels a job that has no answer yet and prints its final answer.
+
+Example: marigoldctl --entry http://127.0.0.1:7400 --caller rug-dealers job cancel --session TOKEN --seq 3`
+
+const ticketCheckHelp = `Checks a ticket file against the newest configuration and shows what it would change. Nothing is written. Findings name the file, line and key.
+
+Example: marigoldctl --store 127.0.0.1:7300 ticket check change.toml`
+
+const ticketApplyHelp = `Numbers the ticket after the newest one and writes it to the store. Exactly one ticket gets each number: if another operator was faster, the command ends with exit code 4 and shows what the other ticket changed. With --wait it then waits until the ticket is in force at every entry instance named by --entry.
+
+Example: marigoldctl --store 127.0.0.1:7300 --entry http://127.0.0.1:7400 ticket apply change.toml --wait 10s`
+
+const ticketShowHelp = `Shows an accepted ticket: author, reason, digest and the objects that it puts or deletes.
+
+Example: marigoldctl --store 127.0.0.1:7300 ticket show 12`
+
+const ticketDiffHelp = `Shows what differs between the configurations after two tickets. Number 0 is the empty configuration.
+
+Example: marigoldctl --store 127.0.0.1:7300 ticket diff 11 12`
+
+const ticketVerifyHelp = `Applies all tickets up to a number in order and compares each digest.
+
+Example: marigoldctl --store 127.0.0.1:7300 ticket verify 12`
+
+const ticketStatusHelp = `Asks the entry instances named by --entry which ticket they have in force. What an instance knows about its peers is shown too, so that peers that nobody asked appear with their last known number. Exit code 9 means that some instance is behind or did not answer.
+
+Example: marigoldctl --entry http://127.0.0.1:7400 --entry http://127.0.0.1:7401 ticket status 12`
+
+const ownerHelp = `Shows who owns a caller, its team and its services, from the newest configuration or from that of an earlier ticket.
+
+Example: marigoldctl --store 127.0.0.1:7300 owner rug-dealers --as-of 12`
+
+const targetsHelp = `Shows which targets serve a service or, without one, any service of the caller named by --caller, from the newest configuration or from that of an earlier ticket.
+
+Example: marigoldctl --store 127.0.0.1:7300 targets appraisal-desk
+Example: marigoldctl --store 127.0.0.1:7300 targets --caller rug-dealers`
+
+const instancesHelp = `Shows the platform's list of entry instances and targets. The list lags behind the actual state.
+
+Example: marigoldctl --instance-list http://127.0.0.1:7300 --region gh-south instances`
--- /dev/null
+++ b/ctl/command/session.go
@@ -0,0 +1,83 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/samber/oops"
+
+	"marigoldfront.dev/caller"
+	"marigoldfront.dev/ctl/exit"
+)
+
+// client returns the caller library for the options of the command line.
+func (r *Root) client() (*caller.Client, error) {
+	if r.Caller == "" || len(r.Entry) == 0 {
+		return nil, oops.Code(exit.Usage).
+			Hint("Set --entry and --caller, or MARIGOLD_ENTRY and MARIGOLD_CALLER.").
+			Errorf("the command needs an entry instance and a caller name")
+	}
+	return caller.New(caller.Config{Caller: r.Caller, Token: r.Token, Bases: r.Entry})
+}
+
+func (r *Root) open(ctx context.Context) (*caller.Client, *caller.Session, error) {
+	c, err := r.client()
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := c.Open(ctx)
+	return c, s, explain(err)
+}
+
+// explain adds what the user can do about an error of the caller library.
+func explain(err error) error {
+	var rejected *caller.Rejected
+	var none *caller.NoAnswer
+	switch {
+	case errors.As(err, &rejected):
+		return oops.Code(exit.Findings).Hint(rejectionHint(rejected.Status)).Wrap(err)
+	case errors.As(err, &none):
+		return oops.Code(exit.Unreachable).
+			Hint("Check the addresses of --entry with `marigoldctl instances`. Repeating the same job under the same number is safe; a new number may run it again.").
+			Wrap(err)
+	}
+	return err
+}
+
+func rejectionHint(status int) string {
+	switch status {
+	case http.StatusUnauthorized:
+		return "Check MARIGOLD_TOKEN. A ticket holds the SHA-256 of the token that is in force; see `marigoldctl owner CALLER` for whom to ask."
+	case http.StatusForbidden:
+		return "See `marigoldctl owner CALLER` for the services that the caller may use, and use sessions of the same caller only."
+	case http.StatusConflict:
+		return "The number was used for other content. Submit the new content under a new number."
+	case http.StatusUnprocessableEntity:
+		return "Collect or acknowledge older answers, so that the session's window moves on."
+	case http.StatusTooManyRequests:
+		return "Close sessions that are not needed, or try another entry instance."
+	}
+	return "Correct the places named and submit again. This message started nothing."
+}
+
+type sessionOpen struct {
+	root *Root
+}
+
+type sessionView struct {
+	Session string `json:"session"`
+}
+
+// Execute implements flags.Commander.
+func (c *sessionOpen) Execute([]string) error {
+	ctx, cancel := interruptible()
+	defer cancel()
+	_, s, err := c.root.open(ctx)
+	if err != nil {
+		return err
+	}
+	return c.root.printer.Print(sessionView{s.Token()}, func(w io.Writer) { fmt.Fprintln(w, s.Token()) })
+}
