Add marigold-bench with the demo

Nothing ran the programs together. The package fleet starts, pauses and stops them as real processes on the loopback range and ends all that it started. The demo applies a ticket and submits jobs of both users with marigoldctl, stops one entry instance gracefully meanwhile, and compares the answers with the starts that the targets counted.

Before: no run of the programs together.

--- /dev/null
+++ b/bench/demo/command.go
@@ -0,0 +1,132 @@
+// Package demo shows the system at work: it starts the stand-ins and six
+// entry instances in three availability zones, applies a ticket and submits
+// jobs of both users with marigoldctl, and counts the starts at the targets.
+package demo
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"marigoldfront.dev/bench/fleet"
+)
+
+const (
+	region         = "gh-south"
+	entriesPerZone = 2
+	targetsPerZone = 2
+	targetSlots    = 4
+	targetLinks    = 64
+	targetMemoryMB = 128 << 10
+	ticketWait     = "10s"
+	stopAfter      = 700 * time.Millisecond
+	targetsPerRack = 2
+)
+
+var zones = []string{"accra", "kumasi", "takoradi"}
+
+// Command is the demo subcommand.
+type Command struct {
+	Bin  string `long:"bin" description:"Directory of the built programs; the one of this program by default"`
+	Hold bool   `long:"hold" description:"Keep the processes after the run until interrupted, and print their addresses"`
+}
+
+// Execute implements flags.Commander.
+func (c *Command) Execute([]string) error {
+	bin, err := fleet.BinDir(c.Bin)
+	if err != nil {
+		return err
+	}
+	f, err := fleet.New(bin)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return run(f, os.Stdout, c.Hold)
+}
+
+func run(f *fleet.Fleet, w io.Writer, hold bool) error {
+	if err := startAll(f); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "started: 1 platform stand-in, %d targets, %d entry instances in %d availability zones\n",
+		len(f.Targets()), len(f.Entries()), len(zones))
+	if err := applyTicket(f, w); err != nil {
+		return err
+	}
+	t, err := submitAll(f, w)
+	if err != nil {
+		return err
+	}
+	starts, err := f.Starts()
+	if err != nil {
+		return err
+	}
+	t.countStarts(starts)
+	t.print(w)
+	err = t.check()
+	if hold {
+		holdOpen(f, w)
+	}
+	return err
+}
+
+func startAll(f *fleet.Fleet) error {
+	var g errgroup.Group
+	for z, zone := range zones {
+		for i := range targetsPerZone {
+			for s, service := range services() {
+				g.Go(func() error {
+					_, err := f.StartTarget(fleet.TargetSpec{
+						Name: fmt.Sprintf("%s-%s-%d", zone, service, i+1), Region: region, AvailabilityZone: zone,
+						Rack:     fmt.Sprintf("%s-rack-%d", zone, i/targetsPerRack+1),
+						Services: []string{service}, Slots: targetSlots, Connections: targetLinks,
+						Speed: 1 + float64(i)/2, Seed: uint64(100*z + 10*s + i), MemoryMB: targetMemoryMB,
+					})
+					return err
+				})
+			}
+		}
+		for i := range entriesPerZone {
+			g.Go(func() error {
+				_, err := f.StartEntry(fleet.EntrySpec{Name: fmt.Sprintf("%s-entry-%d", zone, i+1), Region: region, AvailabilityZone: zone})
+				return err
+			})
+		}
+	}
+	return g.Wait()
+}
+
+// submitAll submits the jobs of every caller in every availability zone, and
+// stops one entry instance gracefully meanwhile.
+func submitAll(f *fleet.Fleet, w io.Writer) (*tally, error) {
+	t := newTally()
+	var mu sync.Mutex
+	var g errgroup.Group
+	for n, c := range callers {
+		for _, zone := range zones {
+			g.Go(func() error {
+				answers, err := submit(f, c, zone, n)
+				if err != nil {
+					return fmt.Errorf("%s in %s: %w", c.name, zone, err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				t.add(c, answers)
+				return nil
+			})
+		}
+	}
+	time.Sleep(stopAfter)
+	stopped := sorted(f)[0]
+	begin := time.Now()
+	if err := f.StopEntry(stopped); err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(w, "stopped: %s gracefully while jobs ran, within %v\n", stopped.EntrySpec.Name, time.Since(begin).Round(10*time.Millisecond))
+	return t, g.Wait()
+}
--- /dev/null
+++ b/bench/demo/run_test.go
@@ -0,0 +1,27 @@
+package demo
+
+import (
+	"strings"
+	"testing"
+
+	"marigoldfront.dev/bench/fleet"
+)
+
+// Guards against any of the guarantees being broken between real processes
+// while an entry instance stops: the counts of callers and targets differ, or
+// a job has another answer than planned.
+func TestDemoAddsUp(t *testing.T) {
+	dir := t.TempDir()
+	if err := fleet.Build(dir); err != nil {
+		t.Fatal(err)
+	}
+	f, err := fleet.New(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	var out strings.Builder
+	if err := run(f, &out, false); err != nil {
+		t.Errorf("%v\n%s", err, out.String())
+	}
+}
--- /dev/null
+++ b/bench/demo/tally_test.go
@@ -0,0 +1,73 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"marigoldfront.dev/bench/fleet"
+)
+
+// planned returns a tally in which every job has its planned answer, with the
+// starts that targets would report.
+func planned() (*tally, []fleet.Start) {
+	t := newTally()
+	var starts []fleet.Start
+	for _, c := range callers {
+		for z := range zones {
+			var answers []ctlAnswer
+			for i := range c.total() {
+				a := ctlAnswer{Job: i + 1, State: "complete", Starts: c.tasks}
+				job := fmt.Sprintf("%s-%d-%d", c.name, z, i)
+				switch {
+				case i >= c.jobs+c.failing:
+					a.State, a.Starts = "not_run", 0
+				case i >= c.jobs:
+					a.State = "failed"
+				}
+				for task := range a.Starts {
+					starts = append(starts, fleet.Start{Job: job, Task: task, Attempt: 1, Caller: c.name})
+					if a.State == "complete" {
+						a.Results = append(a.Results, []byte(c.result(i, task)))
+					}
+				}
+				answers = append(answers, a)
+			}
+			t.add(c, answers)
+		}
+	}
+	return t, starts
+}
+
+// Guards against a demo that succeeds although a task was started twice, an
+// answer was partial, or the targets ran a job that was answered not_run.
+func TestCheckFindsEveryFault(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		harm func(*tally, []fleet.Start) []fleet.Start
+		want string
+	}{
+		{"nothing", func(_ *tally, s []fleet.Start) []fleet.Start { return s }, ""},
+		{"second start", func(_ *tally, s []fleet.Start) []fleet.Start { return append(s, s[0]) }, "started twice"},
+		{"second attempt of a certificate", func(_ *tally, s []fleet.Start) []fleet.Start {
+			last := s[len(s)-1]
+			last.Attempt = 2
+			return append(s, last)
+		}, "started twice"},
+		{"job without a start", func(_ *tally, s []fleet.Start) []fleet.Start { return s[callers[0].tasks:] }, "targets started"},
+		{"wrong result", func(l *tally, s []fleet.Start) []fleet.Start {
+			l.add(callers[0], []ctlAnswer{{Job: 1, State: "complete"}})
+			l.rows[callers[0].name].jobs--
+			return s
+		}, "partial"},
+	} {
+		l, starts := planned()
+		l.countStarts(c.harm(l, starts))
+		l.print(io.Discard)
+		err := l.check()
+		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
+			t.Errorf("%s: got %v, want %q", c.name, err, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/bench/fleet/entry.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"marigoldfront.dev/platform/instancelist"
+)
+
+// EntrySpec describes an entry instance.
+type EntrySpec struct {
+	Name             string
+	Region           string
+	AvailabilityZone string
+	// Policy is "default" or "baseline"; empty means default.
+	Policy string
+	// Stores replaces the addresses of the store, for example by a proxy's.
+	Stores []string
+	// InstanceList replaces the URL of the instance list.
+	InstanceList string
+	// ListedAddress, if set, returns the peer address to put on the list.
+	ListedAddress func(peer string) string
+	LogLevel      string
+	Trace         string
+}
+
+// settings is the settings file of an entry instance.
+type settings struct {
+	Name             string   `toml:"name"`
+	Region           string   `toml:"region"`
+	AvailabilityZone string   `toml:"availability_zone"`
+	Listen           string   `toml:"listen"`
+	PeerListen       string   `toml:"peer_listen"`
+	Store            []string `toml:"store"`
+	InstanceList     string   `toml:"instance_list"`
+	PeerSecret       string   `toml:"peer_secret"`
+	DrainLimitS      int      `toml:"drain_limit_s,omitempty"`
+	LogLevel         string   `toml:"log_level,omitempty"`
+	Trace            string   `toml:"trace,omitempty"`
+	Policy           string   `toml:"policy,omitempty"`
+}
+
+const (
+	peerSecret  = "loopback-test-secret-of-sufficient-length"
+	drainLimitS = 30
+	// stopTimeout is longer than the drain limit, so that a stop that hangs is
+	// told from one that drains.
+	stopTimeout = (drainLimitS + 10) * time.Second
+)
+
+// Entry is a started entry instance.
+type Entry struct {
+	*Process
+	EntrySpec
+	// Address is the IP:port for callers and operators.
+	Address string
+	// PeerAddress is the IP:port for peers.
+	PeerAddress string
+}
+
+// URL returns the base URL for callers and operators.
+func (e *Entry) URL() string { return "http://" + e.Address }
+
+// StartEntry starts an entry instance and puts it on the instance list.
+func (f *Fleet) StartEntry(s EntrySpec) (*Entry, error) {
+	path, err := f.writeSettings(s)
+	if err != nil {
+		return nil, err
+	}
+	p, ready, err := f.start(s.Name, entryProgram, "--config", path)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{Process: p, EntrySpec: s, Address: ready["listen"], PeerAddress: ready["peer_listen"]}
+	f.mu.Lock()
+	f.entries = append(f.entries, e)
+	f.mu.Unlock()
+	return e, f.Platform.Register(e.instance(instancelist.StateLive))
+}
+
+func (f *Fleet) writeSettings(s EntrySpec) (string, error) {
+	c := settings{
+		Name: s.Name, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
+		Listen: loopback, PeerListen: loopback,
+		Store: []string{f.Platform.Address}, InstanceList: f.Platform.URL(), PeerSecret: peerSecret,
+		DrainLimitS: drainLimitS, LogLevel: s.LogLevel, Trace: s.Trace, Policy: s.Policy,
+	}
+	if len(s.Stores) > 0 {
+		c.Store = s.Stores
+	}
+	if s.InstanceList != "" {
+		c.InstanceList = s.InstanceList
+	}
+	b, err := toml.Marshal(c)
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(f.dir, s.Name+".toml")
+	return path, os.WriteFile(path, b, 0o600)
+}
+
+func (e *Entry) instance(state string) instancelist.Instance {
+	address := e.PeerAddress
+	if e.ListedAddress != nil {
+		address = e.ListedAddress(address)
+	}
+	return instancelist.Instance{Name: e.Name, Kind: instancelist.KindEntry, Region: e.Region,
+		AvailabilityZone: e.AvailabilityZone, Address: address, State: state}
+}
+
+// StopEntry marks the instance as leaving, asks it to
+// stop gracefully, waits for its end and takes it off the list.
+func (f *Fleet) StopEntry(e *Entry) error {
+	if err := f.Platform.Register(e.instance(instancelist.StateLeaving)); err != nil {
+		return err
+	}
+	if err := e.Stop(stopTimeout); err != nil {
+		return fmt.Errorf("stop %s: %w", e.Name, err)
+	}
+	return f.Platform.Remove(e.Name)
+}
+
+// Status is the part of an entry instance's status that the benchmarks use.
+type Status struct {
+	Instance string `json:"instance"`
+	State    string `json:"state"`
+	Ticket   uint64 `json:"ticket"`
+	Queue    struct {
+		Jobs    int `json:"jobs"`
+		Tasks   int `json:"tasks"`
+		Running int `json:"running"`
+	} `json:"queue"`
+}
+
+// Status asks the instance for its status.
+func (e *Entry) Status() (Status, error) {
+	var s Status
+	err := control(http.MethodGet, e.URL()+"/v1/status", nil, &s)
+	return s, err
+}
--- /dev/null
+++ b/bench/fleet/fleet.go
@@ -0,0 +1,193 @@
+// Package fleet starts, pauses and stops the programs of the system as real
+// processes on the loopback range, and always ends all that it started.
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"marigoldfront.dev/core/directory"
+	"marigoldfront.dev/core/ticket"
+	"marigoldfront.dev/platform/store"
+	"marigoldfront.dev/platform/ticketlog"
+)
+
+const (
+	loopback       = "127.0.0.1:0"
+	standinProgram = "marigold-standin"
+	entryProgram   = "marigold-entry"
+	// pollInterval is the pause between two looks at a condition.
+	pollInterval = 20 * time.Millisecond
+)
+
+// Fleet is a set of started processes around one stand-in of the platform. It
+// is safe for concurrent use.
+type Fleet struct {
+	Platform *Platform
+
+	bin string
+	dir string
+
+	mu        sync.Mutex
+	processes []*Process
+	targets   []*Target
+	entries   []*Entry
+}
+
+// New starts the stand-in of the platform with the programs of the directory
+// bin. Close the fleet in every case.
+func New(bin string) (*Fleet, error) {
+	for _, program := range []string{standinProgram, entryProgram} {
+		if _, err := os.Stat(filepath.Join(bin, program)); err != nil {
+			return nil, fmt.Errorf("program not built, run make build: %w", err)
+		}
+	}
+	dir, err := os.MkdirTemp("", "marigold-fleet-")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{bin: bin, dir: dir}
+	p, ready, err := f.start("platform", standinProgram, "platform", "--listen", loopback)
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	f.Platform = &Platform{Process: p, Address: ready["listen"]}
+	return f, nil
+}
+
+// Dir returns the directory of the fleet, which holds the settings and the
+// output of each process and ends with it.
+func (f *Fleet) Dir() string { return f.dir }
+
+// Program returns the path of a built program.
+func (f *Fleet) Program(name string) string { return filepath.Join(f.bin, name) }
+
+func (f *Fleet) start(name, program string, args ...string) (*Process, map[string]string, error) {
+	p, ready, err := start(f.dir, name, f.Program(program), args...)
+	if err != nil {
+		return nil, nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.processes = append(f.processes, p)
+	return p, ready, nil
+}
+
+// Targets returns the started targets.
+func (f *Fleet) Targets() []*Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*Target(nil), f.targets...)
+}
+
+// Entries returns the started entry instances.
+func (f *Fleet) Entries() []*Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*Entry(nil), f.entries...)
+}
+
+// Starts returns every start of all targets that still run.
+func (f *Fleet) Starts() ([]Start, error) {
+	var all []Start
+	for _, t := range f.Targets() {
+		if t.Ended() {
+			continue
+		}
+		s, err := t.Starts()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s...)
+	}
+	return all, nil
+}
+
+// AwaitTicket waits until the ticket is in force at every running entry
+// instance.
+func (f *Fleet) AwaitTicket(number uint64, limit time.Duration) error {
+	end := time.Now().Add(limit)
+	for _, e := range f.Entries() {
+		for !e.Ended() {
+			s, err := e.Status()
+			if err == nil && s.Ticket >= number {
+				break
+			}
+			if time.Now().After(end) {
+				return fmt.Errorf("%s has ticket %d after %v, want %d (%v)\n%s", e.Name, s.Ticket, limit, number, err, e.Tail())
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+	return nil
+}
+
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close ends every process that the fleet started and removes its files.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.processes {
+		// A paused process is resumed by its kill.
+		_ = p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range f.processes {
+		<-p.done
+	}
+	_ = os.RemoveAll(f.dir)
+}
+
+// Apply accepts a ticket that puts the objects, and returns its number.
+func (f *Fleet) Apply(ctx context.Context, put directory.State) (uint64, error) {
+	l := ticketlog.New(store.New([]string{f.Platform.Address}, nil))
+	d, err := l.Load(ctx, 0)
+	if err != nil {
+		return 0, err
+	}
+	t, _, err := ticket.Prepare(d, ticket.Ticket{Nonce: ticketlog.NewNonce(), Author: "bench", Put: put})
+	if err != nil {
+		return 0, err
+	}
+	return t.Number, l.Accept(ctx, d, t)
+}
+
+// State returns the configuration that serves the started targets: the given
+// services and callers, and a team for each team name that they use.
+func (f *Fleet) State(services []directory.Service, callers []directory.Caller) directory.State {
+	s := directory.State{Teams: map[string]directory.Team{}, Services: map[string]directory.Service{},
+		Callers: map[string]directory.Caller{}, Targets: map[string]directory.Target{}}
+	for _, v := range services {
+		s.Services[v.Name] = v
+	}
+	for _, c := range callers {
+		s.Callers[c.Name] = c
+		s.Teams[c.Team] = directory.Team{Name: c.Team, Weight: 1}
+	}
+	for _, t := range f.Targets() {
+		s.Targets[t.TargetSpec.Name] = t.Configured()
+	}
+	return s
+}
+
+// TokenSHA256 returns the digest of a caller token as tickets carry it.
+func TokenSHA256(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
