Add marigold-bench measure and slopes

The policies had no comparison on real processes, and the cost per unit of an entry process was not known. measure runs both policies side by side with the same drawn jobs, under load and under faults, and reports slowdown, goodput, wasted messages and cost. slopes observes an entry process at several sizes and fits the increase per target, session, queued task, ticket and peer.

--- a/bench/cmd/marigold-bench/commands.go
+++ b/bench/cmd/marigold-bench/commands.go
@@ -4,6 +4,8 @@
 	"github.com/jessevdk/go-flags"
 
 	"marigoldfront.dev/bench/demo"
+	"marigoldfront.dev/bench/measure"
+	"marigoldfront.dev/bench/slopes"
 )
 
 // commands holds the subcommands, one line each.
@@ -12,4 +14,6 @@
 	command     flags.Commander
 }{
 	{"demo", "Run jobs of both users through a small system", &demo.Command{}},
+	{"measure", "Compare the policies on real processes", &measure.Command{}},
+	{"slopes", "Measure the cost of an entry process at several sizes", &slopes.Command{}},
 }
--- /dev/null
+++ b/bench/measure/run_test.go
@@ -0,0 +1,40 @@
+package measure
+
+import (
+	"context"
+	"testing"
+
+	"marigoldfront.dev/bench/fleet"
+)
+
+// Guards against a measurement that cannot run, that loses jobs, or in which
+// an attempt is started twice.
+func TestShortRun(t *testing.T) {
+	dir := t.TempDir()
+	if err := fleet.Build(dir); err != nil {
+		t.Fatal(err)
+	}
+	c := Command{Short: true, FirstSeed: 1, Scenario: []string{"idle", "steady 50%", "target killed"}, Out: dir}
+	rows, err := c.run(context.Background(), dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(rows) != 3*len(policies) {
+		t.Fatalf("%d rows, want %d", len(rows), 3*len(policies))
+	}
+	for _, r := range rows {
+		if r.Scenario == "idle" {
+			if r.ControlBytes <= 0 {
+				t.Errorf("no control bytes were counted: %+v", r)
+			}
+			continue
+		}
+		complete := int(r.Goodput*float64(r.Jobs) + 0.5)
+		if r.Jobs == 0 || complete == 0 || complete+r.Failed+r.NotRun+r.Unknown != r.Jobs || r.CPU <= 0 {
+			t.Errorf("row does not add up: %+v", r)
+		}
+	}
+	if err := c.report(dir, rows); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/bench/slopes/run_test.go
@@ -0,0 +1,32 @@
+package slopes
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"marigoldfront.dev/bench/fleet"
+)
+
+// Guards against a quantity that can no longer be set up or observed.
+func TestShortRun(t *testing.T) {
+	dir := t.TempDir()
+	if err := fleet.Build(dir); err != nil {
+		t.Fatal(err)
+	}
+	r := &run{bin: dir, window: shortWindow, settle: shortSettle}
+	for _, b := range benches {
+		p, err := b.point(context.Background(), r, b.short[0])
+		if err != nil {
+			t.Fatalf("%s: %v", b.unit, err)
+		}
+		if p.Resident < 1<<20 {
+			t.Errorf("%s: %.0f bytes of resident memory", b.unit, p.Resident)
+		}
+		var out strings.Builder
+		printSlopes(&out, b.unit, []Point{p, {Size: 2 * b.short[0], Resident: 2 * p.Resident}})
+		if !strings.Contains(out.String(), "resident bytes per "+b.unit) {
+			t.Errorf("%s: no slope in %q", b.unit, out.String())
+		}
+	}
+}
