entry/run: pass zone, region and policy to the Dispatcher

The demo's spans showed entry instances starting tasks on targets of other availability zones, most of them refused. The Dispatcher was composed without the instance's region and availability zone, which stands for all zones, and without the policy of the settings, so that baseline had no effect. The demo can write spans (--trace).

The policies can be compared from now on.

--- a/bench/demo/command.go
+++ b/bench/demo/command.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -31,8 +32,9 @@
 
 // Command is the demo subcommand.
 type Command struct {
-	Bin  string `long:"bin" description:"Directory of the built programs; the one of this program by default"`
-	Hold bool   `long:"hold" description:"Keep the processes after the run until interrupted, and print their addresses"`
+	Bin   string `long:"bin" description:"Directory of the built programs; the one of this program by default"`
+	Hold  bool   `long:"hold" description:"Keep the processes after the run until interrupted, and print their addresses"`
+	Trace bool   `long:"trace" description:"Let entry instances write their spans to NAME.trace beside their logs"`
 }
 
 // Execute implements flags.Commander.
@@ -46,11 +48,11 @@
 		return err
 	}
 	defer f.Close()
-	return run(f, os.Stdout, c.Hold)
+	return c.run(f, os.Stdout)
 }
 
-func run(f *fleet.Fleet, w io.Writer, hold bool) error {
-	if err := startAll(f); err != nil {
+func (c *Command) run(f *fleet.Fleet, w io.Writer) error {
+	if err := c.startAll(f); err != nil {
 		return err
 	}
 	fmt.Fprintf(w, "started: 1 platform stand-in, %d targets, %d entry instances in %d availability zones\n",
@@ -69,13 +71,13 @@
 	t.countStarts(starts)
 	t.print(w)
 	err = t.check()
-	if hold {
+	if c.Hold {
 		holdOpen(f, w)
 	}
 	return err
 }
 
-func startAll(f *fleet.Fleet) error {
+func (c *Command) startAll(f *fleet.Fleet) error {
 	var g errgroup.Group
 	for z, zone := range zones {
 		for i := range targetsPerZone {
@@ -93,7 +95,11 @@
 		}
 		for i := range entriesPerZone {
 			g.Go(func() error {
-				_, err := f.StartEntry(fleet.EntrySpec{Name: fmt.Sprintf("%s-entry-%d", zone, i+1), Region: region, AvailabilityZone: zone})
+				spec := fleet.EntrySpec{Name: fmt.Sprintf("%s-entry-%d", zone, i+1), Region: region, AvailabilityZone: zone}
+				if c.Trace {
+					spec.Trace = filepath.Join(f.Dir(), spec.Name+".trace")
+				}
+				_, err := f.StartEntry(spec)
 				return err
 			})
 		}
--- a/bench/demo/run_test.go
+++ b/bench/demo/run_test.go
@@ -21,7 +21,7 @@
 	}
 	defer f.Close()
 	var out strings.Builder
-	if err := run(f, &out, false); err != nil {
+	if err := new(Command).run(f, &out); err != nil {
 		t.Errorf("%v\n%s", err, out.String())
 	}
 }
--- /dev/null
+++ b/entry/run/config.go
@@ -0,0 +1,14 @@
+package run
+
+import "marigoldfront.dev/core/dispatch"
+
+// dispatchConfig returns the configuration of the Dispatcher for an
+// incarnation of the instance.
+func (s *Settings) dispatchConfig(incarnation uint64) dispatch.Config {
+	cfg := dispatch.DefaultConfig(s.Name, incarnation)
+	cfg.Region, cfg.AvailabilityZone = s.Region, s.AvailabilityZone
+	if s.Policy == "baseline" {
+		cfg.Policy = dispatch.PolicyBaseline
+	}
+	return cfg
+}
--- a/entry/run/instance.go
+++ b/entry/run/instance.go
@@ -141,7 +141,7 @@
 
 // composeCore builds the engine and the sender, which feed each other.
 func (in *Instance) composeCore() {
-	cfg := dispatch.DefaultConfig(in.self.Name, in.self.Incarnation)
+	cfg := in.settings.dispatchConfig(in.self.Incarnation)
 	in.dispatcher = dispatch.New(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	in.sender = sender.New(sender.Config{
 		Log: in.part("sender"), Metrics: in.metrics, Tracer: in.tracer,
