--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -155,6 +155,30 @@
 	r.compare(t, "caller")
 }
 
+// Guards against a wait that never ends because of an instance that was
+// stopped, and against an instance that is behind or unreachable but counted
+// as up to date.
+func TestTicketStatus(t *testing.T) {
+	const peers = `"peers":[{"instance":"b","state":"draining","ticket":1},{"instance":"c","state":"suspected","ticket":1}]`
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, `{"instance":"a","availability_zone":"accra","state":"live","ticket":2,"digest":"d",`+peers+`}`)
+	}))
+	defer s.Close()
+	r := &recorder{global: []string{"--entry", s.URL}}
+	for number, want := range map[string]exit.Code{"1": exit.OK, "2": exit.NotInForce} {
+		if got := r.run("ticket", "status", number); got != want {
+			t.Errorf("ticket %s: exit code %d, want %d\n%s", number, got, want, r.log.String())
+		}
+	}
+	if !strings.Contains(r.log.String(), "ticket 2: in force at 1 of 2 instances, 1 draining") {
+		t.Errorf("wrong counts:\n%s", r.log.String())
+	}
+	stopped := &recorder{global: []string{"--entry", s.URL, "--entry", "http://127.0.0.1:1"}}
+	if got := stopped.run("ticket", "status", "1"); got != exit.NotInForce {
+		t.Errorf("with an unreachable instance: exit code %d", got)
+	}
+}
+
 // Guards against options and examples that the help does not show.
 func TestHelp(t *testing.T) {
 	t.Setenv("MARIGOLD_TOKEN", "secret-in-the-environment")
--- a/ctl/command/help.go
+++ b/ctl/command/help.go
@@ -42,7 +42,7 @@
 
 Example: marigoldctl --store 127.0.0.1:7300 ticket verify 12`
 
-const ticketStatusHelp = `Asks the entry instances named by --entry which ticket they have in force. What an instance knows about its peers is shown too, so that peers that nobody asked appear with their last known number. Exit code 9 means that some instance is behind or did not answer.
+const ticketStatusHelp = `Asks the entry instances named by --entry which ticket they have in force. What they know about their peers is shown too, so that peers that nobody asked appear with their last known number. Exit code 9 means that some instance that serves is behind or did not answer.
 
 Example: marigoldctl --entry http://127.0.0.1:7400 --entry http://127.0.0.1:7401 ticket status 12`
 
--- a/ctl/command/status.go
+++ b/ctl/command/status.go
@@ -1,11 +1,13 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,12 +23,14 @@
 	maxStatusBytes = 4 << 20
 	// awaitInterval is the pause between two questions to the instances.
 	awaitInterval = 100 * time.Millisecond
+	stateDraining = "draining"
 )
 
 // instanceStatus is the part of an entry instance's status that is used here.
 type instanceStatus struct {
 	Instance          string       `json:"instance"`
 	AvailabilityZone  string       `json:"availability_zone"`
+	State             string       `json:"state"`
 	Ticket            uint64       `json:"ticket"`
 	Digest            string       `json:"digest"`
 	ConfirmationAgeMS int64        `json:"confirmation_age_ms"`
@@ -51,6 +55,7 @@
 type statusView struct {
 	Number    uint64        `json:"number"`
 	Behind    int           `json:"behind"`
+	Draining  int           `json:"draining"`
 	Instances []inForceView `json:"instances"`
 }
 
@@ -70,7 +75,7 @@
 func (c *ticketStatus) Execute([]string) error {
 	ctx, cancel := interruptible()
 	defer cancel()
-	v, err := c.root.status(ctx, c.Args.Number)
+	v, err := c.root.status(ctx, c.Args.Number, true)
 	if err != nil {
 		return err
 	}
@@ -86,7 +91,8 @@
 		rows = append(rows, []string{i.Instance, i.AvailabilityZone, strconv.FormatUint(i.Ticket, 10), strconv.FormatBool(i.InForce), i.Source})
 	}
 	output.Table(w, "INSTANCE AVAILABILITY_ZONE TICKET IN_FORCE SOURCE", rows)
-	fmt.Fprintf(w, "ticket %d: in force at %d of %d instances\n", v.Number, len(v.Instances)-v.Behind, len(v.Instances))
+	serving := len(v.Instances) - v.Draining
+	fmt.Fprintf(w, "ticket %d: in force at %d of %d instances, %d draining\n", v.Number, serving-v.Behind, serving, v.Draining)
 }
 
 func (v statusView) failure() error {
@@ -98,46 +104,54 @@
 		Errorf("%d of %d instances do not have ticket %d in force", v.Behind, len(v.Instances), v.Number)
 }
 
-// status asks every named entry instance, and adds the peers that they know
-// of and that were not asked themselves.
-func (r *Root) status(ctx context.Context, number uint64) (statusView, error) {
+// status asks every named entry instance. With peers it adds those that they
+// know of and that were not asked themselves. A draining instance counts as
+// neither in force nor behind, because it admits no jobs any more.
+func (r *Root) status(ctx context.Context, number uint64, peers bool) (statusView, error) {
 	if len(r.Entry) == 0 {
 		return statusView{}, oops.Code(exit.Usage).Hint("Set --entry or MARIGOLD_ENTRY to the base URL of each entry instance.").
 			Errorf("the command needs the entry instances")
 	}
 	v := statusView{Number: number}
 	known := map[string]bool{}
-	var peers []peerStatus
+	var heard []peerStatus
 	for _, base := range r.Entry {
 		s, err := fetchStatus(ctx, base)
 		if err != nil {
-			v.add(inForceView{Instance: base, Source: err.Error()})
+			v.add(inForceView{Instance: base, Source: err.Error()}, "")
 			continue
 		}
 		known[s.Instance] = true
-		peers = append(peers, s.Peers...)
-		v.add(inForceView{s.Instance, s.AvailabilityZone, s.Ticket, s.Digest, s.Ticket >= number, "asked"})
+		heard = append(heard, s.Peers...)
+		v.add(inForceView{s.Instance, s.AvailabilityZone, s.Ticket, s.Digest, s.Ticket >= number, "asked"}, s.State)
 	}
-	newest := map[string]peerStatus{}
-	var order []string
-	for _, p := range peers {
-		if _, ok := newest[p.Instance]; !ok && !known[p.Instance] {
-			order = append(order, p.Instance)
-		}
-		if p.Ticket >= newest[p.Instance].Ticket {
-			newest[p.Instance] = p
-		}
-	}
-	for _, name := range order {
-		p := newest[name]
-		v.add(inForceView{p.Instance, p.AvailabilityZone, p.Ticket, "", p.Ticket >= number, "peer, " + p.State})
+	if peers {
+		v.addPeers(heard, known)
 	}
 	return v, nil
 }
 
-func (v *statusView) add(i inForceView) {
+// addPeers adds the peers that were not asked, with the highest ticket that
+// any of the asked instances knows of them.
+func (v *statusView) addPeers(heard []peerStatus, asked map[string]bool) {
+	slices.SortFunc(heard, func(a, b peerStatus) int {
+		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(b.Ticket, a.Ticket))
+	})
+	for _, p := range heard {
+		if asked[p.Instance] {
+			continue
+		}
+		asked[p.Instance] = true
+		v.add(inForceView{p.Instance, p.AvailabilityZone, p.Ticket, "", p.Ticket >= v.Number, "peer, " + p.State}, p.State)
+	}
+}
+
+func (v *statusView) add(i inForceView, state string) {
 	v.Instances = append(v.Instances, i)
-	if !i.InForce {
+	switch {
+	case state == stateDraining:
+		v.Draining++
+	case !i.InForce:
 		v.Behind++
 	}
 }
@@ -165,7 +179,7 @@
 func (r *Root) awaitInForce(ctx context.Context, number uint64, wait time.Duration) error {
 	begin := time.Now()
 	for {
-		v, err := r.status(ctx, number)
+		v, err := r.status(ctx, number, false)
 		if err != nil {
 			return err
 		}
