caller: wait for the answer of an instance that cannot reach the home

With the home paused, job collect ended without an answer after 10 s: each try was given up after 2 s, but a forwarding instance answers unknown only after 5 s. Replies are now waited for 6 s past their own time limit. The hints of marigoldctl name the reason of the first answer, and the hint of a number outside the window covers numbers that were never submitted.

Before: no answer after 5 tries and 10 s. After: unknown, home_unreachable, in a test with a reply after 5.2 s.

--- a/caller/client.go
+++ b/caller/client.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"marigoldfront.dev/core/answer"
 )
@@ -56,20 +55,6 @@
 	return newSession(c, token, max(next, 1), defaultWindow, 0)
 }
 
-// tryTimeout returns the limit of one try. Without a limit of the request's
-// own, the time left is divided over the next three tries, so that a paused
-// instance does not use up the time of all of them.
-func tryTimeout(ctx context.Context, left int, wait time.Duration) time.Duration {
-	if wait > 0 {
-		return wait
-	}
-	d, ok := ctx.Deadline()
-	if !ok {
-		return defaultTimeout
-	}
-	return time.Until(d) / time.Duration(max(1, min(left, 3)))
-}
-
 // retryable reports whether another instance could give a better reply: the
 // instance failed, cannot open sessions now, or could not reach the home.
 func retryable(r reply) bool {
--- a/caller/config.go
+++ b/caller/config.go
@@ -19,11 +19,13 @@
 	// drawn uniformly from zero to the current bound, which doubles.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
-	// answerGrace is how long past its timeout a job's answer is waited for.
-	answerGrace = 2 * time.Second
+	// replyGrace is how long past its own time limit a reply is waited for. An
+	// instance that forwards a request gives up after 5 s, and its unknown
+	// answer says more than a request that was given up before.
+	replyGrace = 6 * time.Second
 	// maxAnswerBytes bounds a reply: 550 results of 1 MiB each in base64.
 	maxAnswerBytes = 800 << 20
-	defaultTimeout = 10 * time.Second
+	defaultTimeout = 15 * time.Second
 	dialTimeout    = 2 * time.Second
 )
 
@@ -42,7 +44,7 @@
 	// Tracer records one span per request; nil records none.
 	Tracer trace.Tracer
 	// RequestTimeout bounds requests other than Submit and a waiting Collect;
-	// 0 means 10 s.
+	// 0 means 15 s.
 	RequestTimeout time.Duration
 }
 
--- a/caller/send.go
+++ b/caller/send.go
@@ -22,7 +22,7 @@
 	path   string
 	body   []byte
 	token  bool
-	// wait bounds one try; 0 divides the time left over the tries.
+	// wait is how long the instance may hold the request.
 	wait time.Duration
 	done func(reply) bool
 }
@@ -42,7 +42,7 @@
 	sends, unreachable := 0, 0
 	for sends < maxAttempts && unreachable < max(2, len(c.cfg.Bases)) && ctx.Err() == nil {
 		sends++
-		rep, err := c.try(ctx, base, maxAttempts-sends+1, req)
+		rep, err := c.try(ctx, base, req)
 		switch {
 		case err == nil && req.done(rep) && !retryable(rep):
 			return rep, base, nil
@@ -67,8 +67,8 @@
 	return reply{}, base, &NoAnswer{Sends: sends, Last: last}
 }
 
-func (c *Client) try(ctx context.Context, base, left int, req request) (reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout(ctx, left, req.wait))
+func (c *Client) try(ctx context.Context, base int, req request) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, req.wait+replyGrace)
 	defer cancel()
 	url := strings.TrimSuffix(c.cfg.Bases[base], "/") + req.path
 	r, err := http.NewRequestWithContext(ctx, req.method, url, bytes.NewReader(req.body))
--- a/caller/session.go
+++ b/caller/session.go
@@ -35,7 +35,7 @@
 
 // Submit submits a job under the next sequence number and waits for its
 // answer. While the connection is cut it repeats the same id at any instance,
-// until 2 s past the job's timeout. It waits for a free number while 1,024
+// until 6 s past the job's timeout. It waits for a free number while 1,024
 // jobs are open.
 //
 // A *Rejected says that the message started nothing, a *NoAnswer that the job
@@ -52,10 +52,9 @@
 		s.window.settle(seq)
 		return Reply{Seq: seq}, err
 	}
-	limit := j.Timeout + answerGrace
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, j.Timeout+replyGrace)
 	defer cancel()
-	rep, err := s.jobRequest(ctx, seq, request{name: "submit", method: http.MethodPut, path: s.jobPath(seq), body: body, wait: limit})
+	rep, err := s.jobRequest(ctx, seq, request{name: "submit", method: http.MethodPut, path: s.jobPath(seq), body: body, wait: j.Timeout})
 	if err != nil {
 		return rep, err
 	}
@@ -71,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+s.client.cfg.RequestTimeout)
 	defer cancel()
 	path := fmt.Sprintf("%s?wait_ms=%d", s.jobPath(seq), wait.Milliseconds())
-	return s.jobRequest(ctx, seq, request{name: "collect", method: http.MethodGet, path: path, wait: wait + answerGrace})
+	return s.jobRequest(ctx, seq, request{name: "collect", method: http.MethodGet, path: path, wait: wait})
 }
 
 // Cancel ends a job that has no answer yet, and returns its final answer.
--- a/caller/session_test.go
+++ b/caller/session_test.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// Guards against giving up on an instance just before it answers that it
+// could not reach the home, which it does after 5 s.
+func TestLateUnknownIsReceived(t *testing.T) {
+	t.Parallel()
+	a := newInstance(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(5200 * time.Millisecond)
+		say(200, `{"state":"unknown","code":"home_unreachable"}`)(w, r)
+	})
+	rep, err := open(t, a.URL).Collect(context.Background(), 1, 0)
+	if err != nil || !SessionLost(rep.Answer) {
+		t.Errorf("got %v, %v, want unknown", rep.Answer, err)
+	}
+}
+
 // Guards against endless repeats, and against repeating a rejected message.
 func TestTriesAreBounded(t *testing.T) {
 	a := newInstance(t, cut)
--- a/ctl/command/job.go
+++ b/ctl/command/job.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/samber/oops"
 
 	"marigoldfront.dev/caller"
+	"marigoldfront.dev/core/answer"
 	"marigoldfront.dev/ctl/exit"
 	"marigoldfront.dev/ctl/jobfile"
 	"marigoldfront.dev/ctl/jobrun"
@@ -103,13 +105,23 @@
 	case v.Rejected > 0:
 		return oops.Code(exit.Findings).Hint("The messages above name the places.").Errorf("%d jobs were rejected", v.Rejected)
 	case v.Unknown+v.NoAnswer > 0:
-		return oops.Code(exit.Unknown).Hint(unknownHint("")).Errorf("%d jobs may have run", v.Unknown+v.NoAnswer)
+		return oops.Code(exit.Unknown).Hint(unknownHint(v.firstCode("unknown"))).Errorf("%d jobs may have run", v.Unknown+v.NoAnswer)
 	case v.Failed+v.NotRun > 0:
-		return oops.Code(exit.NotComplete).Hint(notCompleteHint("")).Errorf("%d jobs are not complete", v.Failed+v.NotRun)
+		return oops.Code(exit.NotComplete).Hint(notCompleteHint(v.firstCode("failed", "not_run"))).Errorf("%d jobs are not complete", v.Failed+v.NotRun)
 	}
 	return nil
 }
 
+// firstCode returns the reason code of the first answer in one of the states.
+func (v submitView) firstCode(states ...string) answer.Code {
+	for _, a := range v.Answers {
+		if slices.Contains(states, a.State) {
+			return a.Code
+		}
+	}
+	return ""
+}
+
 // progress prints the counts at most once a second.
 type progress struct {
 	root  *Root
--- a/ctl/command/session.go
+++ b/ctl/command/session.go
@@ -56,7 +56,7 @@
 	case http.StatusConflict:
 		return "The number was used for other content. Submit the new content under a new number."
 	case http.StatusUnprocessableEntity:
-		return "Collect or acknowledge older answers, so that the session's window moves on."
+		return "The number is outside of the session's window, or no job was submitted under it. Check --seq and --first-seq; collecting or acknowledging older answers moves the window on."
 	case http.StatusTooManyRequests:
 		return "Close sessions that are not needed, or try another entry instance."
 	}
