--- a/core/dispatch/policy_baseline.go
+++ b/core/dispatch/policy_baseline.go
@@ -54,7 +54,7 @@
 		listed:  map[string]ListedTarget{},
 
 		signalled: map[string]bool{},
-		turn:    map[string]int{},
+		turn:      map[string]int{},
 	}
 }
 
