--- a/core/dispatch/rules_test.go
+++ b/core/dispatch/rules_test.go
@@ -146,6 +146,25 @@
 	next.wantAnswer("after a repeated transfer", next.submit(2, 1, false), "unknown", answer.CodeHomeReplaced)
 }
 
+// Guards against the eviction of a session that is in use or has a running job,
+// and against a table that stays full of idle sessions.
+func TestEviction(t *testing.T) {
+	b := newBench(t, 1, 1)
+	cfg := DefaultConfig("e1", 7)
+	cfg.MaxSessions, cfg.IdleAfter = 1, 100*time.Millisecond
+	b.restart(cfg, testDirectory(1, 1))
+	open := func() []Action { return b.handle(OpenSession{Request: b.next(), Caller: "shop"}) }
+	started := one[StartAttempt](t, b.submit(1, 1, false))
+	b.now = b.now.Add(time.Second / 2)
+	b.wantRejected("job is running", open(), 429)
+	b.end(started, Done{})
+	b.submit(1, 1, false)
+	b.wantRejected("session is in use", open(), 429)
+	b.now = b.now.Add(time.Second / 2)
+	one[ReplySession](t, open())
+	b.wantAnswer("evicted", b.submit(1, 1, false), "unknown", answer.CodeSessionUnknown)
+}
+
 // Guards against a stop at the drain limit that leaves a job without an answer
 // or calls a job not run whose task was attempted.
 func TestStopNow(t *testing.T) {
