bench: report hurt jobs and means, test the goals that are met

Cause: touched jobs are not always hurt, rows of single seeds are long, and nothing kept the reached goals from being lost.

--- a/bench/cmd/marigold-policyrun/main.go
+++ b/bench/cmd/marigold-policyrun/main.go
@@ -21,6 +21,7 @@
 	Seeds     []uint64 `long:"seed" description:"seed of a run; may be repeated"`
 	Threshold float64  `long:"threshold" description:"ejection threshold, 0 to 1; 0 turns it off"`
 	Borrow    int64    `long:"borrow-ms" description:"backlog in ms from which slots of others are used; 0 for the default"`
+	Mean      bool     `long:"mean" description:"print the mean over the seeds only"`
 	Parallel  int      `long:"parallel" default:"3" description:"runs at a time"`
 }
 
@@ -40,11 +41,24 @@
 	}
 	tasks := selectTasks(o)
 	fmt.Println(policyrun.Header)
-	for _, row := range runAll(tasks, o.Parallel) {
+	rows := runAll(tasks, o.Parallel)
+	if o.Mean {
+		rows = means(rows, len(o.Seeds))
+	}
+	for _, row := range rows {
 		fmt.Println(row)
 	}
 }
 
+// means replaces every n rows, which differ in their seeds, by their mean.
+func means(rows []policyrun.Row, n int) []policyrun.Row {
+	var out []policyrun.Row
+	for i := 0; i+n <= len(rows); i += n {
+		out = append(out, policyrun.Mean(rows[i:i+n]))
+	}
+	return out
+}
+
 func selectTasks(o options) []task {
 	var tasks []task
 	for _, sc := range policyrun.Scenarios() {
--- /dev/null
+++ b/bench/policyrun/policyrun_test.go
@@ -0,0 +1,47 @@
+package policyrun
+
+import (
+	"testing"
+
+	"marigoldfront.dev/core/dispatch"
+)
+
+func scenario(t *testing.T, name string) Scenario {
+	t.Helper()
+	for _, sc := range Scenarios() {
+		if sc.Name == name {
+			return sc
+		}
+	}
+	t.Fatalf("no scenario %s", name)
+	return Scenario{}
+}
+
+// Guards against a run that depends on anything but its seed, by which
+// policies could not be compared.
+func TestDeterministic(t *testing.T) {
+	for _, policy := range []dispatch.PolicyName{dispatch.PolicyLoad, dispatch.PolicyBaseline} {
+		sc := scenario(t, "60-percent-fail")
+		if a, b := Run(sc, policy, 7), Run(sc, policy, 7); a != b {
+			t.Errorf("%s: two runs of one seed differ:\n%v\n%v", policy, a, b)
+		}
+	}
+}
+
+// Guards against a change of the policy that misses the stated goals on load
+// and on a single failing target.
+func TestGoals(t *testing.T) {
+	for _, name := range []string{"steady-50", "steady-70", "steady-90"} {
+		if r := Run(scenario(t, name), dispatch.PolicyLoad, 1); r.P99 > 3 || r.Wasted.Sum() > 0.02 {
+			t.Errorf("p99 at most 3 and wasted messages at most 0.02 wanted:\n%v", r)
+		}
+	}
+	if r := Run(scenario(t, "burst-3x"), dispatch.PolicyLoad, 1); r.Goodput < 0.9 {
+		t.Errorf("goodput of at least 0.9 wanted:\n%v", r)
+	}
+	for _, name := range []string{"one-fails-fast", "target-dies"} {
+		if r := Run(scenario(t, name), dispatch.PolicyLoad, 1); r.Hurt > 0.01 || r.Wasted.Sum() > 0.1 {
+			t.Errorf("at most 1%% of the jobs hurt and wasted messages at most 0.1 wanted:\n%v", r)
+		}
+	}
+}
--- a/bench/policyrun/row.go
+++ b/bench/policyrun/row.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"marigoldfront.dev/core/answer"
@@ -23,21 +24,23 @@
 type Row struct {
 	Scenario string
 	Policy   string
-	Seed     uint64
-	Load     float64
-	Jobs     int
+	// Seeds names the seed, or the seeds of a mean.
+	Seeds string
+	Load  float64
+	Jobs  int
 	// P50, P95 and P99 are the slowdown of complete jobs.
 	P50, P95, P99 float64
 	// Goodput is the work of complete jobs relative to the capacity.
 	Goodput float64
 	Wasted  Wasted
-	// NotRun, Failed and Unknown are shares of the jobs; Touched is the share
-	// that met a failed attempt without being the cause.
-	NotRun, Failed, Unknown, Touched float64
-	// PerStart is the real time of all Dispatchers per start.
-	PerStart time.Duration
+	// NotRun, Failed and Unknown are shares of the jobs. Touched is the share
+	// that met a failed attempt without being the cause, Hurt the part of them
+	// that did not complete or took more than hurtFrom of their own need.
+	NotRun, Failed, Unknown, Touched, Hurt float64
 }
 
+const hurtFrom = 1.5
+
 // Run runs a scenario under a policy.
 func Run(sc Scenario, policy dispatch.PolicyName, seed uint64) Row {
 	w := newWorld(sc, policy, seed)
@@ -45,7 +48,7 @@
 	w.runUntil(w.begin.Add(warmUp))
 	before := w.stats()
 	w.runUntil(w.begin.Add(sc.Length + time.Minute))
-	row := Row{Scenario: sc.Name, Policy: string(policy), Seed: seed, Load: sc.Load}
+	row := Row{Scenario: sc.Name, Policy: string(policy), Seeds: strconv.FormatUint(seed, 10), Load: sc.Load}
 	w.fill(&row, w.stats().minus(before))
 	return row
 }
@@ -95,11 +98,15 @@
 		}
 		row.Jobs++
 		w.classify(row, j)
+		slowdown := float64(j.ended.Sub(j.arrived)) / float64(j.ideal)
 		if complete {
-			slow = append(slow, float64(j.ended.Sub(j.arrived))/float64(j.ideal))
+			slow = append(slow, slowdown)
+		}
+		if j.touched && (!complete || slowdown > hurtFrom) {
+			row.Hurt++
 		}
 	}
-	for _, share := range []*float64{&row.NotRun, &row.Failed, &row.Unknown, &row.Touched} {
+	for _, share := range []*float64{&row.NotRun, &row.Failed, &row.Unknown, &row.Touched, &row.Hurt} {
 		*share /= float64(max(row.Jobs, 1))
 	}
 	slices.Sort(slow)
@@ -151,14 +158,37 @@
 }
 
 // Header is the first two lines of a table of rows.
-const Header = "| scenario | policy | seed | load | jobs | p50 | p95 | p99 | goodput | wasted | refused | unsent | retries | hedges | late | stops | not run | failed | unknown | touched |\n" +
-	"|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
+const Header = "| scenario | policy | seed | load | jobs | p50 | p95 | p99 | goodput | wasted | refused | unsent | retries | hedges | late | stops | not run | failed | unknown | touched | hurt |\n" +
+	"|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
+
+// Mean returns the mean of rows that differ in their seeds.
+func Mean(rows []Row) Row {
+	m := rows[0]
+	for _, r := range rows[1:] {
+		m.Seeds += "," + r.Seeds
+		m.Jobs += r.Jobs
+		for i, v := range m.values() {
+			*v += *r.values()[i]
+		}
+	}
+	m.Jobs /= len(rows)
+	for _, v := range m.values() {
+		*v /= float64(len(rows))
+	}
+	return m
+}
+
+func (r *Row) values() []*float64 {
+	w := &r.Wasted
+	return []*float64{&r.P50, &r.P95, &r.P99, &r.Goodput, &r.NotRun, &r.Failed, &r.Unknown, &r.Touched, &r.Hurt,
+		&w.Refused, &w.Unsent, &w.Retries, &w.Hedges, &w.Late, &w.Stops}
+}
 
 // String returns the row as a line of a table.
 func (r Row) String() string {
 	w := r.Wasted
-	return fmt.Sprintf("| %s | %s | %d | %.2f | %d | %.2f | %.2f | %.2f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.2f%% | %.2f%% | %.2f%% | %.2f%% |",
-		r.Scenario, r.Policy, r.Seed, r.Load, r.Jobs, r.P50, r.P95, r.P99, r.Goodput,
+	return fmt.Sprintf("| %s | %s | %s | %.2f | %d | %.2f | %.2f | %.2f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.2f%% | %.2f%% | %.2f%% | %.2f%% | %.2f%% |",
+		r.Scenario, r.Policy, r.Seeds, r.Load, r.Jobs, r.P50, r.P95, r.P99, r.Goodput,
 		w.Sum(), w.Refused, w.Unsent, w.Retries, w.Hedges, w.Late, w.Stops,
-		100*r.NotRun, 100*r.Failed, 100*r.Unknown, 100*r.Touched)
+		100*r.NotRun, 100*r.Failed, 100*r.Unknown, 100*r.Touched, 100*r.Hurt)
 }
