core/dispatch: never hedge a finished task

Cause: a start refused by a target and repeated there leaves two hedge times. If the hedge finishes the task first, the second time hedged the finished task because its first attempt was still open, and the record of the job panicked. Change: the policy asks the record whether the task is done.

--- a/core/dispatch/policy_next.go
+++ b/core/dispatch/policy_next.go
@@ -158,7 +158,7 @@
 func (p *loadPolicy) hedgeOf(now time.Time, e hedgeTime) (choice, bool) {
 	w, j := e.work, e.work.job
 	stays := slices.ContainsFunc(w.open, func(o placed) bool { return o.target == e.target })
-	if j.rec.Final() || w.queued || !stays {
+	if j.rec.Final() || j.rec.TaskDone(w.task) || w.queued || !stays {
 		return choice{}, false
 	}
 	n := p.need(w)
