core/dispatch: make the hedge test fail without its fix

Cause: with three targets and a bound of 50% the other task took the free target and the only token, so the test passed without the fix. Change: four targets and a bound of 100%; the test now panics without the fix. Conclusion: the case is guarded.

--- a/core/dispatch/rules_test.go
+++ b/core/dispatch/rules_test.go
@@ -119,20 +119,20 @@
 // Guards against a hedge of a task that another attempt has finished while the
 // first one is still in flight, which the record of the job answers by a panic.
 func TestNoHedgeOfFinishedTask(t *testing.T) {
-	b := newBench(t, 3, 1)
-	dir := testDirectory(3, 1)
-	dir.State.Services["check"] = directory.Service{Name: "check", MaxAttempts: 3, HedgePercent: 50}
+	b := newBench(t, 4, 1)
+	dir := testDirectory(4, 1)
+	dir.State.Services["check"] = directory.Service{Name: "check", MaxAttempts: 3, HedgePercent: 100}
 	b.restart(DefaultConfig("e1", 7), dir)
 	for range 100 {
 		b.d.policy.(*loadPolicy).table.Learn("check", "taa", 0, 10*time.Millisecond)
 	}
 	starts := all[StartAttempt](b.submit(1, 2, true))
 	b.d.out = nil
-	b.d.start(choice{work: &b.d.jobs[starts[0].Attempt.Job].work[0], target: starts[1].Target, hedge: true})
+	b.d.start(choice{work: &b.d.jobs[starts[0].Attempt.Job].work[starts[0].Attempt.Task], target: starts[1].Target, hedge: true})
 	b.end(one[StartAttempt](t, b.d.out), Done{})
 	b.now = b.now.Add(900 * time.Millisecond)
 	for _, s := range all[StartAttempt](b.handle(Tick{})) {
-		if s.Attempt.Task == 0 {
+		if s.Attempt.Task == starts[0].Attempt.Task {
 			t.Errorf("start of the finished task: %+v", s)
 		}
 	}
