core/dispatch: confirm a repeated transfer while draining

Cause: a successor that begins to drain after the reply to a transfer was lost refused the repetition, so that the predecessor waited until its drain limit. Change: a transfer whose sessions are all held is confirmed.

--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -80,9 +80,11 @@
 	return r, size
 }
 
-// importSessions takes over sessions. Repeating it changes nothing.
+// importSessions takes over sessions. Repeating it changes nothing; it is also
+// confirmed while draining, so that the predecessor does not wait for a reply
+// that was lost.
 func (d *Dispatcher) importSessions(ev ImportSessions) {
-	if d.draining {
+	if d.draining && !d.tookOver(ev.Records) {
 		d.reject(ev.Request, 503, "sessions", "the instance is draining")
 		return
 	}
@@ -92,6 +94,17 @@
 	d.emit(ReplyDone{Request: ev.Request})
 }
 
+// tookOver says whether an earlier copy of the transfer was accepted.
+func (d *Dispatcher) tookOver(records []SessionRecord) bool {
+	for _, r := range records {
+		_, removed := d.removed[r.Session]
+		if d.sessions[r.Session] == nil && !removed {
+			return false
+		}
+	}
+	return len(records) > 0
+}
+
 // importSession refuses sessions that were removed here after an earlier copy
 // of the transfer, because the numbers used in between are forgotten.
 func (d *Dispatcher) importSession(r SessionRecord) {
--- a/core/dispatch/rules_test.go
+++ b/core/dispatch/rules_test.go
@@ -167,6 +167,10 @@
 	next.handle(CloseSession{Request: next.next(), Session: b.id, Caller: "shop"})
 	next.handle(ImportSessions{Records: records})
 	next.wantAnswer("after a repeated transfer", next.submit(2, 1, false), "unknown", answer.CodeHomeReplaced)
+	next.handle(Drain{})
+	one[ReplyDone](t, next.handle(ImportSessions{Records: records}))
+	records[0].Session.Number++
+	next.wantRejected("transfer to a draining instance", next.handle(ImportSessions{Records: records}), 503)
 }
 
 // Guards against the eviction of a session that is in use or has a running job,
