--- a/bench/cmd/marigold-bench/commands.go
+++ b/bench/cmd/marigold-bench/commands.go
@@ -6,6 +6,7 @@
 	"marigoldfront.dev/bench/demo"
 	"marigoldfront.dev/bench/measure"
 	"marigoldfront.dev/bench/slopes"
+	"marigoldfront.dev/bench/soak"
 )
 
 // commands holds the subcommands, one line each.
@@ -15,5 +16,6 @@
 }{
 	{"demo", "Run jobs of both users through a small system", &demo.Command{}},
 	{"measure", "Compare the policies on real processes", &measure.Command{}},
+	{"soak", "Run a load under failures and verify every answer", &soak.Command{}},
 	{"slopes", "Measure the cost of an entry process at several sizes", &slopes.Command{}},
 }
--- a/bench/soak/chaos.go
+++ b/bench/soak/chaos.go
@@ -22,6 +22,7 @@
 // chaos carries out a seeded schedule of failures. The schedule depends on the
 // seed alone; what happens then depends on the processes.
 type chaos struct {
+	stops *stops
 	c     *cluster
 	rng   *rand.Rand
 	wg    sync.WaitGroup
@@ -142,6 +143,9 @@
 	if err := e.list("leaving"); err != nil {
 		return err
 	}
+	ch.stops.drained()
+	e.draining.Store(true)
+	defer e.draining.Store(false)
 	ch.c.crashed(e.p.stop(stopLimit))
 	if err := ch.c.unlist(e.name); err != nil {
 		return err
@@ -165,14 +169,14 @@
 		return errBusy
 	}
 	defer e.busy.Unlock()
-	pause(e.p, hold)
-	return nil
+	return ch.stops.hide(func() error { return pause(e.p, hold) })
 }
 
-func pause(p *process, hold func()) {
+func pause(p *process, hold func()) error {
 	p.signal(syscall.SIGSTOP)
 	hold()
 	p.signal(syscall.SIGCONT)
+	return nil
 }
 
 func (ch *chaos) killTarget(victim int, hold func()) error {
@@ -187,7 +191,9 @@
 	return ch.revive(t.start, t.list)
 }
 
-func (ch *chaos) drainTarget(victim int, _ func()) error {
+// drainTarget announces a planned stop on the list alone, and stops the target
+// after the time that the instances have to notice and the drawn one.
+func (ch *chaos) drainTarget(victim int, hold func()) error {
 	t := ch.target(victim)
 	if !t.busy.TryLock() {
 		return errBusy
@@ -196,6 +202,10 @@
 	if err := t.list("leaving"); err != nil {
 		return err
 	}
+	from := time.Now()
+	time.Sleep(leaveBound)
+	hold()
+	ch.stops.left(leave{t.name, interval{from, time.Now()}})
 	ch.c.crashed(t.p.stop(stopLimit))
 	return ch.revive(t.start, t.list)
 }
@@ -206,8 +216,7 @@
 		return errBusy
 	}
 	defer t.busy.Unlock()
-	pause(t.p, hold)
-	return nil
+	return pause(t.p, hold)
 }
 
 func (ch *chaos) failTarget(victim int, hold func()) error {
@@ -242,8 +251,10 @@
 }
 
 func (ch *chaos) disturbStore(victim int, hold func()) error {
-	disturb(ch.c.stores[victim%len(ch.c.stores)], 1+victim/len(ch.c.stores)%(disturbances-1), hold)
-	return nil
+	return ch.stops.hide(func() error {
+		disturb(ch.c.stores[victim%len(ch.c.stores)], 1+victim/len(ch.c.stores)%(disturbances-1), hold)
+		return nil
+	})
 }
 
 const disturbances = 9
@@ -285,15 +296,17 @@
 			cut = append(cut, e.proxy)
 		}
 	}
-	for _, p := range cut {
-		p.Set(faultproxy.ToServer, faultproxy.Faults{Cut: true})
-		p.Set(faultproxy.ToClient, faultproxy.Faults{Cut: true})
-	}
-	hold()
-	for _, p := range cut {
-		p.Heal()
-	}
-	return nil
+	return ch.stops.hide(func() error {
+		for _, p := range cut {
+			p.Set(faultproxy.ToServer, faultproxy.Faults{Cut: true})
+			p.Set(faultproxy.ToClient, faultproxy.Faults{Cut: true})
+		}
+		hold()
+		for _, p := range cut {
+			p.Heal()
+		}
+		return nil
+	})
 }
 
 func (ch *chaos) storeOutage(_ int, hold func()) error {
@@ -314,11 +327,13 @@
 
 func (ch *chaos) listFault(victim int, hold func()) error {
 	change := map[string]any{"list_outage": victim%2 == 0, "list_lag_ms": 3000}
-	if err := ch.c.fault(change); err != nil {
-		return err
-	}
-	hold()
-	return ch.c.fault(map[string]any{"list_outage": false, "list_lag_ms": 0})
+	return ch.stops.hide(func() error {
+		if err := ch.c.fault(change); err != nil {
+			return err
+		}
+		hold()
+		return ch.c.fault(map[string]any{"list_outage": false, "list_lag_ms": 0})
+	})
 }
 
 // ticket changes the configuration. Conflicts and outages are expected.
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -187,6 +187,12 @@
 	c.starts = append(c.starts, s)
 }
 
+func (c *cluster) startCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.starts)
+}
+
 func (c *cluster) crashed(err error) {
 	if err == nil {
 		return
--- a/bench/soak/instance.go
+++ b/bench/soak/instance.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -55,6 +56,8 @@
 
 // entry is one entry instance over its restarts.
 type entry struct {
+	// draining is set from the beginning of a planned stop to the next start.
+	draining   atomic.Bool
 	c          *cluster
 	name, zone string
 	platform   string
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -38,9 +38,10 @@
 
 // load submits jobs and records the answers.
 type load struct {
-	c    *cluster
-	api  *api
-	next atomic.Int64
+	c     *cluster
+	api   *api
+	stops *stops
+	next  atomic.Int64
 
 	mu      sync.Mutex
 	records []*record
@@ -176,11 +177,16 @@
 // take records the outcome of one request. It returns false where the request
 // should be repeated.
 func (l *load) take(r *record, e *entry, request func() (observed, error)) bool {
+	began := time.Now()
 	o, err := request()
 	if err != nil {
 		r.noAnswer(e.name, err)
 	}
 	var rejected *rejectedError
+	cut := err != nil && !errors.As(err, &rejected) && !errors.Is(err, context.DeadlineExceeded)
+	if after := time.Since(began); cut && after > inFlightAfter && e.draining.Load() {
+		l.stops.interrupt(e.name, err, after)
+	}
 	if errors.As(err, &rejected) {
 		if rejected.status >= http.StatusInternalServerError || rejected.status == http.StatusTooManyRequests {
 			return false
--- a/bench/soak/verify.go
+++ b/bench/soak/verify.go
@@ -25,6 +25,9 @@
 	// Unknown counts jobs with no better answer than unknown, and Lost those
 	// without an answer. Both are allowed.
 	Unknown, Lost int
+	// BrokenStops counts starts at targets that had been leaving for too long,
+	// and requests that a planned stop interrupted.
+	BrokenStops int
 	// Answers counts jobs by the state of their answer.
 	Answers map[string]int
 	// Details describes the first faults and lost jobs.
--- a/bench/soak/verify_test.go
+++ b/bench/soak/verify_test.go
@@ -1,6 +1,9 @@
 package soak
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func answered(repeatable bool, answers ...observed) []*record {
 	return []*record{{ID: 1, Repeatable: repeatable, Tasks: 2, answers: answers}}
@@ -61,3 +64,21 @@
 		t.Errorf("lost: %v", s)
 	}
 }
+
+// Guards against P6 judged wrongly: a late start that is missed, and one that
+// is blamed although an instance could not see the instance list.
+func TestLateStarts(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(1000+int64(s), 0) }
+	st := func(s int) start { return start{Target: "t", TimeUnixMS: at(s).UnixMilli()} }
+	var s stops
+	s.left(leave{"t", interval{at(0), at(8)}})
+	s.left(leave{"other", interval{at(0), at(8)}})
+	late, judged := s.late([]start{st(1), st(2), st(4), st(9)})
+	if len(late) != 1 || judged != 2 {
+		t.Errorf("%d late of %d judged, want 1 of 2", len(late), judged)
+	}
+	s.hidden = []interval{{at(7), at(9)}}
+	if late, judged := s.late([]start{st(4)}); len(late) != 0 || judged != 0 {
+		t.Errorf("%d late of %d judged while the list was hidden", len(late), judged)
+	}
+}
