bench/policyrun: add a target that hangs

Cause: a target that accepts tasks and never replies had no row. Change: two scenarios, with and without hedges.

--- a/bench/policyrun/scenario.go
+++ b/bench/policyrun/scenario.go
@@ -64,6 +64,8 @@
 		with("60-percent-flaky", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Repaired = flaky, 29, 0.35, 25*time.Second }),
 		with("all-flaky", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Repaired = flaky, targets, 0.35, 25*time.Second }),
 		with("target-dies", func(s *Scenario) { s.Fault, s.Faulty = dead, 1 }),
+		with("target-hangs", func(s *Scenario) { s.Fault, s.Faulty = hanging, 1 }),
+		with("target-hangs-hedge", func(s *Scenario) { s.Fault, s.Faulty, s.Hedge = hanging, 1, 2 }),
 		with("zone-dies", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Zone = dead, targets/zones, 0.5, true }),
 		with("never-run", func(s *Scenario) { s.TooLarge, s.Poison = 0.2, 0.02 }),
 		with("cancel-wave", func(s *Scenario) { s.Cancel, s.Load = true, 0.9 }),
--- a/bench/policyrun/target.go
+++ b/bench/policyrun/target.go
@@ -17,6 +17,8 @@
 	flaky
 	// dead targets refuse connections.
 	dead
+	// hanging targets accept tasks and never reply.
+	hanging
 )
 
 // failTime is how long a failing target takes to fail a task.
@@ -55,10 +57,25 @@
 	}
 	t.running[r.start.Attempt] = r
 	r.begun = w.now
+	if t.mode == hanging {
+		w.hang(t, r)
+		return
+	}
 	took, fails := w.runTime(t, r)
 	w.after(took, func() { w.end(t, r, fails) })
 }
 
+// hang ends an attempt at the end of its lease without a reply.
+func (w *world) hang(t *target, r *run) {
+	w.at(r.start.LeaseUntil, func() {
+		if t.running[r.start.Attempt] == r {
+			w.jobs[r.start.Attempt.Job].touched = true
+			delete(t.running, r.start.Attempt)
+			w.reply(t, r, dispatch.Lost{Message: "no reply until the end of the lease"}, false)
+		}
+	})
+}
+
 // runTime draws how long the attempt takes, and whether it fails then.
 func (w *world) runTime(t *target, r *run) (time.Duration, bool) {
 	j := w.jobs[r.start.Attempt.Job]
