core/health: ask for stronger evidence beyond the threshold

Cause: stopping all ejection at 55% left targets in service that failed everything; without a threshold nearly all targets were ejected where each of them failed now and then. Change: beyond 55% a target is ejected after 8 failures in a row instead of never; this is on by default. BorrowFrom is 3 s by default. Conclusion: the idea of the threshold is kept in this form.

--- a/bench/cmd/marigold-policyrun/main.go
+++ b/bench/cmd/marigold-policyrun/main.go
@@ -19,7 +19,7 @@
 	Scenarios string   `long:"scenarios" description:"comma-separated parts of scenario names; all if empty"`
 	Policies  string   `long:"policies" default:"load,baseline" description:"comma-separated policies"`
 	Seeds     []uint64 `long:"seed" description:"seed of a run; may be repeated"`
-	Threshold float64  `long:"threshold" description:"ejection threshold, 0 to 1; 0 turns it off"`
+	Threshold float64  `long:"threshold" default:"-1" description:"ejection threshold, 0 to 1; 0 turns it off, -1 stands for the default"`
 	Borrow    int64    `long:"borrow-ms" description:"backlog in ms from which slots of others are used; 0 for the default"`
 	Mean      bool     `long:"mean" description:"print the mean over the seeds only"`
 	Parallel  int      `long:"parallel" default:"3" description:"runs at a time"`
@@ -42,7 +42,7 @@
 	tasks := selectTasks(o)
 	fmt.Println(policyrun.Header)
 	rows := runAll(tasks, o.Parallel)
-	if o.Mean {
+	if o.Mean && len(o.Seeds) > 1 {
 		rows = means(rows, len(o.Seeds))
 	}
 	for _, row := range rows {
--- a/bench/policyrun/row.go
+++ b/bench/policyrun/row.go
@@ -161,11 +161,11 @@
 const Header = "| scenario | policy | seed | load | jobs | p50 | p95 | p99 | goodput | wasted | refused | unsent | retries | hedges | late | stops | not run | failed | unknown | touched | hurt |\n" +
 	"|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
 
-// Mean returns the mean of rows that differ in their seeds.
+// Mean returns the mean of at least two rows that differ in their seeds.
 func Mean(rows []Row) Row {
 	m := rows[0]
+	m.Seeds += " to " + rows[len(rows)-1].Seeds
 	for _, r := range rows[1:] {
-		m.Seeds += "," + r.Seeds
 		m.Jobs += r.Jobs
 		for i, v := range m.values() {
 			*v += *r.values()[i]
--- a/bench/policyrun/scenario.go
+++ b/bench/policyrun/scenario.go
@@ -32,7 +32,8 @@
 	Cancel bool
 	// Flood is the load of the team that floods from 10 s on. Only the jobs of
 	// the others are measured.
-	Flood     float64
+	Flood float64
+	// Threshold replaces the default of the Config, unless it is negative.
 	Threshold float64
 	// BorrowFrom replaces the default of the Config, if it is not 0.
 	BorrowFrom time.Duration
@@ -42,7 +43,7 @@
 
 // Scenarios lists all runs.
 func Scenarios() []Scenario {
-	base := Scenario{Length: 45 * time.Second, Load: 0.7}
+	base := Scenario{Length: 45 * time.Second, Load: 0.7, Threshold: -1}
 	with := func(name string, f func(*Scenario)) Scenario {
 		s := base
 		s.Name = name
--- a/bench/policyrun/world.go
+++ b/bench/policyrun/world.go
@@ -129,7 +129,9 @@
 	cfg := dispatch.DefaultConfig(entryName(i), uint64(i+1))
 	cfg.Region, cfg.AvailabilityZone = "r", zoneName(i%zones)
 	cfg.Policy = policy
-	cfg.EjectionThreshold = w.sc.Threshold
+	if w.sc.Threshold >= 0 {
+		cfg.EjectionThreshold = w.sc.Threshold
+	}
 	if w.sc.BorrowFrom > 0 {
 		cfg.BorrowFrom = w.sc.BorrowFrom
 	}
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -19,8 +19,8 @@
 
 	// Policy selects how load and faults are handled.
 	Policy PolicyName
-	// EjectionThreshold is the share of targets, 0 to 1, above which no further
-	// one is ejected; 0 turns it off.
+	// EjectionThreshold is the share of ejected targets, 0 to 1, above which
+	// further ones are ejected only on stronger evidence; 0 turns it off.
 	EjectionThreshold float64
 	// BorrowFrom is the backlog from which slots are used that are assigned to
 	// other instances. Less of it lowers slowdown and costs refused starts.
@@ -58,7 +58,10 @@
 		Instance:    instance,
 		Incarnation: incarnation,
 		Policy:      PolicyLoad,
-		BorrowFrom:  2 * time.Second,
+		BorrowFrom:  3 * time.Second,
+
+		EjectionThreshold: 0.55,
+
 		MaxSessions: 20_000,
 		IdleAfter:   time.Hour,
 		Answers: session.Limits{
--- a/core/health/monitor.go
+++ b/core/health/monitor.go
@@ -21,9 +21,13 @@
 const (
 	ejectFailures = 3
 	ejectJobs     = 2
-	faultTargets  = 2
-	firstProbe    = time.Second
-	lastProbe     = 30 * time.Second
+	// strictFailures in a row are needed beyond the threshold. They tell targets
+	// that fail everything, which must be ejected however many they are, from
+	// targets that fail now and then, of which the last ones must not be.
+	strictFailures = 8
+	faultTargets   = 2
+	firstProbe     = time.Second
+	lastProbe      = 30 * time.Second
 	// probePace is the time between probes of any targets until one succeeds,
 	// so that a fault of many targets does not cost a task for each of them.
 	probePace = time.Second
@@ -46,8 +50,8 @@
 
 // Config sets the threshold.
 type Config struct {
-	// Threshold is the share of targets, 0 to 1, above which no further one is
-	// ejected; 0 turns it off.
+	// Threshold is the share of ejected targets, 0 to 1, above which a further
+	// one is ejected only after strictFailures; 0 turns it off.
 	Threshold float64
 }
 
@@ -171,10 +175,10 @@
 		m.suspects = append(m.suspects, name)
 	}
 	t.failures = append(t.failures, job)
-	if len(t.failures) > 2*ejectFailures {
+	if len(t.failures) > strictFailures {
 		t.failures = slices.Delete(t.failures, 0, 1)
 	}
-	if m.condemned(t) && m.mayEject() {
+	if m.condemned(t) && (m.mayEject() || len(t.failures) >= strictFailures) {
 		t.ejected, t.ejectedAt, t.interval = true, now, firstProbe
 		t.probeAt = now.Add(firstProbe)
 		m.ejected = append(m.ejected, name)
--- a/core/health/monitor_test.go
+++ b/core/health/monitor_test.go
@@ -142,5 +142,11 @@
 		if got := len(m.Ejected()); got != c.want {
 			t.Errorf("threshold %v: %d ejected, want %d", c.threshold, got, c.want)
 		}
+		for range strictFailures - ejectFailures {
+			m.Fail(start, names[9], 9)
+		}
+		if m.Limit(names[9]) != Excluded {
+			t.Errorf("threshold %v: a target that fails everything stays", c.threshold)
+		}
 	}
 }
