entry: choose another successor while none can hold a session

Cause: two instances that stop at the same time chose each other and waited for the drain limit, because a transfer is repeated towards one successor only. Change: a successor that certainly took nothing, because it drains itself or refused the connection, is replaced; after the first message that may have arrived the choice is final. Policy, region and availability zone reach the Dispatcher, its counters reach the metrics page. Conclusion: a planned stop needs one live peer, not a particular one.

--- a/entry/handover/mover.go
+++ b/entry/handover/mover.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -23,6 +26,13 @@
 	chunkBytes  = 4 << 20
 	callTimeout = 5 * time.Second
 	retryAfter  = 200 * time.Millisecond
+	// aloneLimit bounds the wait for a first successor.
+	aloneLimit = 10 * time.Second
+)
+
+var (
+	errNone   = errors.New("no successor is known")
+	errGiveUp = errors.New("no successor is left")
 )
 
 // Config holds the dependencies of a Mover.
@@ -32,14 +42,19 @@
 	Peers   *peers.Peers
 }
 
-// Mover sends records and answers to the successor. It retries towards this
-// one successor only, because a second one could give a session two homes.
+// Mover sends records and answers to the successor. Once a message may have
+// reached a successor it retries towards this one only, because a second one
+// could give a session two homes.
 type Mover struct {
 	cfg  Config
 	self membership.Identity
 
-	mu      sync.Mutex
+	// address and name are those of the successor. They are set before
+	// accepted is closed and do not change afterwards.
 	address string
+	name    string
+
+	mu      sync.Mutex
 	records []dispatch.SessionRecord
 	answers []dispatch.FinalAnswer
 	sending bool
@@ -95,14 +110,13 @@
 // NoSuccessor says that the sessions end with this instance.
 func (m *Mover) NoSuccessor() { close(m.none) }
 
-// Run moves everything to the successor at address until ctx ends. All
-// records must have been taken before.
-func (m *Mover) Run(ctx context.Context, address string) {
-	m.address = address
+// Run moves everything to a successor until ctx ends. All records must have
+// been taken before.
+func (m *Mover) Run(ctx context.Context) {
 	if !m.moveRecords(ctx) {
 		return
 	}
-	m.cfg.Peers.With(func(r *membership.Roster) { r.MoveSelf(time.Now(), address) })
+	m.cfg.Peers.With(func(r *membership.Roster) { r.MoveSelf(time.Now(), m.address) })
 	close(m.accepted)
 	for {
 		for m.deliver(ctx) {
@@ -122,27 +136,72 @@
 	return len(m.answers) == 0 && !m.sending
 }
 
+// moveRecords hands all records over. It returns false where ctx has ended or
+// no successor is left.
 func (m *Mover) moveRecords(ctx context.Context) bool {
 	m.mu.Lock()
 	all := convert.ToRecords(m.records)
 	m.records = nil
 	m.mu.Unlock()
-	client := m.cfg.Peers.Client(m.address)
-	for _, chunk := range chunks(all) {
-		req := &wire.HandoverRequest{Incarnation: m.self.Incarnation, From: m.self.Name, Sessions: chunk}
-		ok := m.retry(ctx, "The hand-over failed and is repeated.", func(ctx context.Context) error {
-			_, err := client.Handover(ctx, req)
-			return err
-		})
-		if !ok {
+	parts := chunks(all)
+	if len(parts) == 0 {
+		// The successor is told of the incarnation all the same.
+		parts = [][]*wire.SessionRecord{nil}
+	}
+	if !m.first(ctx, parts[0]) {
+		return false
+	}
+	for _, part := range parts[1:] {
+		if !m.retry(ctx, func(ctx context.Context) error { return m.send(ctx, part) }) {
 			return false
 		}
-		m.cfg.Metrics.HandedOver.Inc(int64(len(chunk)))
 	}
 	m.cfg.Log.Info("The sessions are handed over.", zap.Int("sessions", len(all)), zap.String("successor", m.address))
 	return true
 }
 
+// first chooses the successor and sends it the first part. A successor that
+// certainly took nothing is replaced by another one.
+func (m *Mover) first(ctx context.Context, part []*wire.SessionRecord) bool {
+	chosen, alone := false, time.Now().Add(aloneLimit)
+	return m.retry(ctx, func(ctx context.Context) error {
+		if !chosen {
+			m.cfg.Peers.With(func(r *membership.Roster) {
+				p, ok := r.Successor(time.Now())
+				m.address, m.name = p.Address, p.Name
+				if !ok {
+					m.address = ""
+				}
+			})
+		}
+		if m.address == "" {
+			if time.Now().After(alone) {
+				close(m.none)
+				return errGiveUp
+			}
+			return errNone
+		}
+		err := m.send(ctx, part)
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		if refused {
+			m.cfg.Peers.With(func(r *membership.Roster) { r.Fail(time.Now(), m.name, true) })
+		}
+		var twerr twirp.Error
+		drains := errors.As(err, &twerr) && twerr.Code() == twirp.FailedPrecondition
+		chosen = chosen || err != nil && !refused && !drains
+		return err
+	})
+}
+
+func (m *Mover) send(ctx context.Context, part []*wire.SessionRecord) error {
+	req := &wire.HandoverRequest{Incarnation: m.self.Incarnation, From: m.self.Name, Sessions: part}
+	_, err := m.cfg.Peers.Client(m.address).Handover(ctx, req)
+	if err == nil {
+		m.cfg.Metrics.HandedOver.Inc(int64(len(part)))
+	}
+	return err
+}
+
 // deliver sends the answers taken so far and reports whether there were any.
 func (m *Mover) deliver(ctx context.Context) bool {
 	m.mu.Lock()
@@ -154,7 +213,7 @@
 	}
 	client := m.cfg.Peers.Client(m.address)
 	for _, chunk := range chunks(convert.ToDelivered(answers)) {
-		m.retry(ctx, "The delivery of answers failed and is repeated.", func(ctx context.Context) error {
+		m.retry(ctx, func(ctx context.Context) error {
 			_, err := client.Deliver(ctx, &wire.DeliverRequest{Answers: chunk})
 			return err
 		})
@@ -165,16 +224,22 @@
 	return ctx.Err() == nil
 }
 
-// retry calls fn until it succeeds or ctx ends.
-func (m *Mover) retry(ctx context.Context, message string, fn func(context.Context) error) bool {
-	for {
+// retry calls fn until it succeeds, gives up or ctx ends.
+func (m *Mover) retry(ctx context.Context, fn func(context.Context) error) bool {
+	for try := 1; ; try++ {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := fn(callCtx)
 		cancel()
 		if err == nil {
 			return true
 		}
-		m.cfg.Log.Warn(message, zap.Error(err))
+		// Only every doubling is logged: a successor may be away for minutes.
+		if try&(try-1) == 0 {
+			m.cfg.Log.Warn("A message to the successor failed.", zap.String("successor", m.name), zap.Int("try", try), zap.Error(err))
+		}
+		if errors.Is(err, errGiveUp) {
+			return false
+		}
 		select {
 		case <-time.After(retryAfter):
 		case <-ctx.Done():
--- a/entry/integration/process_test.go
+++ b/entry/integration/process_test.go
@@ -20,6 +20,9 @@
 	"time"
 )
 
+// maxLog bounds the log that a failed test shows of each process.
+const maxLog = 2000
+
 // programs is the folder of the built programs.
 var programs string
 
@@ -78,7 +81,7 @@
 			t.Errorf("%s has a data race or a panic", name)
 		}
 		if t.Failed() {
-			t.Logf("log of %s:\n%s", name, text)
+			t.Logf("log of %s:\n%s", name, text[max(0, len(text)-maxLog):])
 		}
 	})
 	lines := bufio.NewReader(out)
--- /dev/null
+++ b/entry/integration/trace_test.go
@@ -0,0 +1,64 @@
+package integration
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"marigoldfront.dev/entry/run"
+)
+
+// Guards against hops that are missing from a trace or belong to another one:
+// the caller's request, the forward, the home and the start.
+func TestTraceHasEveryHop(t *testing.T) {
+	c := newCluster(t)
+	c.target("t1", 4)
+	c.ticket()
+	dir := t.TempDir()
+	traced := func(name string) *entry {
+		return c.entry(name, func(s *run.Settings) { s.Trace = filepath.Join(dir, name) })
+	}
+	a, b := traced("e1"), traced("e2")
+	c.converged(a, b)
+	const id = "0123456789abcdef0123456789abcdef"
+	path := b.url() + "/v1/sessions/" + a.open() + "/jobs/1"
+	status, text, err := call(http.DefaultClient, http.MethodPut, path, job(1, time.Millisecond, 5*time.Second),
+		"traceparent", "00-"+id+"-00f067aa0ba902b7-01")
+	if err != nil || status != http.StatusOK || !strings.Contains(string(text), id) {
+		t.Fatalf("answer: %d %s %v", status, text, err)
+	}
+	for _, e := range []*entry{a, b} {
+		e.signal(syscall.SIGTERM)
+		e.exit(20 * time.Second)
+	}
+	spans := map[string]bool{}
+	for _, name := range []string{"e1", "e2"} {
+		f, err := os.Open(filepath.Join(dir, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		for dec := json.NewDecoder(f); dec.More(); {
+			var span struct {
+				Name        string
+				SpanContext struct{ TraceID string }
+			}
+			if err := dec.Decode(&span); err != nil {
+				t.Fatal(err)
+			}
+			if span.SpanContext.TraceID == id {
+				spans[name+" "+span.Name] = true
+			}
+		}
+	}
+	for _, want := range []string{"e2 submit", "e2 forward", "e1 forwarded", "e1 start on target"} {
+		if !spans[want] {
+			t.Errorf("no span %q in the trace, only %v", want, spans)
+		}
+	}
+}
--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -28,6 +28,7 @@
 	"marigold_queued_tasks":                 "Tasks that wait for a slot.",
 	"marigold_running_tasks":                "Tasks on targets.",
 	"marigold_sessions":                     "Open sessions.",
+	"marigold_dispatch_events_total":        "Decisions and messages by kind; retries, refused starts, hedges, stops and late or duplicate replies may be waste.",
 	"marigold_handed_over_sessions_total":   "Sessions handed over to the successor.",
 	"marigold_instance_list_failures_total": "Failed polls of the instance list.",
 }
@@ -102,6 +103,11 @@
 // Forward counts a request forwarded to another home.
 func (m *Metrics) Forward(result string) { m.tagged("forwards_total", "result", result).Inc(1) }
 
+// Dispatch counts n events of the Dispatcher.
+func (m *Metrics) Dispatch(event string, n uint64) {
+	m.tagged("dispatch_events_total", "event", event).Inc(int64(n))
+}
+
 // Exchange counts an exchange message.
 func (m *Metrics) Exchange(result string) { m.tagged("exchanges_total", "result", result).Inc(1) }
 
--- a/entry/run/drain.go
+++ b/entry/run/drain.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	sampleInterval = 500 * time.Millisecond
 	// closeLimit bounds the end of the last requests once no job is left.
 	closeLimit = 5 * time.Second
 	// quietTime without a caller's request ends the drain: the load balancer
@@ -55,9 +54,8 @@
 
 // seal seals the sessions and begins to move them.
 func (in *Instance) seal(ctx context.Context, log *zap.Logger) {
-	var successor membership.Peer
 	var found bool
-	in.peers.With(func(r *membership.Roster) { successor, found = r.Successor(time.Now()) })
+	in.peers.With(func(r *membership.Roster) { _, found = r.Successor(time.Now()) })
 	in.engine.Post(dispatch.Drain{HasSuccessor: found})
 	if !found {
 		log.Warn("There is no successor. The sessions end with this instance.")
@@ -66,7 +64,7 @@
 	}
 	// The engine hands all records over while it handles the event before.
 	in.engine.Inspect(func() {})
-	in.wg.Go(func() { in.mover.Run(ctx, successor.Address) })
+	in.wg.Go(func() { in.mover.Run(ctx) })
 	in.wg.Go(func() {
 		if _, ok := in.mover.Successor(ctx); ok {
 			in.exchanger.Broadcast(ctx)
--- a/entry/run/instance.go
+++ b/entry/run/instance.go
@@ -10,7 +10,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -142,6 +141,10 @@
 // composeCore builds the engine and the sender, which feed each other.
 func (in *Instance) composeCore() {
 	cfg := dispatch.DefaultConfig(in.self.Name, in.self.Incarnation)
+	cfg.Region, cfg.AvailabilityZone = in.self.Region, in.self.AvailabilityZone
+	if in.settings.Policy == "baseline" {
+		cfg.Policy = dispatch.PolicyBaseline
+	}
 	in.dispatcher = dispatch.New(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	in.sender = sender.New(sender.Config{
 		Log: in.part("sender"), Metrics: in.metrics, Tracer: in.tracer,
@@ -236,25 +239,3 @@
 	_ = in.tracer.Close(ctx)
 	_ = in.log.Sync()
 }
-
-// sample refreshes the gauges and the hints for peers.
-func (in *Instance) sample(ctx context.Context) {
-	ticker := time.NewTicker(sampleInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		var stats dispatch.Stats
-		if !in.engine.Inspect(func() { stats = in.dispatcher.Stats() }) {
-			return
-		}
-		running := in.sender.InFlight()
-		in.metrics.Queued.Update(float64(stats.QueuedTasks))
-		in.metrics.Running.Update(float64(running))
-		in.metrics.Sessions.Update(float64(stats.Sessions))
-		in.hints.Store(&peering.Hints{QueuedTasks: uint32(stats.QueuedTasks), RunningTasks: uint32(running)})
-	}
-}
--- /dev/null
+++ b/entry/run/sample.go
@@ -0,0 +1,51 @@
+package run
+
+import (
+	"context"
+	"time"
+
+	"marigoldfront.dev/core/dispatch"
+	"marigoldfront.dev/entry/peering"
+)
+
+// sampleInterval is how often the gauges and the hints for peers are renewed.
+const sampleInterval = 500 * time.Millisecond
+
+// sample renews the gauges, the Dispatcher's counters and the hints.
+func (in *Instance) sample(ctx context.Context) {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	counted := map[string]uint64{}
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		var stats dispatch.Stats
+		if !in.engine.Inspect(func() { stats = in.dispatcher.Stats() }) {
+			return
+		}
+		running := in.sender.InFlight()
+		in.metrics.Queued.Update(float64(stats.QueuedTasks))
+		in.metrics.Running.Update(float64(running))
+		in.metrics.Sessions.Update(float64(stats.Sessions))
+		in.hints.Store(&peering.Hints{QueuedTasks: uint32(stats.QueuedTasks), RunningTasks: uint32(running)})
+		for event, n := range events(stats) {
+			in.metrics.Dispatch(event, n-counted[event])
+			counted[event] = n
+		}
+	}
+}
+
+// events are the counters from which wasted messages are told.
+func events(s dispatch.Stats) map[string]uint64 {
+	return map[string]uint64{
+		"start": s.Starts, "retry": s.Retries, "hedge": s.Hedges,
+		"refused_start": s.RefusedStarts, "unsent_start": s.UnsentStarts,
+		"stop": s.Stops, "late_reply": s.LateReplies, "duplicate_reply": s.DuplicateReplies,
+		"crossed_reply": s.CrossedReplies, "foreign_reply": s.ForeignReplies, "abandoned_attempt": s.Abandoned,
+		"submission": s.Submissions, "joined_submission": s.Joined, "moved_request": s.Moved,
+		"imported_session": s.ImportedSessions, "refused_import": s.RefusedImports, "evicted_session": s.EvictedSessions,
+	}
+}
