--- a/entry/gateway/decode.go
+++ b/entry/gateway/decode.go
@@ -24,7 +24,7 @@
 	maxWaitMS     = int64(time.Minute / time.Millisecond)
 	maxNameBytes  = 255
 	maxSmallBytes = 4 << 10
-	// bodyTime bounds the time to receive a body.
+	// bodyTime bounds the time to receive a body or to send one.
 	bodyTime = 30 * time.Second
 )
 
--- a/entry/gateway/encode.go
+++ b/entry/gateway/encode.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"marigoldfront.dev/wire"
 )
@@ -63,6 +64,8 @@
 }
 
 func send(w http.ResponseWriter, status int, body []byte) {
+	// A client that does not read must not hold its answer in memory for good.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(bodyTime))
 	w.Header()["Content-Type"] = contentType
 	w.Header()["Content-Length"] = []string{strconv.Itoa(len(body))}
 	w.WriteHeader(status)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"marigoldfront.dev/core/directory"
 	"marigoldfront.dev/entry/home"
@@ -26,6 +27,8 @@
 	// maxSubmissions bounds the submissions that are received or wait for
 	// their answer.
 	maxSubmissions = 8192
+	// maxReceiving bounds the bodies that are received and decoded at once.
+	maxReceiving = 128 << 20
 )
 
 // Config holds the dependencies of a Gateway.
@@ -47,8 +50,10 @@
 	server *http.Server
 	// submissions holds one token for each submission.
 	submissions chan struct{}
-	done        chan struct{}
-	inFlight    atomic.Int64
+	// receiving holds the sizes of the bodies that are read.
+	receiving *semaphore.Weighted
+	done      chan struct{}
+	inFlight  atomic.Int64
 	// lastUnix is the time of the last start or end of a caller's request, in
 	// Unix nanoseconds.
 	lastUnix atomic.Int64
@@ -56,7 +61,12 @@
 
 // New returns a Gateway; Serve starts it.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, submissions: make(chan struct{}, maxSubmissions), done: make(chan struct{})}
+	g := &Gateway{
+		cfg:         cfg,
+		submissions: make(chan struct{}, maxSubmissions),
+		receiving:   semaphore.NewWeighted(maxReceiving),
+		done:        make(chan struct{}),
+	}
 	g.server = &http.Server{
 		Handler:           g.handler(),
 		ReadHeaderTimeout: headerTime,
@@ -82,6 +92,8 @@
 		g.reject(w, home.Reject(http.StatusNotFound, "path", "there is nothing at this path and method"))
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The deadline of the last reply on this connection ends here.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		if g.cfg.Draining() {
 			// The client opens its next connection elsewhere.
 			w.Header().Set("Connection", "close")
@@ -187,6 +199,19 @@
 	if bad != nil {
 		return nil, bad
 	}
+	// The token is checked first, so that strangers cannot make the instance
+	// receive large bodies.
+	if bad := g.cfg.Router.Check(r.PathValue("session")); bad != nil {
+		return nil, bad
+	}
+	size := int64(maxBodyBytes)
+	if r.ContentLength >= 0 {
+		size = min(size, r.ContentLength)
+	}
+	if !g.receiving.TryAcquire(size) {
+		return nil, home.Reject(http.StatusServiceUnavailable, "instance", "too many submissions are received here")
+	}
+	defer g.receiving.Release(size)
 	body, bad := readBody(w, r, maxBodyBytes)
 	if bad != nil {
 		return nil, bad
--- a/entry/routing/router.go
+++ b/entry/routing/router.go
@@ -86,6 +86,14 @@
 	return r.follow(ctx, address, req)
 }
 
+// Check rejects a session token that is not valid.
+func (r *Router) Check(session string) *wire.ForwardReply {
+	if _, err := r.cfg.Signer.Verify(session); err != nil {
+		return home.Reject(http.StatusUnauthorized, "session", err.Error())
+	}
+	return nil
+}
+
 // Forwarded answers a request that a peer has forwarded. It is never
 // forwarded again; the reply may name the session's successor instead.
 func (r *Router) Forwarded(ctx context.Context, req *wire.ForwardRequest) *wire.ForwardReply {
--- a/entry/sender/conn.go
+++ b/entry/sender/conn.go
@@ -19,6 +19,7 @@
 	net.Conn
 	mu      sync.Mutex
 	startBy time.Time
+	// writing is set while a write is under way and after any byte was taken.
 	writing bool
 	sealed  bool
 	late    bool
@@ -34,24 +35,33 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
-	if err := c.admit(); err != nil {
+	first, err := c.admit()
+	if err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if first && n == 0 && err != nil {
+		c.mu.Lock()
+		c.writing, c.sealed = false, true
+		c.mu.Unlock()
+	}
+	return n, err
 }
 
-func (c *conn) admit() error {
+// admit allows a write and says whether it is the first one of the start.
+func (c *conn) admit() (first bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sealed {
-		return errSealed
+		return false, errSealed
 	}
 	if !c.writing && !c.startBy.IsZero() && time.Now().After(c.startBy) {
 		c.sealed, c.late = true, true
-		return errLate
+		return false, errLate
 	}
+	first = !c.writing
 	c.writing = true
-	return nil
+	return first, nil
 }
 
 // seal ends all writing for good and reports whether a byte of the current
--- a/entry/sender/sender_test.go
+++ b/entry/sender/sender_test.go
@@ -238,4 +238,12 @@
 	if n, err := c.Write([]byte("x")); n != 0 || err != errSealed {
 		t.Errorf("write after the seal: %d, %v", n, err)
 	}
+	near.Close()
+	c = &conn{Conn: near}
+	if _, err := c.Write([]byte("x")); err == nil {
+		t.Error("a closed connection was written to")
+	}
+	if written, _ := c.seal(); written {
+		t.Error("a write that took no byte counts as written")
+	}
 }
--- a/entry/sender/target.go
+++ b/entry/sender/target.go
@@ -11,8 +11,10 @@
 const (
 	// dialTimeout bounds the time to connect to a target.
 	dialTimeout = time.Second
-	// idleTimeout is how long an unused connection is kept.
-	idleTimeout = 90 * time.Second
+	// idleTimeout is how long an unused connection is kept. It is below the
+	// usual time of servers: a start on a connection that the target closes
+	// at that moment is lost, and may not be repeated.
+	idleTimeout = 30 * time.Second
 )
 
 // target holds the connections to one address.
