entry: test the bound of the connections to a target

Cause: nothing showed that two busy entry instances keep to the connections that a target accepts. Change: a test with twice as much work as connections; the stand-in's own limit leaves room for the questions of the tests.

--- a/entry/integration/cluster_test.go
+++ b/entry/integration/cluster_test.go
@@ -28,6 +28,10 @@
 	callerName  = "desk"
 	callerToken = "token-of-the-desk"
 	service     = "appraisal"
+	// targetConnections bounds the connections of the entry instances to a
+	// target; testConnections are left for the questions of the tests.
+	targetConnections = 60
+	testConnections   = 4
 	// propagation is the bound of P8.
 	propagation = 6 * time.Second
 )
@@ -61,10 +65,10 @@
 func (c *cluster) target(name string, slots int) *process {
 	c.t.Helper()
 	p := start(c.t, name, "marigold-standin", "target", "--listen", "127.0.0.1:0", "--name", name,
-		"--slots", fmt.Sprint(slots), "--connections", "64")
+		"--slots", fmt.Sprint(slots), "--connections", fmt.Sprint(targetConnections+testConnections))
 	c.state.Targets[name] = directory.Target{
 		Name: name, Services: []string{service}, Region: region, AvailabilityZone: zone, Rack: "rack",
-		Address: p.address(), Slots: slots, Connections: 64, MemoryMB: 1024,
+		Address: p.address(), Slots: slots, Connections: targetConnections, MemoryMB: 1024,
 	}
 	c.list(name, instancelist.KindTarget, p.address(), instancelist.StateLive)
 	return p
--- a/entry/integration/failure_test.go
+++ b/entry/integration/failure_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -206,3 +207,33 @@
 		all = all[1:]
 	}
 }
+
+// Guards against more connections to a target than it accepts over all entry
+// instances, while each of them has more work than its share.
+func TestConnectionsAreBounded(t *testing.T) {
+	c := newCluster(t)
+	target := c.target("t1", 2*targetConnections)
+	c.ticket()
+	a, b := c.entry("e1"), c.entry("e2")
+	c.converged(a, b)
+	var wg sync.WaitGroup
+	for _, e := range []*entry{a, b} {
+		s := e.open()
+		for seq := 1; seq <= 4; seq++ {
+			wg.Go(func() { complete(t, e.submit(s, seq, job(100, 5*time.Millisecond, 10*time.Second)), 100) })
+		}
+	}
+	wg.Wait()
+	_, text, err := call(http.DefaultClient, http.MethodGet, "http://"+target.address()+"/v1/stats", nil)
+	var stats struct {
+		Starts          int
+		MostConnections int `json:"most_connections"`
+		OverLimit       int `json:"over_limit"`
+	}
+	if err == nil {
+		err = json.Unmarshal(text, &stats)
+	}
+	if err != nil || stats.Starts != 800 || stats.OverLimit > 0 || stats.MostConnections > targetConnections+1 {
+		t.Errorf("connections of a busy target: %+v %v", stats, err)
+	}
+}
