--- a/bench/measure/row.go
+++ b/bench/measure/row.go
@@ -9,6 +9,7 @@
 	"marigoldfront.dev/bench/load"
 	"marigoldfront.dev/bench/procstat"
 	"marigoldfront.dev/bench/scrape"
+	"marigoldfront.dev/core/answer"
 )
 
 // Slowdowns are recorded in thousandths.
@@ -30,6 +31,8 @@
 	// Goodput is the share of jobs that were answered complete.
 	Goodput                 float64
 	Failed, NotRun, Unknown int
+	// Reasons counts the jobs that are not complete by reason code.
+	Reasons map[answer.Code]int
 	// The wasted messages are per answer. ExtraStarts are starts, counted by
 	// the targets, that are not one of the first starts of a complete job's
 	// tasks: retries, hedges, and work of other answers.
@@ -42,7 +45,7 @@
 }
 
 func newRow(sc scenario, policy string, seed uint64, outcomes []load.Outcome, speeds []float64) Row {
-	r := Row{Scenario: sc.name, Policy: policy, Seed: seed, Load: sc.load}
+	r := Row{Scenario: sc.name, Policy: policy, Seed: seed, Load: sc.load, Reasons: map[answer.Code]int{}}
 	h := hdrhistogram.New(1, largestRecord, recordedDigits)
 	complete := 0
 	for _, o := range outcomes {
@@ -50,6 +53,9 @@
 			continue
 		}
 		r.Jobs++
+		if o.State != load.Complete {
+			r.Reasons[o.Code]++
+		}
 		switch o.State {
 		case load.Complete:
 			complete++
--- a/bench/measure/table.go
+++ b/bench/measure/table.go
@@ -1,19 +1,22 @@
 package measure
 
 import (
+	"cmp"
 	"encoding/csv"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 )
 
-const rowFormat = "%-22s %-9s %4s %5s %6s %7s %7s %7s %8s %6s %7s %7s %8s %7s %6s %6s %8s %9s %9s %8s\n"
+const rowFormat = "%-22s %-9s %4s %5s %6s %7s %7s %7s %8s %6s %7s %7s %8s %7s %6s %6s %8s %9s %9s %8s  %s\n"
 
 var columns = []string{"scenario", "policy", "seed", "load", "jobs", "p50", "p95", "p99", "goodput",
-	"failed", "not_run", "unknown", "refused", "extra", "lost", "stops", "forwards", "mismatch", "control_B", "cpu_ms"}
+	"failed", "not_run", "unknown", "refused", "extra", "lost", "stops", "forwards", "mismatch", "control_B", "cpu_ms", "reasons"}
 
 func printHeader(w io.Writer) {
 	fmt.Fprintln(w, "p50, p95, p99: slowdown of complete jobs. refused to mismatch: messages per answer.")
@@ -37,7 +40,17 @@
 		f(r.P50, 2), f(r.P95, 2), f(r.P99, 2), f(r.Goodput, 3),
 		strconv.Itoa(r.Failed), strconv.Itoa(r.NotRun), strconv.Itoa(r.Unknown),
 		f(r.Refused, 3), f(r.ExtraStarts, 3), f(r.Lost, 3), f(r.Stops, 3), f(r.Forwards, 3), f(r.Mismatched, 3),
-		f(r.ControlBytes, 0), f(float64(r.CPU.Microseconds())/1000, 0)}
+		f(r.ControlBytes, 0), f(float64(r.CPU.Microseconds())/1000, 0), r.reasons()}
+}
+
+// reasons returns the codes of the answers that are not complete, for example
+// "deadline:3 no_target:1".
+func (r Row) reasons() string {
+	var l []string
+	for _, code := range slices.Sorted(maps.Keys(r.Reasons)) {
+		l = append(l, fmt.Sprintf("%s:%d", cmp.Or(code, "no_answer"), r.Reasons[code]))
+	}
+	return strings.Join(l, " ")
 }
 
 func writeCSV(path string, rows []Row) error {
