--- a/bench/policyrun/scenario.go
+++ b/bench/policyrun/scenario.go
@@ -32,7 +32,8 @@
 	Cancel bool
 	// Flood is the load of the team that floods from 10 s on. Only the jobs of
 	// the others are measured.
-	Flood     float64
+	Flood float64
+	// Threshold replaces the default of the Config, unless it is negative.
 	Threshold float64
 	// BorrowFrom replaces the default of the Config, if it is not 0.
 	BorrowFrom time.Duration
@@ -42,7 +43,7 @@
 
 // Scenarios lists all runs.
 func Scenarios() []Scenario {
-	base := Scenario{Length: 45 * time.Second, Load: 0.7}
+	base := Scenario{Length: 45 * time.Second, Load: 0.7, Threshold: -1}
 	with := func(name string, f func(*Scenario)) Scenario {
 		s := base
 		s.Name = name
@@ -64,6 +65,8 @@
 		with("60-percent-flaky", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Repaired = flaky, 29, 0.35, 25*time.Second }),
 		with("all-flaky", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Repaired = flaky, targets, 0.35, 25*time.Second }),
 		with("target-dies", func(s *Scenario) { s.Fault, s.Faulty = dead, 1 }),
+		with("target-hangs", func(s *Scenario) { s.Fault, s.Faulty = hanging, 1 }),
+		with("target-hangs-hedge", func(s *Scenario) { s.Fault, s.Faulty, s.Hedge = hanging, 1, 2 }),
 		with("zone-dies", func(s *Scenario) { s.Fault, s.Faulty, s.Load, s.Zone = dead, targets/zones, 0.5, true }),
 		with("never-run", func(s *Scenario) { s.TooLarge, s.Poison = 0.2, 0.02 }),
 		with("cancel-wave", func(s *Scenario) { s.Cancel, s.Load = true, 0.9 }),
