core/dispatch, core/session: allocate less for each job

Cause: every checked invariant formatted nothing but boxed its ids, and kept answers were boxed in the list of the instance. Jobs of one task pay this for every start. Change: ids are formatted only for a violation; records are kept by pointer.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -40,7 +40,9 @@
 // start puts an attempt on record and then returns its action.
 func (d *Dispatcher) start(c choice) {
 	j, i := c.work.job, c.work.task
-	d.check(j.rec != nil, "job %s of another home is started", j.id)
+	if d.violates(j.rec != nil) {
+		panic(fmt.Sprintf("dispatch: job %s of another home is started", j.id))
+	}
 	if j.rec.TaskConsumed(i) > 0 {
 		d.stats.Retries++
 	}
@@ -149,7 +151,9 @@
 }
 
 func (d *Dispatcher) taskDone(j *activeJob, i int) {
-	d.check(!j.work[i].queued, "task %d of job %s is done while it waits", i, j.id)
+	if d.violates(!j.work[i].queued) {
+		panic(fmt.Sprintf("dispatch: task %d of job %s is done while it waits", i, j.id))
+	}
 	if j.rec.Finished() {
 		d.finish(j, j.rec.Complete())
 		return
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -78,6 +78,9 @@
 	timer int
 }
 
+// String returns the id of the job.
+func (j *activeJob) String() string { return j.id.String() }
+
 // New returns a Dispatcher without configuration, sessions or targets.
 func New(cfg Config, rng *rand.Rand) *Dispatcher {
 	if cfg.Incarnation == 0 {
--- a/core/dispatch/finish.go
+++ b/core/dispatch/finish.go
@@ -44,7 +44,9 @@
 // does not belong to the state.
 func (d *Dispatcher) count(a answer.Answer) {
 	k := keyOf(a)
-	d.check(slices.Contains(codes[k.State], k.Code), "answer %s has the code %q", k.State, k.Code)
+	if d.violates(slices.Contains(codes[k.State], k.Code)) {
+		panic(fmt.Sprintf("dispatch: answer %s has the code %q", k.State, k.Code))
+	}
 	d.stats.Answers[k]++
 }
 
@@ -81,7 +83,9 @@
 		d.deliveries = append(d.deliveries, FinalAnswer{Job: j.id, Answer: a})
 	}
 	for _, req := range j.waiters {
-		d.check(d.requests[req] == j, "request %d does not wait for job %s", req, j.id)
+		if d.violates(d.requests[req] == j) {
+			panic(fmt.Sprintf("dispatch: request %d does not wait for job %s", req, j.id))
+		}
 		delete(d.requests, req)
 		d.answerRequest(req, a)
 	}
@@ -98,7 +102,9 @@
 
 // release forgets a job with an answer and without attempts in flight.
 func (d *Dispatcher) release(j *activeJob) {
-	d.check(j.rec.Final() && j.rec.InFlight() == 0, "job %s is released while it is active", j.id)
+	if d.violates(j.rec.Final() && j.rec.InFlight() == 0) {
+		panic(fmt.Sprintf("dispatch: job %s is released while it is active", j.id))
+	}
 	d.stats.Checks += j.rec.Checks()
 	d.timers.remove(j)
 	delete(d.jobs, j.id)
@@ -108,10 +114,9 @@
 	d.emit(ReplyAnswer{Request: req, Answer: a})
 }
 
-// check counts a checked invariant and panics where it does not hold.
-func (d *Dispatcher) check(ok bool, format string, args ...any) {
+// violates counts a checked invariant and reports whether it does not hold. The
+// caller panics then; it formats the ids only in that case.
+func (d *Dispatcher) violates(invariant bool) bool {
 	d.stats.Checks++
-	if !ok {
-		panic("dispatch: " + fmt.Sprintf(format, args...))
-	}
+	return !invariant
 }
--- a/core/dispatch/sessions.go
+++ b/core/dispatch/sessions.go
@@ -65,7 +65,9 @@
 
 // removeSession forgets a session. Its ids are answered Unknown from then on.
 func (d *Dispatcher) removeSession(e *sessionEntry) {
-	d.check(e.active == 0, "session %s is removed with %d active jobs", e.id, e.active)
+	if d.violates(e.active == 0) {
+		panic(fmt.Sprintf("dispatch: session %s is removed with %d active jobs", e.id, e.active))
+	}
 	e.Close(d.keeper)
 	d.byUse.Remove(e.use)
 	delete(d.sessions, e.id)
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -73,12 +74,12 @@
 	j := &activeJob{
 		id:       ev.Job,
 		session:  e,
-		rec:      job.New(ev.Job, len(ev.Submission.Tasks), ev.Submission.Repeatable),
 		sub:      ev.Submission,
 		caller:   ev.Caller,
 		admitted: d.now,
 		deadline: d.now.Add(ev.Submission.Timeout),
 	}
+	j.rec = job.New(j, len(ev.Submission.Tasks), ev.Submission.Repeatable)
 	if code, msg := d.refusal(e, j); code != "" {
 		d.refuse(e, j, ev.Request, answer.Reason{Code: code, Message: msg})
 		return
@@ -111,7 +112,9 @@
 // admit puts a job on record before any of its tasks can start.
 func (d *Dispatcher) admit(e *sessionEntry, j *activeJob) {
 	_, again := d.jobs[j.id]
-	d.check(!again, "job %s is admitted twice", j.id)
+	if d.violates(!again) {
+		panic(fmt.Sprintf("dispatch: job %s is admitted twice", j.id))
+	}
 	j.record = e.Admit(j.id.Seq, j.sub.Digest)
 	d.opened(e)
 	d.jobs[j.id] = j
@@ -143,7 +146,9 @@
 // wait holds a request until the job has its answer.
 func (d *Dispatcher) wait(j *activeJob, req RequestID) {
 	_, again := d.requests[req]
-	d.check(!again, "request %d waits twice", req)
+	if d.violates(!again) {
+		panic(fmt.Sprintf("dispatch: request %d waits twice", req))
+	}
 	j.waiters = append(j.waiters, req)
 	d.requests[req] = j
 }
--- a/core/session/keeper.go
+++ b/core/session/keeper.go
@@ -26,11 +26,6 @@
 	bytes  int
 }
 
-type keptAnswer struct {
-	session *Session
-	record  *Record
-}
-
 // NewKeeper returns a Keeper without answers.
 func NewKeeper(l Limits) *Keeper {
 	return &Keeper{limits: l, all: list.New()}
@@ -40,7 +35,8 @@
 	r.at = now
 	r.size = Size(r.Answer)
 	r.own = s.kept.PushBack(r)
-	r.global = k.all.PushBack(keptAnswer{session: s, record: r})
+	r.session = s
+	r.global = k.all.PushBack(r)
 	s.bytes += r.size
 	k.bytes += r.size
 	for s.kept.Len() > k.limits.Answers || s.bytes > k.limits.Bytes {
@@ -52,8 +48,8 @@
 }
 
 func (k *Keeper) dropOldest() {
-	kept := k.all.Front().Value.(keptAnswer)
-	k.drop(kept.session, kept.record)
+	r := k.all.Front().Value.(*Record)
+	k.drop(r.session, r)
 }
 
 func (k *Keeper) drop(s *Session, r *Record) {
@@ -77,7 +73,7 @@
 	if k.all.Len() == 0 {
 		return time.Time{}
 	}
-	return k.all.Front().Value.(keptAnswer).record.at.Add(k.limits.Age)
+	return k.all.Front().Value.(*Record).at.Add(k.limits.Age)
 }
 
 // Len is the number of kept answers.
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -29,10 +29,11 @@
 	// Remote says that the job runs at the home that handed the session over.
 	Remote bool
 
-	at     time.Time
-	size   int
-	own    *list.Element
-	global *list.Element
+	at      time.Time
+	size    int
+	session *Session
+	own     *list.Element
+	global  *list.Element
 }
 
 // Session is the record of one session. Its owner serialises all calls.
