--- a/core/dispatch/model_test.go
+++ b/core/dispatch/model_test.go
@@ -36,6 +36,7 @@
 	*Dispatcher
 	index   int
 	drained bool
+	ends    int
 	// admissible names the jobs that arrived before the seal.
 	admissible map[JobID]bool
 	// inbox holds the transfers of the predecessor.
@@ -148,6 +149,8 @@
 			w.replied(h, a.Request)
 		case ReplyDone:
 			w.replied(h, a.Request)
+		case Drained:
+			w.ended(h)
 		case HandOver:
 			w.send(h, ImportSessions{Records: a.Records})
 		case DeliverAnswers:
@@ -163,6 +166,17 @@
 	}
 }
 
+// ended checks that a home says once that it has drained, and that nobody
+// waits there then.
+func (w *world) ended(h *home) {
+	h.ends++
+	for _, r := range w.requests {
+		if r.home == h || h.ends > 1 {
+			w.t.Fatalf("P7: home %d says it has drained while a request for %v waits", h.index, r.job)
+		}
+	}
+}
+
 // isLeaving says whether the list, or lately the target, told the home so.
 func (w *world) isLeaving(h *home, name string) bool {
 	return h.leaving[name] || w.now.Sub(h.signalled[name]) < 3*time.Second
--- a/core/dispatch/random_test.go
+++ b/core/dispatch/random_test.go
@@ -229,6 +229,9 @@
 		w.t.Fatalf("%d requests never got a reply", n)
 	}
 	for _, h := range w.homes {
+		if h.drained && h.ends != 1 {
+			w.t.Fatalf("home %d says %d times that it has drained", h.index, h.ends)
+		}
 		s := h.Stats()
 		if s.ActiveJobs != 0 || s.QueuedTasks != 0 || s.KeptAnswers != 0 || s.KeptBytes != 0 || len(h.timers) != 0 {
 			w.t.Fatalf("home %d keeps %+v with %d timers after the end", h.index, s, len(h.timers))
