--- a/entry/run/drain.go
+++ b/entry/run/drain.go
@@ -48,6 +48,11 @@
 		return false
 	}
 	in.linger(ctx)
+	// Requests that were forwarded to other homes may take as long as a job.
+	if err := in.gateway.Close(ctx); err != nil {
+		log.Warn("The planned stop ends early. Forwarded requests are cut off.", zap.Error(err))
+		return false
+	}
 	log.Info("All work is finished.")
 	return true
 }
