core/dispatch: let late jobs use slow slots for their short tasks

Cause: once a job was later than its own need, none of its tasks counted as short enough for a slow target, although its longest waiting task set its end. Change: the time for a short task is at least the forecast of the job's longest waiting task.

--- a/core/dispatch/policy_next.go
+++ b/core/dispatch/policy_next.go
@@ -80,7 +80,7 @@
 	if c, ok := p.probe(now, w, n); ok {
 		return p.take(h.Job, w, c, true), true
 	}
-	n.Within = w.job.plan.queue.Expected - now.Sub(w.job.admitted)
+	n.Within = max(w.job.plan.queue.Expected-now.Sub(w.job.admitted), h.Task.Expected)
 	n.Blind = !now.Before(p.blind.next)
 	c, verdict := p.table.Choose(now, n)
 	switch verdict {
