core/ticket: apply a run of tickets with one validation and one digest

Change: ApplyAll changes one copy of the state, validates and compares the last digest only, and goes one by one if that is wrong. The ticket log and the configurer use it, also for tickets that wait in the watch.

--- a/core/ticket/apply.go
+++ b/core/ticket/apply.go
@@ -56,15 +56,31 @@
 }
 
 func apply(d *directory.Directory, t Ticket) (*directory.Directory, error) {
-	if t.Number != d.Number+1 || t.Base != d.Number {
-		return nil, &OrderError{InForce: d.Number, Number: t.Number, Base: t.Base}
+	if err := order(d.Number, t); err != nil {
+		return nil, err
 	}
 	s := d.State.Clone()
 	var l finding.List
-	remove(&l, "teams", s.Teams, t.Put.Teams, t.Delete.Teams)
-	remove(&l, "services", s.Services, t.Put.Services, t.Delete.Services)
-	remove(&l, "callers", s.Callers, t.Put.Callers, t.Delete.Callers)
-	remove(&l, "targets", s.Targets, t.Put.Targets, t.Delete.Targets)
+	change(&l, s, t)
+	if err := append(l, s.Validate()...).Err(); err != nil {
+		return nil, err
+	}
+	return directory.New(t.Number, s), nil
+}
+
+func order(inForce uint64, t Ticket) error {
+	if t.Number != inForce+1 || t.Base != inForce {
+		return &OrderError{InForce: inForce, Number: t.Number, Base: t.Base}
+	}
+	return nil
+}
+
+// change makes the changes of t to s.
+func change(l *finding.List, s directory.State, t Ticket) {
+	remove(l, "teams", s.Teams, t.Put.Teams, t.Delete.Teams)
+	remove(l, "services", s.Services, t.Put.Services, t.Delete.Services)
+	remove(l, "callers", s.Callers, t.Put.Callers, t.Delete.Callers)
+	remove(l, "targets", s.Targets, t.Put.Targets, t.Delete.Targets)
 	maps.Copy(s.Teams, t.Put.Teams)
 	maps.Copy(s.Services, t.Put.Services)
 	maps.Copy(s.Callers, t.Put.Callers)
@@ -72,10 +88,46 @@
 	if len(t.Touches()) == 0 {
 		l.Add(fmt.Sprintf("tickets[%d]", t.Number), "changes nothing")
 	}
-	if err := append(l, s.Validate()...).Err(); err != nil {
-		return nil, err
+}
+
+// ApplyAll returns the configuration after all tickets, which must follow d
+// and each other. Only the last result is validated and compared with its
+// digest, which covers the ones before it: the cost of both grows with the
+// whole state, and a starting instance applies up to 255 tickets. If the last
+// result is wrong, the tickets are applied one by one, and ApplyAll returns
+// the configuration before the first wrong ticket with the error of Apply.
+func ApplyAll(d *directory.Directory, ts []Ticket) (*directory.Directory, error) {
+	if len(ts) == 0 {
+		return d, nil
 	}
-	return directory.New(t.Number, s), nil
+	if next, ok := applyRun(d, ts); ok {
+		return next, nil
+	}
+	for _, t := range ts {
+		next, err := Apply(d, t)
+		if err != nil {
+			return d, err
+		}
+		d = next
+	}
+	return d, nil
+}
+
+func applyRun(d *directory.Directory, ts []Ticket) (*directory.Directory, bool) {
+	s := d.State.Clone()
+	var l finding.List
+	for i, t := range ts {
+		if order(d.Number+uint64(i), t) != nil {
+			return nil, false
+		}
+		change(&l, s, t)
+	}
+	if len(l) > 0 || len(s.Validate()) > 0 {
+		return nil, false
+	}
+	last := ts[len(ts)-1]
+	next := directory.New(last.Number, s)
+	return next, next.Digest == last.Digest
 }
 
 func remove[V any](l *finding.List, kind string, from, put map[string]V, names []string) {
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -174,3 +174,28 @@
 		_, _ = ticket.Apply(directory.Empty(), tk)
 	})
 }
+
+// Guards against a run of tickets that comes to another result than the
+// tickets one by one, or that hides a damaged ticket in its middle.
+func TestApplyAllEqualsOneByOne(t *testing.T) {
+	d := directory.Empty()
+	var all []ticket.Ticket
+	var steps []*directory.Directory
+	for i := range 5 {
+		tk, next := prepared(t, d, team(fmt.Sprintf("t%d", i%2), i+1), ticket.Names{})
+		all, steps, d = append(all, tk), append(steps, next), next
+	}
+	got, err := ticket.ApplyAll(directory.Empty(), all)
+	if err != nil || got.Digest != d.Digest || got.Number != 5 {
+		t.Errorf("all tickets: %+v, %v", got, err)
+	}
+	all[2].Put = team("t0", 99)
+	got, err = ticket.ApplyAll(directory.Empty(), all[:3])
+	if err == nil || got.Digest != steps[1].Digest {
+		t.Errorf("with ticket 3 damaged: configuration %d, %v; want 2 and an error", got.Number, err)
+	}
+	var order *ticket.OrderError
+	if got, err = ticket.ApplyAll(directory.Empty(), []ticket.Ticket{all[0], all[3]}); !errors.As(err, &order) || got.Number != 1 {
+		t.Errorf("with a gap: configuration %d, %v; want 1 and an order error", got.Number, err)
+	}
+}
--- a/entry/configurer/configurer.go
+++ b/entry/configurer/configurer.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -120,7 +119,7 @@
 		case <-ctx.Done():
 			return
 		case t := <-c.watched:
-			c.apply(ctx, t)
+			c.apply(ctx, append([]ticket.Ticket{t}, c.waiting()...))
 		case <-c.kick:
 			c.fetch(ctx)
 		case <-timer.C:
@@ -181,9 +180,9 @@
 	number, _ := c.InForce()
 	tickets, err := c.cfg.Tickets.After(callCtx, number)
 	c.called(err)
-	for _, t := range tickets {
-		number = max(number, t.Number)
-		c.apply(ctx, t)
+	c.apply(ctx, tickets)
+	if n := len(tickets); n > 0 {
+		number = tickets[n-1].Number
 	}
 	if err == nil {
 		c.confirm(asked, number)
@@ -212,27 +211,43 @@
 	return time.Duration(float64(d) * (1 + pollJitter*(2*rand.Float64()-1)))
 }
 
-// apply puts the next ticket in force. Older ones and those after a gap are
-// left out; a gap is closed by the next poll.
-func (c *Configurer) apply(ctx context.Context, t ticket.Ticket) {
+// waiting returns the tickets that the watch has already sent.
+func (c *Configurer) waiting() []ticket.Ticket {
+	var all []ticket.Ticket
+	for {
+		select {
+		case t := <-c.watched:
+			all = append(all, t)
+		default:
+			return all
+		}
+	}
+}
+
+// apply puts the tickets that follow the configuration in force. Older ones
+// and those after a gap are left out; a gap is closed by the next poll.
+func (c *Configurer) apply(ctx context.Context, tickets []ticket.Ticket) {
 	d := c.Directory()
 	if d == nil {
 		d = directory.Empty()
 	}
-	c.cfg.Peers.With(func(r *membership.Roster) { r.Learn(t.Number) })
-	next, err := ticket.Apply(d, t)
-	var order *ticket.OrderError
-	if errors.As(err, &order) {
-		return
+	var next []ticket.Ticket
+	for _, t := range tickets {
+		c.cfg.Peers.With(func(r *membership.Roster) { r.Learn(t.Number) })
+		if t.Number == d.Number+uint64(len(next))+1 {
+			next = append(next, t)
+		}
 	}
+	d, err := ticket.ApplyAll(d, next)
 	if err != nil {
-		c.cfg.Log.Error("A ticket cannot be applied.", zap.Uint64("ticket", t.Number), zap.Error(err))
-		return
+		c.cfg.Log.Error("A ticket cannot be applied.", zap.Uint64("ticket", d.Number+1), zap.Error(err))
 	}
-	if text, err := ticket.Encode(t); err == nil {
-		c.keep(t.Number, text)
+	for _, t := range next {
+		if text, err := ticket.Encode(t); err == nil && t.Number <= d.Number {
+			c.keep(t.Number, text)
+		}
 	}
-	c.replace(ctx, next)
+	c.replace(ctx, d)
 }
 
 func (c *Configurer) keep(number uint64, text []byte) {
--- a/entry/configurer/configurer_test.go
+++ b/entry/configurer/configurer_test.go
@@ -84,7 +84,7 @@
 	damaged.Digest++
 	c, numbers := newConfigurer(t, log)
 	for _, tk := range []ticket.Ticket{log.tickets[1], log.tickets[0], log.tickets[0], log.tickets[1], damaged, log.tickets[0]} {
-		c.apply(ctx, tk)
+		c.apply(ctx, []ticket.Ticket{tk})
 	}
 	c.replace(ctx, one)
 	c.replace(ctx, two)
@@ -124,7 +124,7 @@
 	log.add(t, one, 2)
 	c, _ := newConfigurer(t, log)
 	c.replace(context.Background(), one)
-	c.apply(context.Background(), log.tickets[1])
+	c.apply(context.Background(), log.tickets[1:2])
 	if r := c.Fetch(1); len(r.GetTickets()) != 1 || r.GetSnapshot() != nil {
 		t.Errorf("reply to a peer at 1: %v", r)
 	}
--- a/entry/configurer/sources.go
+++ b/entry/configurer/sources.go
@@ -95,14 +95,16 @@
 		}
 		c.replace(ctx, d)
 	}
+	var tickets []ticket.Ticket
 	for _, text := range reply.GetTickets() {
 		t, err := ticket.Decode(text)
 		if err != nil {
 			c.cfg.Log.Error("A peer's ticket is damaged.", zap.String("peer", p.Name), zap.Error(err))
-			return false
+			break
 		}
-		c.apply(ctx, t)
+		tickets = append(tickets, t)
 	}
+	c.apply(ctx, tickets)
 	now, _ := c.InForce()
 	return now > number
 }
