entry/routing: ask peers for a home that moved unnoticed

Cause: exchange messages carry the 32 newest moves only, and an instance that has just started knows none; requests of moved sessions were answered unknown there although the successor holds the session. Change: where the home is unreachable or replaced and no move is known, up to two live peers are asked; a newly listed entry instance leads to a round of exchange messages at once. Figures: none measured; the unit test covers the six ways of a forward.

--- a/entry/lister/lister.go
+++ b/entry/lister/lister.go
@@ -29,6 +29,9 @@
 	Directory func() *directory.Directory
 	// Post hands an event to the engine.
 	Post func(dispatch.Event)
+	// Joined is called where the list names a new entry instance. It must not
+	// block.
+	Joined func()
 	// SetLimits bounds the connections to each target address.
 	SetLimits func(sender.Limits)
 }
@@ -39,6 +42,9 @@
 	self membership.Identity
 	done chan struct{}
 
+	// known holds the addresses of the entry instances of the last list.
+	known map[string]bool
+
 	mu      sync.Mutex
 	targets []dispatch.ListedTarget
 	// sharing and region are what was last told.
@@ -97,12 +103,27 @@
 		}
 	}
 	l.cfg.Peers.With(func(r *membership.Roster) { r.List(time.Now(), entries) })
+	l.noteJoined(entries)
 	l.mu.Lock()
 	l.targets, l.region = targets, 0
 	l.mu.Unlock()
 	l.cfg.Post(dispatch.TargetsListed{Targets: targets})
 }
 
+// noteJoined reports entry instances that the last list did not have, so that
+// their state, and the moves that they know, arrive at once.
+func (l *Lister) noteJoined(entries []membership.Listed) {
+	known, joined := map[string]bool{}, false
+	for _, e := range entries {
+		known[e.Address] = true
+		joined = joined || !l.known[e.Address] && e.Name != l.self.Name
+	}
+	l.known = known
+	if joined {
+		l.cfg.Joined()
+	}
+}
+
 // Targets returns the targets of the last list. They must not be modified.
 func (l *Lister) Targets() []dispatch.ListedTarget {
 	l.mu.Lock()
--- a/entry/peering/exchanger.go
+++ b/entry/peering/exchanger.go
@@ -47,13 +47,15 @@
 type Exchanger struct {
 	cfg  ExchangerConfig
 	self membership.Identity
+	// kick holds a token while a round is due at once.
+	kick chan struct{}
 	done chan struct{}
 	wg   sync.WaitGroup
 }
 
 // NewExchanger returns an Exchanger; Run starts it.
 func NewExchanger(cfg ExchangerConfig) *Exchanger {
-	e := &Exchanger{cfg: cfg, done: make(chan struct{})}
+	e := &Exchanger{cfg: cfg, kick: make(chan struct{}, 1), done: make(chan struct{})}
 	cfg.Peers.With(func(r *membership.Roster) { e.self = r.Self() })
 	return e
 }
@@ -70,12 +72,21 @@
 		spread := 1 + roundJitter*(2*rng.Float64()-1)
 		select {
 		case <-time.After(time.Duration(spread * float64(roundInterval))):
+		case <-e.kick:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// Kick makes the next round follow at once. It does not block.
+func (e *Exchanger) Kick() {
+	select {
+	case e.kick <- struct{}{}:
+	default:
+	}
+}
+
 // Done is closed when Run has ended.
 func (e *Exchanger) Done() <-chan struct{} { return e.done }
 
--- a/entry/routing/router.go
+++ b/entry/routing/router.go
@@ -24,6 +24,10 @@
 	// forwardGrace is how long after its own time limit a forwarded request
 	// may still be answered by its home.
 	forwardGrace = 5 * time.Second
+	// seekTries bounds the peers that are asked for a home that is not where
+	// its token says, and seekWithin the time after which none is asked.
+	seekTries  = 2
+	seekWithin = 2 * time.Second
 	// openTries bounds the peers that a draining instance asks to open a
 	// session.
 	openTries = 3
@@ -72,6 +76,16 @@
 		return home.Reject(http.StatusUnauthorized, "session", err.Error())
 	}
 	req.Caller = tok.Caller
+	began := time.Now()
+	reply := r.reach(ctx, tok, req)
+	if lost(reply) && time.Since(began) < seekWithin {
+		return r.seek(ctx, tok, req, reply)
+	}
+	return reply
+}
+
+// reach serves the request here or forwards it to where its home should be.
+func (r *Router) reach(ctx context.Context, tok token.Token, req *wire.ForwardRequest) *wire.ForwardReply {
 	address := r.locate(tok)
 	if address == "" {
 		reply, moved := r.cfg.Home.Serve(ctx, tok, req)
@@ -188,7 +202,7 @@
 	if !r.cfg.Draining() {
 		return r.cfg.Home.Open(ctx, req.GetCaller())
 	}
-	for _, address := range r.openAt() {
+	for _, address := range r.live(openTries) {
 		reply, err := r.forward(ctx, address, req)
 		if err == nil && reply.GetSession() != "" {
 			return reply
@@ -197,9 +211,39 @@
 	return home.Reject(http.StatusServiceUnavailable, "session", "the instance is draining and no peer opens sessions")
 }
 
-// openAt returns the peers that may open a session, those of the own
+// lost says whether the home of a request was not found.
+func lost(reply *wire.ForwardReply) bool {
+	code := answer.Code(reply.GetAnswer().GetCode())
+	return reply.GetAnswer().GetState() == wire.State_STATE_UNKNOWN &&
+		(code == answer.CodeHomeUnreachable || code == answer.CodeHomeReplaced)
+}
+
+// seek asks peers for the successor of a home that is gone. The exchange
+// messages carry only the newest moves, so that an instance may not know an
+// older one. A peer that is not the home starts nothing.
+func (r *Router) seek(ctx context.Context, tok token.Token, req *wire.ForwardRequest, last *wire.ForwardReply) *wire.ForwardReply {
+	if _, known := r.moved(tok.Incarnation); known || tok.Incarnation == r.self.Incarnation {
+		return last
+	}
+	for _, address := range r.live(seekTries) {
+		reply, err := r.forward(ctx, address, req)
+		if err != nil {
+			continue
+		}
+		r.cfg.Metrics.Forward("sought")
+		if to := reply.GetMovedTo(); to != "" {
+			reply = r.follow(ctx, to, req)
+		}
+		if !lost(reply) {
+			return reply
+		}
+	}
+	return last
+}
+
+// live returns up to n live peers of the region, those of the own
 // availability zone first.
-func (r *Router) openAt() []string {
+func (r *Router) live(n int) []string {
 	var own, other []string
 	r.cfg.Peers.With(func(roster *membership.Roster) {
 		for _, p := range roster.Peers() {
@@ -213,5 +257,5 @@
 		}
 	})
 	all := append(own, other...)
-	return all[:min(len(all), openTries)]
+	return all[:min(len(all), n)]
 }
--- /dev/null
+++ b/entry/routing/router_test.go
@@ -0,0 +1,117 @@
+package routing
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/answer"
+	"marigoldfront.dev/core/membership"
+	"marigoldfront.dev/core/token"
+	"marigoldfront.dev/entry/convert"
+	"marigoldfront.dev/entry/home"
+	"marigoldfront.dev/entry/metrics"
+	"marigoldfront.dev/entry/peers"
+	"marigoldfront.dev/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// peer is another instance that gives one reply to every forwarded request.
+type peer struct {
+	wire.Peer
+	reply   *wire.ForwardReply
+	calls   atomic.Int64
+	address string
+}
+
+func (p *peer) Forward(context.Context, *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	p.calls.Add(1)
+	if p.reply == nil {
+		panic(http.ErrAbortHandler)
+	}
+	return p.reply, nil
+}
+
+func newPeer(t *testing.T, reply *wire.ForwardReply) *peer {
+	p := &peer{reply: reply}
+	srv := httptest.NewServer(wire.NewPeerServer(p))
+	t.Cleanup(srv.Close)
+	p.address = strings.TrimPrefix(srv.URL, "http://")
+	return p
+}
+
+func complete() *wire.ForwardReply {
+	return &wire.ForwardReply{Answer: convert.ToAnswer(answer.Complete{})}
+}
+
+// Guards against a forward that goes on for more than one successor, against
+// an answer other than unknown where a reply was lost, and against a session
+// whose home moved but whose move this instance has not heard of.
+func TestForward(t *testing.T) {
+	third := newPeer(t, complete())
+	second := newPeer(t, &wire.ForwardReply{MovedTo: third.address})
+	done := newPeer(t, complete())
+	notRun := answer.NotRun{Reason: answer.Reason{Code: answer.CodeOverloaded}}
+	replaced := convert.Unknown(answer.CodeHomeReplaced, "")
+	cases := map[string]struct {
+		home  *wire.ForwardReply
+		peer  *wire.ForwardReply
+		state wire.State
+		calls int64
+	}{
+		"home answers":        {complete(), nil, wire.State_STATE_COMPLETE, 0},
+		"home did not run it": {&wire.ForwardReply{Answer: convert.ToAnswer(notRun)}, nil, wire.State_STATE_NOT_RUN, 0},
+		"moved once":          {&wire.ForwardReply{MovedTo: done.address}, nil, wire.State_STATE_COMPLETE, 0},
+		"moved twice":         {&wire.ForwardReply{MovedTo: second.address}, &wire.ForwardReply{Answer: replaced}, wire.State_STATE_UNKNOWN, 1},
+		"reply lost":          {nil, &wire.ForwardReply{Answer: replaced}, wire.State_STATE_UNKNOWN, 1},
+		"peer knows the move": {&wire.ForwardReply{Answer: replaced}, &wire.ForwardReply{MovedTo: done.address}, wire.State_STATE_COMPLETE, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			at, other := newPeer(t, tc.home), newPeer(t, tc.peer)
+			r, signer := newRouter(t, other)
+			text, err := signer.Sign(token.Token{Address: netip.MustParseAddrPort(at.address), Incarnation: 9, Number: 1, Caller: "c"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			reply := r.Serve(context.Background(), &wire.ForwardRequest{Operation: wire.Operation_OPERATION_SUBMIT, Session: text})
+			if got := reply.GetAnswer().GetState(); got != tc.state || other.calls.Load() != tc.calls {
+				t.Errorf("%v with %d questions to the peer, want %v with %d", reply, other.calls.Load(), tc.state, tc.calls)
+			}
+		})
+	}
+	if n := third.calls.Load(); n != 0 {
+		t.Errorf("the second successor got %d requests", n)
+	}
+}
+
+func newRouter(t *testing.T, other *peer) (*Router, *token.Signer) {
+	p := peers.New(membership.Identity{Name: "e0", Region: "r", AvailabilityZone: "z", Incarnation: 1, Address: "127.0.0.1:1"}, "s")
+	p.With(func(r *membership.Roster) {
+		r.Hear(time.Now(), membership.Message{From: membership.Identity{
+			Name: "e1", Region: "r", AvailabilityZone: "z", Address: other.address, Incarnation: 2,
+		}})
+	})
+	m := metrics.New()
+	t.Cleanup(func() {
+		p.Close()
+		m.Close()
+	})
+	signer, err := token.New("s", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(Config{
+		Log: zap.NewNop(), Metrics: m, Home: home.New(home.Config{}), Signer: signer, Peers: p,
+		Draining: func() bool { return false },
+	}), signer
+}
--- a/entry/run/instance.go
+++ b/entry/run/instance.go
@@ -182,6 +182,7 @@
 		Log: in.part("lister"), Metrics: in.metrics, Peers: in.peers,
 		Client:    instancelist.New(s.InstanceList, s.Region, in.http),
 		Directory: in.directory, Post: in.engine.Post, SetLimits: in.sender.SetLimits,
+		Joined: in.exchanger.Kick,
 	})
 }
 
