bench/soak: judge leaving targets by instance, count answers by reason

Change: starts are attributed to the instance of their home incarnation, and only starts of instances that could not see the list are left out.

--- a/bench/soak/chaos.go
+++ b/bench/soak/chaos.go
@@ -169,7 +169,7 @@
 		return errBusy
 	}
 	defer e.busy.Unlock()
-	return ch.stops.hide(func() error { return pause(e.p, hold) })
+	return ch.stops.hide([]*entry{e}, func() error { return pause(e.p, hold) })
 }
 
 func pause(p *process, hold func()) error {
@@ -251,8 +251,9 @@
 }
 
 func (ch *chaos) disturbStore(victim int, hold func()) error {
-	return ch.stops.hide(func() error {
-		disturb(ch.c.stores[victim%len(ch.c.stores)], 1+victim/len(ch.c.stores)%(disturbances-1), hold)
+	z := victim % len(ch.c.stores)
+	return ch.stops.hide(ch.c.inZone(z), func() error {
+		disturb(ch.c.stores[z], 1+victim/len(ch.c.stores)%(disturbances-1), hold)
 		return nil
 	})
 }
@@ -291,12 +292,10 @@
 func (ch *chaos) cutZone(victim int, hold func()) error {
 	z := victim % len(ch.c.stores)
 	cut := []*faultproxy.Proxy{ch.c.stores[z]}
-	for _, e := range ch.c.entries {
-		if e.platform == ch.c.stores[z].Addr() {
-			cut = append(cut, e.proxy)
-		}
+	for _, e := range ch.c.inZone(z) {
+		cut = append(cut, e.proxy)
 	}
-	return ch.stops.hide(func() error {
+	return ch.stops.hide(ch.c.inZone(z), func() error {
 		for _, p := range cut {
 			p.Set(faultproxy.ToServer, faultproxy.Faults{Cut: true})
 			p.Set(faultproxy.ToClient, faultproxy.Faults{Cut: true})
@@ -327,7 +326,7 @@
 
 func (ch *chaos) listFault(victim int, hold func()) error {
 	change := map[string]any{"list_outage": victim%2 == 0, "list_lag_ms": 3000}
-	return ch.stops.hide(func() error {
+	return ch.stops.hide(ch.c.entries, func() error {
 		if err := ch.c.fault(change); err != nil {
 			return err
 		}
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -57,6 +58,8 @@
 	mu      sync.Mutex
 	starts  []start
 	crashes []string
+	// homes maps incarnations to the names of their instances.
+	homes map[string]string
 }
 
 func newCluster(bin string, zones, entriesPerZone, targetsPerZone int, seed uint64) (*cluster, error) {
@@ -64,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{bin: bin, dir: dir}
+	c := &cluster{bin: bin, dir: dir, homes: map[string]string{}}
 	if err := c.startPlatform(); err != nil {
 		c.close()
 		return nil, err
@@ -187,6 +190,24 @@
 	c.starts = append(c.starts, s)
 }
 
+// inZone returns the instances of an availability zone.
+func (c *cluster) inZone(z int) []*entry {
+	var out []*entry
+	for _, e := range c.entries {
+		if e.platform == c.stores[z].Addr() {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// home records the incarnation of a started instance.
+func (c *cluster) home(incarnation, instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.homes[strings.TrimLeft(incarnation, "0")] = instance
+}
+
 func (c *cluster) startCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/bench/soak/instance.go
+++ b/bench/soak/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -114,9 +115,20 @@
 	}
 	e.proxy.SetServer(at.PeerListen)
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.base = "http://" + at.Listen
-	return nil
+	e.mu.Unlock()
+	return e.learnIncarnation()
+}
+
+func (e *entry) learnIncarnation() error {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	var s struct {
+		Incarnation string `json:"incarnation"`
+	}
+	_, err := newAPI("").call(ctx, http.MethodGet, e.url()+"/v1/status", nil, &s)
+	e.c.home(s.Incarnation, e.name)
+	return err
 }
 
 // url returns the base URL of the newest process.
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -63,21 +63,24 @@
 	r.last = fmt.Sprintf("%s: %v", instance, err)
 }
 
-// outcome is the first answer that says what happened, else unknown, else
-// empty for a job without an answer.
-func (r *record) outcome() string {
+// best is the first answer that says what happened, else the last unknown,
+// else an empty one.
+func (r *record) best() observed {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	state := ""
+	var best observed
 	for _, a := range r.answers {
 		if a.State != stateUnknown {
-			return a.State
+			return a
 		}
-		state = stateUnknown
+		best = a
 	}
-	return state
+	return best
 }
 
+// outcome is the state of the best answer, empty for a job without one.
+func (r *record) outcome() string { return r.best().State }
+
 // start is one start as a target recorded it.
 type start struct {
 	Target     string `json:"target"`
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -86,7 +86,7 @@
 	l.settle(cfg.Seed)
 	starts, crashes := c.finish()
 	s := verify(l.records, starts)
-	planned := l.stops.report(&s, starts)
+	planned := l.stops.report(&s, starts, c.homes)
 	for _, d := range s.Details {
 		fmt.Fprintln(cfg.Out, "soak: "+d)
 	}
--- a/bench/soak/stops.go
+++ b/bench/soak/stops.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -29,9 +31,9 @@
 type stops struct {
 	mu     sync.Mutex
 	leaves []leave
-	// hidden holds the times at which some instance could not see the list or
-	// was paused, so that the bound on leaving targets does not apply.
-	hidden      []interval
+	// hidden holds, by instance, the times at which it could not see the list
+	// or was paused, so that the bound on leaving targets does not apply to it.
+	hidden      map[string][]interval
 	drains      int
 	interrupted []string
 }
@@ -42,14 +44,19 @@
 	s.leaves = append(s.leaves, l)
 }
 
-// hide runs do as a time at which some instance may not see the list. The
-// instances then need another second and a half to read it again.
-func (s *stops) hide(do func() error) error {
+// hide runs do as a time at which the instances may not see the list. They
+// then need another while to read it again.
+func (s *stops) hide(instances []*entry, do func() error) error {
 	from := time.Now()
 	err := do()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hidden = append(s.hidden, interval{from, time.Now().Add(leaveBound / 2)})
+	if s.hidden == nil {
+		s.hidden = map[string][]interval{}
+	}
+	for _, e := range instances {
+		s.hidden[e.name] = append(s.hidden[e.name], interval{from, time.Now().Add(leaveBound)})
+	}
 	return err
 }
 
@@ -66,39 +73,38 @@
 		instance, after.Round(time.Millisecond), err))
 }
 
-// late returns the starts at leaving targets after the bound, and the number
-// of planned stops of targets that could be judged.
-func (s *stops) late(starts []start) (late []start, judged int) {
+// late returns the starts at leaving targets after the bound by instances that
+// saw the list, and the number of starts after the bound that it could not
+// judge. homes maps incarnations, as in the names of jobs, to instances: only
+// the home of a session starts its jobs.
+func (s *stops) late(starts []start, homes map[string]string) (late []start, unjudged int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.leaves {
-		if s.isHidden(l.interval) {
-			continue
-		}
-		judged++
 		for _, st := range starts {
 			at := time.UnixMilli(st.TimeUnixMS)
-			if st.Target == l.target && at.After(l.from.Add(leaveBound)) && at.Before(l.to) {
-				late = append(late, st)
+			if st.Target != l.target || !at.After(l.from.Add(leaveBound)) || !at.Before(l.to) {
+				continue
 			}
+			incarnation, _, _ := strings.Cut(st.Job, "-")
+			if home, ok := homes[incarnation]; !ok || s.isHidden(home, l.interval) {
+				unjudged++
+				continue
+			}
+			late = append(late, st)
 		}
 	}
-	return late, judged
+	return late, unjudged
 }
 
-func (s *stops) isHidden(i interval) bool {
-	for _, h := range s.hidden {
-		if h.overlaps(i) {
-			return true
-		}
-	}
-	return false
+func (s *stops) isHidden(instance string, i interval) bool {
+	return slices.ContainsFunc(s.hidden[instance], i.overlaps)
 }
 
 // report adds the broken bounds to the summary and returns a line on both
 // kinds of planned stops.
-func (s *stops) report(sum *Summary, starts []start) string {
-	late, judged := s.late(starts)
+func (s *stops) report(sum *Summary, starts []start, homes map[string]string) string {
+	late, unjudged := s.late(starts, homes)
 	for _, st := range late {
 		sum.fault(&sum.BrokenStops, "a target that is leaving was given a start: %+v", st)
 	}
@@ -107,6 +113,6 @@
 	for _, text := range s.interrupted {
 		sum.fault(&sum.BrokenStops, "%s", text)
 	}
-	return fmt.Sprintf("soak: %d planned stops of targets, %d judged, %d late starts; %d planned stops of instances, %d requests interrupted",
-		len(s.leaves), judged, len(late), s.drains, len(s.interrupted))
+	return fmt.Sprintf("soak: %d planned stops of targets, %d late starts, %d by instances that did not see the list; "+
+		"%d planned stops of instances, %d requests interrupted", len(s.leaves), len(late), unjudged, s.drains, len(s.interrupted))
 }
--- a/bench/soak/verify.go
+++ b/bench/soak/verify.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 )
 
 // maxDetails bounds the faults that are described one by one.
@@ -28,7 +29,7 @@
 	// BrokenStops counts starts at targets that had been leaving for too long,
 	// and requests that a planned stop interrupted.
 	BrokenStops int
-	// Answers counts jobs by the state of their answer.
+	// Answers counts jobs by the state of their answer and its reason code.
 	Answers map[string]int
 	// Details describes the first faults and lost jobs.
 	Details []string
@@ -108,9 +109,9 @@
 	for _, text := range r.rejected {
 		s.fault(&s.Wrong, "job %d was rejected: %s", r.ID, text)
 	}
-	state := r.outcome()
-	s.Answers[state]++
-	switch state {
+	best := r.best()
+	s.Answers[strings.Trim(best.State+"/"+best.Code, "/")]++
+	switch best.State {
 	case stateUnknown:
 		s.Unknown++
 	case "":
--- a/bench/soak/verify_test.go
+++ b/bench/soak/verify_test.go
@@ -69,16 +69,16 @@
 // is blamed although an instance could not see the instance list.
 func TestLateStarts(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(1000+int64(s), 0) }
-	st := func(s int) start { return start{Target: "t", TimeUnixMS: at(s).UnixMilli()} }
+	st := func(s int) start { return start{Target: "t", TimeUnixMS: at(s).UnixMilli(), Job: "1f-1-1"} }
+	homes := map[string]string{"1f": "entry"}
 	var s stops
 	s.left(leave{"t", interval{at(0), at(8)}})
 	s.left(leave{"other", interval{at(0), at(8)}})
-	late, judged := s.late([]start{st(1), st(2), st(4), st(9)})
-	if len(late) != 1 || judged != 2 {
-		t.Errorf("%d late of %d judged, want 1 of 2", len(late), judged)
+	if late, unjudged := s.late([]start{st(1), st(2), st(4), st(9)}, homes); len(late) != 1 || unjudged != 0 {
+		t.Errorf("%d late and %d not judged, want 1 and 0", len(late), unjudged)
 	}
-	s.hidden = []interval{{at(7), at(9)}}
-	if late, judged := s.late([]start{st(4)}); len(late) != 0 || judged != 0 {
-		t.Errorf("%d late of %d judged while the list was hidden", len(late), judged)
+	s.hidden = map[string][]interval{"entry": {{at(7), at(9)}}}
+	if late, unjudged := s.late([]start{st(4)}, homes); len(late) != 0 || unjudged != 1 {
+		t.Errorf("%d late and %d not judged while the list was hidden", len(late), unjudged)
 	}
 }
