--- a/caller/session_test.go
+++ b/caller/session_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,10 +19,18 @@
 // instance records the submissions that it receives and replies with handle.
 type instance struct {
 	*httptest.Server
-	puts   []string
+	mu     sync.Mutex
+	paths  []string
 	bodies []jobMessage
 }
 
+// puts returns the paths of the submissions so far.
+func (in *instance) puts() []string {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return slices.Clone(in.paths)
+}
+
 func newInstance(t *testing.T, handle http.HandlerFunc) *instance {
 	in := &instance{}
 	in.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -31,7 +41,9 @@
 		}
 		var m jobMessage
 		json.NewDecoder(r.Body).Decode(&m)
-		in.puts, in.bodies = append(in.puts, r.URL.Path), append(in.bodies, m)
+		in.mu.Lock()
+		in.paths, in.bodies = append(in.paths, r.URL.Path), append(in.bodies, m)
+		in.mu.Unlock()
 		handle(w, r)
 	}))
 	t.Cleanup(in.Close)
@@ -75,8 +87,8 @@
 	if done, ok := rep.Answer.(answer.Complete); !ok || string(done.Results[0]) != "ok" {
 		t.Errorf("answer %v, want the result ok", rep.Answer)
 	}
-	if len(b.puts) != 1 || b.puts[0] != "/v1/sessions/s1/jobs/1" || a.puts[0] != b.puts[0] {
-		t.Errorf("submitted %v and %v, want job 1 at both", a.puts, b.puts)
+	if len(b.puts()) != 1 || b.puts()[0] != "/v1/sessions/s1/jobs/1" || a.puts()[0] != b.puts()[0] {
+		t.Errorf("submitted %v and %v, want job 1 at both", a.puts(), b.puts())
 	}
 }
 
@@ -131,14 +143,14 @@
 func TestTriesAreBounded(t *testing.T) {
 	a := newInstance(t, cut)
 	var none *NoAnswer
-	if _, err := open(t, a.URL).Submit(context.Background(), oneTask); !errors.As(err, &none) || len(a.puts) > 2*maxAttempts {
-		t.Errorf("got %v after %d requests, want a bounded NoAnswer", err, len(a.puts))
+	if _, err := open(t, a.URL).Submit(context.Background(), oneTask); !errors.As(err, &none) || len(a.puts()) > 2*maxAttempts {
+		t.Errorf("got %v after %d requests, want a bounded NoAnswer", err, len(a.puts()))
 	}
 	b := newInstance(t, say(403, `{"state":"rejected","findings":[{"place":"service","message":"not allowed"}]}`))
 	var rejected *Rejected
 	_, err := open(t, b.URL).Submit(context.Background(), oneTask)
-	if !errors.As(err, &rejected) || len(b.puts) != 1 || rejected.Findings[0].Place != "service" {
-		t.Errorf("got %v after %d requests, want one rejection", err, len(b.puts))
+	if !errors.As(err, &rejected) || len(b.puts()) != 1 || rejected.Findings[0].Place != "service" {
+		t.Errorf("got %v after %d requests, want one rejection", err, len(b.puts()))
 	}
 }
 
@@ -187,3 +199,36 @@
 	}
 	// Output: complete: ok
 }
+
+// Guards against numbers outside of the home's window, which it rejects, and
+// against submissions that wait although numbers have become free.
+func TestWindowIsNotExceeded(t *testing.T) {
+	w := newWindow(1, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	for want := uint64(1); want <= 2; want++ {
+		if seq, _, err := w.take(ctx); err != nil || seq != want {
+			t.Fatalf("took %d, %v, want %d", seq, err, want)
+		}
+	}
+	taken := make(chan uint64)
+	go func() {
+		seq, below, _ := w.take(ctx)
+		taken <- seq
+		taken <- below
+	}()
+	w.settle(2)
+	select {
+	case seq := <-taken:
+		t.Errorf("took %d while job 1 was open", seq)
+	case <-time.After(20 * time.Millisecond):
+	}
+	w.settle(1)
+	if seq, below := <-taken, <-taken; seq != 3 || below != 3 {
+		t.Errorf("took %d with answers below %d settled, want 3 and 3", seq, below)
+	}
+	cancel()
+	w.take(ctx)
+	if _, _, err := w.take(ctx); err == nil {
+		t.Error("a full window gave a number after the end of the context")
+	}
+}
