--- a/core/dispatch/policy_next.go
+++ b/core/dispatch/policy_next.go
@@ -80,7 +80,7 @@
 	if c, ok := p.probe(now, w, n); ok {
 		return p.take(h.Job, w, c, true), true
 	}
-	n.Within = w.job.plan.queue.Expected - now.Sub(w.job.admitted)
+	n.Within = max(w.job.plan.queue.Expected-now.Sub(w.job.admitted), h.Task.Expected)
 	n.Blind = !now.Before(p.blind.next)
 	c, verdict := p.table.Choose(now, n)
 	switch verdict {
@@ -158,7 +158,7 @@
 func (p *loadPolicy) hedgeOf(now time.Time, e hedgeTime) (choice, bool) {
 	w, j := e.work, e.work.job
 	stays := slices.ContainsFunc(w.open, func(o placed) bool { return o.target == e.target })
-	if j.rec.Final() || w.queued || !stays {
+	if j.rec.Final() || j.rec.TaskDone(w.task) || w.queued || !stays {
 		return choice{}, false
 	}
 	n := p.need(w)
--- a/core/dispatch/rules_test.go
+++ b/core/dispatch/rules_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marigoldfront.dev/core/answer"
+	"marigoldfront.dev/core/directory"
 )
 
 func (b *bench) wantAnswer(what string, actions []Action, state string, code answer.Code) {
@@ -115,6 +116,28 @@
 	}
 }
 
+// Guards against a hedge of a task that another attempt has finished while the
+// first one is still in flight, which the record of the job answers by a panic.
+func TestNoHedgeOfFinishedTask(t *testing.T) {
+	b := newBench(t, 4, 1)
+	dir := testDirectory(4, 1)
+	dir.State.Services["check"] = directory.Service{Name: "check", MaxAttempts: 3, HedgePercent: 100}
+	b.restart(DefaultConfig("e1", 7), dir)
+	for range 100 {
+		b.d.policy.(*loadPolicy).table.Learn("check", "taa", 0, 10*time.Millisecond)
+	}
+	starts := all[StartAttempt](b.submit(1, 2, true))
+	b.d.out = nil
+	b.d.start(choice{work: &b.d.jobs[starts[0].Attempt.Job].work[starts[0].Attempt.Task], target: starts[1].Target, hedge: true})
+	b.end(one[StartAttempt](t, b.d.out), Done{})
+	b.now = b.now.Add(900 * time.Millisecond)
+	for _, s := range all[StartAttempt](b.handle(Tick{})) {
+		if s.Attempt.Task == starts[0].Attempt.Task {
+			t.Errorf("start of the finished task: %+v", s)
+		}
+	}
+}
+
 // Guards against a sealed session that runs anything at its old home, and
 // against a repeated transfer that brings a closed session back (P1).
 func TestHandOver(t *testing.T) {
@@ -144,6 +167,29 @@
 	next.handle(CloseSession{Request: next.next(), Session: b.id, Caller: "shop"})
 	next.handle(ImportSessions{Records: records})
 	next.wantAnswer("after a repeated transfer", next.submit(2, 1, false), "unknown", answer.CodeHomeReplaced)
+	next.handle(Drain{})
+	one[ReplyDone](t, next.handle(ImportSessions{Records: records}))
+	records[0].Session.Number++
+	next.wantRejected("transfer to a draining instance", next.handle(ImportSessions{Records: records}), 503)
+}
+
+// Guards against the eviction of a session that is in use or has a running job,
+// and against a table that stays full of idle sessions.
+func TestEviction(t *testing.T) {
+	b := newBench(t, 1, 1)
+	cfg := DefaultConfig("e1", 7)
+	cfg.MaxSessions, cfg.IdleAfter = 1, 100*time.Millisecond
+	b.restart(cfg, testDirectory(1, 1))
+	open := func() []Action { return b.handle(OpenSession{Request: b.next(), Caller: "shop"}) }
+	started := one[StartAttempt](t, b.submit(1, 1, false))
+	b.now = b.now.Add(time.Second / 2)
+	b.wantRejected("job is running", open(), 429)
+	b.end(started, Done{})
+	b.submit(1, 1, false)
+	b.wantRejected("session is in use", open(), 429)
+	b.now = b.now.Add(time.Second / 2)
+	one[ReplySession](t, open())
+	b.wantAnswer("evicted", b.submit(1, 1, false), "unknown", answer.CodeSessionUnknown)
 }
 
 // Guards against a stop at the drain limit that leaves a job without an answer
