--- a/bench/slopes/command.go
+++ b/bench/slopes/command.go
@@ -41,7 +41,8 @@
 var benches = []bench{
 	{"target", []int{100, 1000, 2000, 3400}, []int{10, 100}, targets},
 	{"session", []int{1000, 5000, 10_000, 20_000}, []int{10, 100}, sessions},
-	{"queued_task", []int{2000, 6000, 12_000, 18_000}, []int{100, 500}, queuedTasks},
+	// One team may use half of the queue of 20,000 tasks.
+	{"queued_task", []int{2000, 4000, 6000, 9000}, []int{100, 500}, queuedTasks},
 	{"ticket", []int{100, 250, 500, 1000}, []int{5, 20}, tickets},
 	{"peer", []int{6, 24, 48, 96}, []int{2, 4}, peers},
 }
