wire, entry/routing: match forwarded replies to their requests

Change: each hop draws a request id that the reply repeats; a reply with another id is discarded and the answer is unknown (home_unreachable). Conclusion: replies between instances are checked like those of targets.

--- a/entry/peering/server.go
+++ b/entry/peering/server.go
@@ -99,6 +99,7 @@
 	if reply == nil {
 		return nil, twirp.NewError(twirp.Canceled, "the request was given up")
 	}
+	reply.RequestId = req.GetRequestId()
 	return reply, nil
 }
 
--- a/entry/routing/router.go
+++ b/entry/routing/router.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -33,6 +35,10 @@
 	openTries = 3
 )
 
+// errCrossed says that a reply names another request. The request may have
+// arrived all the same.
+var errCrossed = errors.New("the reply belongs to another request")
+
 // Mover tells where this instance's sessions went. Successor waits until the
 // successor has accepted them or ctx ends, and returns false where there is
 // none.
@@ -194,7 +200,12 @@
 	ctx, span := r.cfg.Tracer.Start(ctx, "forward")
 	defer span.End()
 	req.Traceparent = tracing.Inject(ctx)
-	return r.cfg.Peers.Client(address).Forward(ctx, req)
+	req.RequestId = rand.Uint64()
+	reply, err := r.cfg.Peers.Client(address).Forward(ctx, req)
+	if err == nil && reply.GetRequestId() != req.GetRequestId() {
+		return nil, errCrossed
+	}
+	return reply, err
 }
 
 // open opens a session here or, while this instance drains, at a peer.
--- a/entry/routing/router_test.go
+++ b/entry/routing/router_test.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"marigoldfront.dev/core/answer"
 	"marigoldfront.dev/core/membership"
@@ -31,14 +32,20 @@
 	reply   *wire.ForwardReply
 	calls   atomic.Int64
 	address string
+	// crossed makes replies name another request.
+	crossed bool
 }
 
-func (p *peer) Forward(context.Context, *wire.ForwardRequest) (*wire.ForwardReply, error) {
+func (p *peer) Forward(_ context.Context, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
 	p.calls.Add(1)
 	if p.reply == nil {
 		panic(http.ErrAbortHandler)
 	}
-	return p.reply, nil
+	reply := proto.Clone(p.reply).(*wire.ForwardReply)
+	if !p.crossed {
+		reply.RequestId = req.GetRequestId()
+	}
+	return reply, nil
 }
 
 func newPeer(t *testing.T, reply *wire.ForwardReply) *peer {
@@ -94,6 +101,21 @@
 	}
 }
 
+// Guards against P3 broken by a reply to another forwarded request.
+func TestCrossedReplyIsUnknown(t *testing.T) {
+	at := newPeer(t, complete())
+	at.crossed = true
+	r, signer := newRouter(t, newPeer(t, nil))
+	text, err := signer.Sign(token.Token{Address: netip.MustParseAddrPort(at.address), Incarnation: 9, Number: 1, Caller: "c"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply := r.Serve(context.Background(), &wire.ForwardRequest{Operation: wire.Operation_OPERATION_COLLECT, Session: text})
+	if got := reply.GetAnswer().GetState(); got != wire.State_STATE_UNKNOWN {
+		t.Errorf("a crossed reply gave %v, want unknown", got)
+	}
+}
+
 func newRouter(t *testing.T, other *peer) (*Router, *token.Signer) {
 	p := peers.New(membership.Identity{Name: "e0", Region: "r", AvailabilityZone: "z", Incarnation: 1, Address: "127.0.0.1:1"}, "s")
 	p.With(func(r *membership.Roster) {
