core/placement: never wait for a target that cannot take the task

Cause: TestDemoAddsUp failed: after a refusal of its first target a task waited until its deadline, because that faster target made waiting look worthwhile although it was excluded; with no attempt running there nothing woke the task. The same held for tasks tried on all targets of the availability zone, or larger than all of them. Change: a task that was tried never waits for speed, others only while an attempt runs on a clearly faster target that they may use; a task that cannot use any assigned slot goes to other targets with a slot that may be free. Conclusion: fixed, with a test for each of the cases.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -87,6 +87,12 @@
 		}
 		return p.choice(base, extra), Found
 	}
+	if !s.hasAssigned(&n) {
+		if p := s.elsewhere(&n); p != nil {
+			return p.choice(base, float64(t.cfg.Spread)), Found
+		}
+		return Choice{}, Unsuited
+	}
 	if !n.Blind || t.backlog(s, n.Ahead) < blindFrom {
 		return Choice{}, verdict
 	}
@@ -120,6 +126,58 @@
 	return p.choice(p.service.base(n.Declared), 0), true
 }
 
+// hasAssigned says whether the task can wait for an assigned slot at all. It
+// cannot where it was tried on all such targets, or where none is large enough.
+func (s *service) hasAssigned(n *Need) bool {
+	for _, p := range s.order {
+		tg := p.target
+		if tg.share > 0 && tg.usable() && tg.holds(n) && !slices.Contains(n.Tried, tg.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// elsewhere returns the fastest target without assigned slots that may have a
+// free one, those of the own availability zone first.
+func (s *service) elsewhere(n *Need) *pair {
+	var found *pair
+	for _, p := range s.order {
+		if tg := p.target; tg.share > 0 || !tg.usable() || !tg.mayHaveRoom(s) || !p.allows(n) {
+			continue
+		}
+		if p.target.sameAZ {
+			return p
+		}
+		if found == nil {
+			found = p
+		}
+	}
+	return found
+}
+
+// holds says whether the idle target is large enough for the task.
+func (t *target) holds(n *Need) bool {
+	return n.MemoryMB <= t.MemoryMB && n.Accelerators <= t.Accelerators
+}
+
+// mayHaveRoom says whether one more start is within the part of the slots that
+// may be used without a report, and within what is believed to be free.
+func (t *target) mayHaveRoom(s *service) bool {
+	return t.outstanding < min(t.connCap, max(1, t.Slots/spillPart)) && t.freeSlots(s) > 0
+}
+
+// freeSlots is the number of slots that are believed to be free.
+func (t *target) freeSlots(s *service) int {
+	others := t.others
+	// A slot that another instance borrowed is free again after about one run
+	// time, and no reply says so where none is awaited.
+	if s.sortedAt.Sub(t.reportedAt) > time.Duration(s.mean) {
+		others = min(others, t.Slots-max(t.share, 1))
+	}
+	return t.Slots - t.outstanding - others
+}
+
 // unreported returns a target on which this instance has no attempt, so that
 // no reply will say whether it has a free slot.
 func (s *service) unreported(n *Need) *pair {
@@ -136,7 +194,7 @@
 func (t *Table) first(now time.Time, s *service, tier int, n *Need) (found *pair, free bool) {
 	for i := s.free[tier].next(0); i >= 0; i = s.free[tier].next(i + 1) {
 		p := s.order[i]
-		if tier != assigned && now.Sub(p.target.reportedAt) > freshReport && !(t.stranded && tier == otherZone) {
+		if tier != assigned && now.Sub(p.target.reportedAt) > freshReport && !t.stranded {
 			s.free[tier].set(i, false)
 			continue
 		}
@@ -174,7 +232,7 @@
 // faster target, given how many tasks wait.
 func (s *service) waitPays(p *pair, base, extra float64, n *Need) bool {
 	f := s.faster[p.pos]
-	if f.slots == 0 {
+	if f.slots == 0 || len(n.Tried) > 0 {
 		return false
 	}
 	ahead := float64(n.Ahead) * unsizedFactor
@@ -182,7 +240,21 @@
 		ahead = float64(n.Ahead) * criticalShare
 	}
 	wait := s.mean * max(ahead, 1) / f.rate
-	return base*p.slowness+extra > wait+base*f.slots/f.rate
+	return base*p.slowness+extra > wait+base*f.slots/f.rate && s.fasterBusy(p, n)
+}
+
+// fasterBusy says whether an attempt runs on a clearly faster target that the
+// task may use, so that its end lets the task be looked at again.
+func (s *service) fasterBusy(p *pair, n *Need) bool {
+	for _, q := range s.order[:p.pos] {
+		if q.class() > p.class()-clearClasses {
+			return false
+		}
+		if q.target.outstanding > 0 && q.target.share > 0 && q.target.usable() && q.target.holds(n) {
+			return true
+		}
+	}
+	return false
 }
 
 // Expect forecasts a task's run time on an average target.
@@ -259,17 +331,11 @@
 	if !n.goneAt.IsZero() && now.Sub(n.goneAt) > directMark {
 		t.comeBack(n.Name)
 	}
-	others := n.others
-	// A slot of this instance's share that another one borrowed is free again
-	// after about one run time, and no reply says so where none is awaited.
-	if now.Sub(n.reportedAt) > time.Duration(s.mean) {
-		others = min(others, n.Slots-n.share)
-	}
 	room := n.usable() && n.outstanding < n.connCap && (n.limit < 0 || n.outstanding < n.limit)
-	free := n.Slots - n.outstanding - others
+	free := n.freeSlots(s)
 	s.free[assigned].set(p.pos, room && n.outstanding < n.share && free > 0)
 	borrow := room && free > reserve && !n.reportedAt.IsZero()
-	spill := t.stranded && room && free > 0 && n.outstanding < max(1, n.Slots/spillPart)
-	s.free[sameZone].set(p.pos, borrow && n.sameAZ)
+	spill := t.stranded && room && n.mayHaveRoom(s)
+	s.free[sameZone].set(p.pos, (borrow || spill) && n.sameAZ)
 	s.free[otherZone].set(p.pos, (borrow || spill) && !n.sameAZ)
 }
--- a/core/placement/table_test.go
+++ b/core/placement/table_test.go
@@ -125,3 +125,50 @@
 		}
 	}
 }
+
+// Guards against a task that waits until its deadline for an assigned slot
+// that it cannot use: tried on all such targets, or larger than them.
+func TestElsewhere(t *testing.T) {
+	tb := newTable(3)
+	tb.targets["t002"].sameAZ = false
+	tb.targets["t002"].MemoryMB = 2000
+	tb.assign()
+	for _, n := range []Need{
+		{Service: "s", Ahead: 1, Tried: []string{"t000", "t001"}},
+		{Service: "s", Ahead: 1, MemoryMB: 1500},
+	} {
+		if c, v := tb.Choose(start, n); v != Found || c.Target != "t002" {
+			t.Errorf("need %+v: %+v, verdict %d", n, c, v)
+		}
+	}
+}
+
+// Guards against an instance without any assigned slot never starting a task.
+func TestWithoutAssignedSlots(t *testing.T) {
+	tb := newTable(1)
+	tb.targets["t000"].Slots = 1
+	for _, name := range []string{"e1", "e2"} {
+		tb.cfg.Instance = name
+		tb.assign()
+		if _, v := tb.Choose(start, Need{Service: "s", Ahead: 1}); v != Found {
+			t.Errorf("%s starts nothing, verdict %d", name, v)
+		}
+	}
+}
+
+// Guards against a task that waits until its deadline for a faster target that
+// it must not use, or on which nothing runs whose end could wake it.
+func TestWaitsOnlyForBusyTargets(t *testing.T) {
+	tb := newTable(2)
+	for range 200 {
+		tb.Learn("s", "t000", 0, 400*time.Millisecond)
+		tb.Learn("s", "t001", 0, 100*time.Millisecond)
+	}
+	if c, v := tb.Choose(start, Need{Service: "s", Ahead: 1, Tried: []string{"t001"}}); v != Found || c.Target != "t000" {
+		t.Fatalf("%+v, verdict %d", c, v)
+	}
+	tb.Report(start, "t001", 8, 8)
+	if c, v := tb.Choose(start, Need{Service: "s", Ahead: 1}); v != Found || c.Target != "t000" {
+		t.Fatalf("%+v, verdict %d", c, v)
+	}
+}
