entry/run: serve a second at least after the begin of a stop, test forwarded requests

Cause: an idle instance ended within milliseconds of its signal, before a load balancer could see its health page, and the requests of peers had 5 s to end after the last job. Change: the drain lasts 1 s at least; callers' and peers' requests may end within the drain limit; a test keeps a forwarded job of 12 s over a stop.

--- a/entry/integration/drain_test.go
+++ b/entry/integration/drain_test.go
@@ -46,6 +46,25 @@
 	}
 }
 
+// Guards against a stop that cuts a request which another instance serves,
+// because only the jobs of the stopping instance were waited for.
+func TestStopWaitsForForwardedRequests(t *testing.T) {
+	c := newCluster(t)
+	target := c.target("t1", 8)
+	c.ticket()
+	a, b := c.entry("e1"), c.entry("e2")
+	c.converged(a, b)
+	s := a.open()
+	waiting := make(chan answer, 1)
+	go func() { waiting <- b.submit(s, 1, job(1, 12*time.Second, 20*time.Second)) }()
+	eventually(t, 2*time.Second, "the job runs", func() bool { return len(startsOf(target)) == 1 })
+	b.signal(syscall.SIGTERM)
+	if code := b.exit(25 * time.Second); code != 0 {
+		t.Errorf("the stopped instance ended with %d", code)
+	}
+	complete(t, <-waiting, 1)
+}
+
 // Guards against two instances that stop at the same time and wait for each
 // other until the drain limit.
 func TestTwoStopsAtOnce(t *testing.T) {
--- a/entry/run/drain.go
+++ b/entry/run/drain.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// closeLimit bounds the end of the last requests once no job is left.
-	closeLimit = 5 * time.Second
-	// quietTime without a caller's request ends the drain: the load balancer
-	// then sends its requests elsewhere. lingerLimit bounds the wait for it.
+	// closeLimit bounds the end of the last requests after an early end.
+	closeLimit = time.Second
+	// quietTime without a caller's request, and at least that time after its
+	// begin, ends the drain: the load balancer then sends its requests
+	// elsewhere. lingerLimit bounds the wait for it.
 	quietTime   = time.Second
 	lingerLimit = 5 * time.Second
 	// stopGrace is the time for the last answers after the drain limit.
@@ -29,6 +30,7 @@
 func (in *Instance) drain(ctx context.Context, stop <-chan os.Signal) bool {
 	log := in.part("drain")
 	log.Info("The planned stop begins.")
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, in.settings.drainLimit())
 	defer cancel()
 	in.wg.Go(func() {
@@ -42,17 +44,11 @@
 	in.peers.With(func(r *membership.Roster) { r.SetDraining() })
 	in.wg.Go(func() { in.exchanger.Broadcast(ctx) })
 	in.seal(ctx, log)
-	if !in.finish(ctx) {
+	if !in.finish(ctx, began) {
 		log.Warn("The planned stop ends early. Jobs that are left are answered now.")
 		in.stopNow()
 		return false
 	}
-	in.linger(ctx)
-	// Requests that were forwarded to other homes may take as long as a job.
-	if err := in.gateway.Close(ctx); err != nil {
-		log.Warn("The planned stop ends early. Forwarded requests are cut off.", zap.Error(err))
-		return false
-	}
 	log.Info("All work is finished.")
 	return true
 }
@@ -77,24 +73,28 @@
 	})
 }
 
-// finish waits until no job is left and the successor knows everything.
-func (in *Instance) finish(ctx context.Context) bool {
+// finish waits until no job is left, the successor knows everything and all
+// requests are answered, those that other instances serve included.
+func (in *Instance) finish(ctx context.Context, began time.Time) bool {
 	select {
 	case <-in.drained:
 	case <-ctx.Done():
 		return false
 	}
-	if _, moved := in.mover.Successor(ctx); !moved {
-		return ctx.Err() == nil
+	if _, moved := in.mover.Successor(ctx); moved && !in.waitUntil(ctx, in.mover.Idle) {
+		return false
 	}
-	return in.waitUntil(ctx, in.mover.Idle)
+	in.linger(ctx, began)
+	return in.gateway.Close(ctx) == nil && in.server.Close(ctx) == nil
 }
 
 // linger serves on until callers have turned to other instances.
-func (in *Instance) linger(ctx context.Context) {
+func (in *Instance) linger(ctx context.Context, began time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, lingerLimit)
 	defer cancel()
-	in.waitUntil(ctx, func() bool { return in.gateway.Quiet() >= quietTime })
+	in.waitUntil(ctx, func() bool {
+		return in.gateway.Quiet() >= quietTime && time.Since(began) >= quietTime
+	})
 	in.exchanger.Broadcast(ctx)
 }
 
