--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -129,8 +129,16 @@
 // stop asks the process to end and waits for it up to limit. An end with
 // another exit code than 0 is an error.
 func (p *process) stop(limit time.Duration) error {
+	p.beginStop()
+	return p.awaitStop(limit)
+}
+
+func (p *process) beginStop() {
 	p.expect()
 	p.signal(syscall.SIGTERM)
+}
+
+func (p *process) awaitStop(limit time.Duration) error {
 	select {
 	case <-p.done:
 		p.mu.Lock()
