bench/soak: duplicate replies between entry instances

Cause: replies between entry instances name their requests now, but the run still left duplicated byte streams between them out. Change: peer connections get every disturbance; only the store's do not.

--- a/bench/soak/chaos.go
+++ b/bench/soak/chaos.go
@@ -242,14 +242,14 @@
 	return nil
 }
 
-// disturbPeer never duplicates: a duplicated byte stream, which TCP excludes,
-// would answer one HTTP request with the reply to another, and only the
-// target protocol names its requests in its replies.
 func (ch *chaos) disturbPeer(victim int, hold func()) error {
-	disturb(ch.entry(victim).proxy, 1+victim/len(ch.c.entries)%(disturbances-1), hold)
+	disturb(ch.entry(victim).proxy, victim/len(ch.c.entries), hold)
 	return nil
 }
 
+// disturbStore never duplicates: a duplicated byte stream, which TCP excludes,
+// would answer one HTTP request with the reply to another, and replies of the
+// store, unlike those of targets and peers, do not name their requests.
 func (ch *chaos) disturbStore(victim int, hold func()) error {
 	z := victim % len(ch.c.stores)
 	return ch.stops.hide(ch.c.inZone(z), func() error {
