--- a/bench/fleet/entry.go
+++ b/bench/fleet/entry.go
@@ -120,7 +120,7 @@
 		return err
 	}
 	if err := e.Stop(stopTimeout); err != nil {
-		return fmt.Errorf("stop %s: %w", e.Name, err)
+		return fmt.Errorf("stop %s: %w\n%s", e.EntrySpec.Name, err, e.Tail())
 	}
 	return f.Platform.Remove(e.Name)
 }
