core/placement: let a failed task go to a slower target

The wait now counts only if another clearly faster target may run the task. In the same way a retry no longer counts targets of other zones as a way out.

Conclusion: a task is not left in the queue while a target may run it.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -170,11 +170,21 @@
 	return p.target.fits(n) && !slices.Contains(n.Tried, p.target.Name) && !(n.Sure && p.target.limit > 0)
 }
 
+// allowsBefore says whether the task may run on any target with assigned slots
+// that is clearly faster than the one at a position. A task that has failed on all of
+// them would wait for a slot that it never takes.
+func (s *service) allowsBefore(pos int, n *Need) bool {
+	return slices.ContainsFunc(s.order[:pos], func(p *pair) bool {
+		clearly := p.class() <= s.order[pos].class()-clearClasses
+		return clearly && p.target.sameAZ && p.target.usable() && p.allows(n)
+	})
+}
+
 // waitPays says whether the task should rather wait for a slot on a clearly
 // faster target, given how many tasks wait.
 func (s *service) waitPays(p *pair, base, extra float64, n *Need) bool {
 	f := s.faster[p.pos]
-	if f.slots == 0 {
+	if f.slots == 0 || len(n.Tried) > 0 && !s.allowsBefore(p.pos, n) {
 		return false
 	}
 	ahead := float64(n.Ahead) * unsizedFactor
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -332,6 +332,21 @@
 	return n
 }
 
+// Untried reports whether a task that was tried on some targets can go to
+// another one: to one of the own availability zone or, where few of these are
+// left, of any zone. Other targets may never be chosen, so that a task must
+// not wait for them.
+func (t *Table) Untried(name string, tried []string) bool {
+	svc := t.services[name]
+	if svc == nil {
+		return false
+	}
+	return slices.ContainsFunc(svc.order, func(p *pair) bool {
+		n := p.target
+		return !n.gone() && (n.sameAZ || t.stranded) && !slices.Contains(tried, n.Name)
+	})
+}
+
 // Address returns the address of a target, or an empty one.
 func (t *Table) Address(name string) string {
 	if n := t.targets[name]; n != nil {
