entry/handover: end a planned stop whose successor was replaced

A successor that began to drain after its reply was lost refused the repeated transfer before the Dispatcher saw it. Change: the reply to Handover names the successor's incarnation, Deliver carries it, and another incarnation refuses with NotFound; a successor that refuses connections for 30 s counts as ended. Repeated transfers always reach the Dispatcher, which knows whether it took the sessions over.

--- a/entry/handover/mover.go
+++ b/entry/handover/mover.go
@@ -28,11 +28,14 @@
 	retryAfter  = 200 * time.Millisecond
 	// aloneLimit bounds the wait for a first successor.
 	aloneLimit = 10 * time.Second
+	// deadAfter is how long a successor may refuse connections before its
+	// sessions count as ended.
+	deadAfter = 30 * time.Second
 )
 
 var (
 	errNone   = errors.New("no successor is known")
-	errGiveUp = errors.New("no successor is left")
+	errGiveUp = errors.New("the successor has ended, or none is left")
 )
 
 // Config holds the dependencies of a Mover.
@@ -51,8 +54,9 @@
 
 	// address and name are those of the successor. They are set before
 	// accepted is closed and do not change afterwards.
-	address string
-	name    string
+	address     string
+	name        string
+	incarnation uint64
 
 	mu      sync.Mutex
 	records []dispatch.SessionRecord
@@ -195,8 +199,9 @@
 
 func (m *Mover) send(ctx context.Context, part []*wire.SessionRecord) error {
 	req := &wire.HandoverRequest{Incarnation: m.self.Incarnation, From: m.self.Name, Sessions: part}
-	_, err := m.cfg.Peers.Client(m.address).Handover(ctx, req)
+	reply, err := m.cfg.Peers.Client(m.address).Handover(ctx, req)
 	if err == nil {
+		m.incarnation = reply.GetIncarnation()
 		m.cfg.Metrics.HandedOver.Inc(int64(len(part)))
 	}
 	return err
@@ -211,12 +216,8 @@
 	if len(answers) == 0 {
 		return false
 	}
-	client := m.cfg.Peers.Client(m.address)
 	for _, chunk := range chunks(convert.ToDelivered(answers)) {
-		m.retry(ctx, func(ctx context.Context) error {
-			_, err := client.Deliver(ctx, &wire.DeliverRequest{Answers: chunk})
-			return err
-		})
+		m.deliverChunk(ctx, chunk)
 	}
 	m.mu.Lock()
 	m.sending = false
@@ -224,6 +225,30 @@
 	return ctx.Err() == nil
 }
 
+// deliverChunk gives up where the successor has ended, because the sessions
+// ended with it.
+func (m *Mover) deliverChunk(ctx context.Context, chunk []*wire.DeliveredAnswer) {
+	client := m.cfg.Peers.Client(m.address)
+	var refusedSince time.Time
+	m.retry(ctx, func(ctx context.Context) error {
+		_, err := client.Deliver(ctx, &wire.DeliverRequest{Answers: chunk, Incarnation: m.incarnation})
+		var twerr twirp.Error
+		ended := errors.As(err, &twerr) && twerr.Code() == twirp.NotFound
+		switch {
+		case !errors.Is(err, syscall.ECONNREFUSED):
+			refusedSince = time.Time{}
+		case refusedSince.IsZero():
+			refusedSince = time.Now()
+		case time.Since(refusedSince) > deadAfter:
+			ended = true
+		}
+		if ended {
+			return errors.Join(errGiveUp, err)
+		}
+		return err
+	})
+}
+
 // retry calls fn until it succeeds, gives up or ctx ends.
 func (m *Mover) retry(ctx context.Context, fn func(context.Context) error) bool {
 	for try := 1; ; try++ {
--- a/entry/peering/server.go
+++ b/entry/peering/server.go
@@ -106,9 +106,6 @@
 // Handover implements wire.Peer. FailedPrecondition means that this instance
 // drains itself and holds none of the sessions.
 func (s *Server) Handover(ctx context.Context, req *wire.HandoverRequest) (*wire.HandoverReply, error) {
-	if s.cfg.Draining() {
-		return nil, twirp.NewError(twirp.FailedPrecondition, "the instance is draining")
-	}
 	records, err := convert.FromRecords(req.GetSessions())
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("sessions", err.Error())
@@ -127,11 +124,15 @@
 		r.AddMove(now, membership.Move{Incarnation: req.GetIncarnation(), Successor: s.self.Address})
 	})
 	s.cfg.Log.Info("Sessions are taken over.", zap.String("from", req.GetFrom()), zap.Int("sessions", len(records)))
-	return &wire.HandoverReply{Accepted: uint32(len(records))}, nil
+	return &wire.HandoverReply{Accepted: uint32(len(records)), Incarnation: s.self.Incarnation}, nil
 }
 
-// Deliver implements wire.Peer.
+// Deliver implements wire.Peer. NotFound means that the sessions were handed
+// to an earlier run at this address and ended with it.
 func (s *Server) Deliver(ctx context.Context, req *wire.DeliverRequest) (*wire.DeliverReply, error) {
+	if req.GetIncarnation() != s.self.Incarnation {
+		return nil, twirp.NotFoundError("the sessions ended with an earlier run of this instance")
+	}
 	answers, err := convert.FromDelivered(req.GetAnswers())
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("answers", err.Error())
