--- a/entry/routing/router.go
+++ b/entry/routing/router.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -24,11 +26,19 @@
 	// forwardGrace is how long after its own time limit a forwarded request
 	// may still be answered by its home.
 	forwardGrace = 5 * time.Second
+	// seekTries bounds the peers that are asked for a home that is not where
+	// its token says, and seekWithin the time after which none is asked.
+	seekTries  = 2
+	seekWithin = 2 * time.Second
 	// openTries bounds the peers that a draining instance asks to open a
 	// session.
 	openTries = 3
 )
 
+// errCrossed says that a reply names another request. The request may have
+// arrived all the same.
+var errCrossed = errors.New("the reply belongs to another request")
+
 // Mover tells where this instance's sessions went. Successor waits until the
 // successor has accepted them or ctx ends, and returns false where there is
 // none.
@@ -72,6 +82,16 @@
 		return home.Reject(http.StatusUnauthorized, "session", err.Error())
 	}
 	req.Caller = tok.Caller
+	began := time.Now()
+	reply := r.reach(ctx, tok, req)
+	if lost(reply) && time.Since(began) < seekWithin {
+		return r.seek(ctx, tok, req, reply)
+	}
+	return reply
+}
+
+// reach serves the request here or forwards it to where its home should be.
+func (r *Router) reach(ctx context.Context, tok token.Token, req *wire.ForwardRequest) *wire.ForwardReply {
 	address := r.locate(tok)
 	if address == "" {
 		reply, moved := r.cfg.Home.Serve(ctx, tok, req)
@@ -180,7 +200,12 @@
 	ctx, span := r.cfg.Tracer.Start(ctx, "forward")
 	defer span.End()
 	req.Traceparent = tracing.Inject(ctx)
-	return r.cfg.Peers.Client(address).Forward(ctx, req)
+	req.RequestId = rand.Uint64()
+	reply, err := r.cfg.Peers.Client(address).Forward(ctx, req)
+	if err == nil && reply.GetRequestId() != req.GetRequestId() {
+		return nil, errCrossed
+	}
+	return reply, err
 }
 
 // open opens a session here or, while this instance drains, at a peer.
@@ -188,7 +213,7 @@
 	if !r.cfg.Draining() {
 		return r.cfg.Home.Open(ctx, req.GetCaller())
 	}
-	for _, address := range r.openAt() {
+	for _, address := range r.live(openTries) {
 		reply, err := r.forward(ctx, address, req)
 		if err == nil && reply.GetSession() != "" {
 			return reply
@@ -197,9 +222,39 @@
 	return home.Reject(http.StatusServiceUnavailable, "session", "the instance is draining and no peer opens sessions")
 }
 
-// openAt returns the peers that may open a session, those of the own
+// lost says whether the home of a request was not found.
+func lost(reply *wire.ForwardReply) bool {
+	code := answer.Code(reply.GetAnswer().GetCode())
+	return reply.GetAnswer().GetState() == wire.State_STATE_UNKNOWN &&
+		(code == answer.CodeHomeUnreachable || code == answer.CodeHomeReplaced)
+}
+
+// seek asks peers for the successor of a home that is gone. The exchange
+// messages carry only the newest moves, so that an instance may not know an
+// older one. A peer that is not the home starts nothing.
+func (r *Router) seek(ctx context.Context, tok token.Token, req *wire.ForwardRequest, last *wire.ForwardReply) *wire.ForwardReply {
+	if _, known := r.moved(tok.Incarnation); known || tok.Incarnation == r.self.Incarnation {
+		return last
+	}
+	for _, address := range r.live(seekTries) {
+		reply, err := r.forward(ctx, address, req)
+		if err != nil {
+			continue
+		}
+		r.cfg.Metrics.Forward("sought")
+		if to := reply.GetMovedTo(); to != "" {
+			reply = r.follow(ctx, to, req)
+		}
+		if !lost(reply) {
+			return reply
+		}
+	}
+	return last
+}
+
+// live returns up to n live peers of the region, those of the own
 // availability zone first.
-func (r *Router) openAt() []string {
+func (r *Router) live(n int) []string {
 	var own, other []string
 	r.cfg.Peers.With(func(roster *membership.Roster) {
 		for _, p := range roster.Peers() {
@@ -213,5 +268,5 @@
 		}
 	})
 	all := append(own, other...)
-	return all[:min(len(all), openTries)]
+	return all[:min(len(all), n)]
 }
