--- a/entry/run/config.go
+++ b/entry/run/config.go
@@ -1,12 +1,17 @@
 package run
 
-import "marigoldfront.dev/core/dispatch"
+import (
+	"time"
+
+	"marigoldfront.dev/core/dispatch"
+)
 
 // dispatchConfig returns the configuration of the Dispatcher for an
 // incarnation of the instance.
 func (s *Settings) dispatchConfig(incarnation uint64) dispatch.Config {
 	cfg := dispatch.DefaultConfig(s.Name, incarnation)
 	cfg.Region, cfg.AvailabilityZone = s.Region, s.AvailabilityZone
+	cfg.BorrowFrom = time.Duration(s.BorrowFromMS) * time.Millisecond
 	if s.Policy == "baseline" {
 		cfg.Policy = dispatch.PolicyBaseline
 	}
--- a/entry/run/config_test.go
+++ b/entry/run/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"marigoldfront.dev/core/dispatch"
 )
@@ -10,11 +11,14 @@
 // availability zone an instance sends most tasks to other zones, and without
 // the policy a comparison compares a policy with itself.
 func TestSettingsReachTheDispatcher(t *testing.T) {
-	s := Settings{Name: "accra-entry-1", Region: "gh-south", AvailabilityZone: "accra", Policy: "default"}
+	s := Settings{Name: "accra-entry-1", Region: "gh-south", AvailabilityZone: "accra", Policy: "default", BorrowFromMS: 500}
 	cfg := s.dispatchConfig(7)
 	if cfg.Instance != s.Name || cfg.Incarnation != 7 || cfg.Region != s.Region || cfg.AvailabilityZone != s.AvailabilityZone {
 		t.Errorf("configuration %+v does not carry the settings", cfg)
 	}
+	if cfg.BorrowFrom != 500*time.Millisecond {
+		t.Errorf("slots are borrowed from a backlog of %v on", cfg.BorrowFrom)
+	}
 	if cfg.Policy != dispatch.PolicyLoad {
 		t.Errorf("the default policy is %q", cfg.Policy)
 	}
--- a/entry/run/settings.go
+++ b/entry/run/settings.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap/zapcore"
 
+	"marigoldfront.dev/core/dispatch"
 	"marigoldfront.dev/core/finding"
 	"marigoldfront.dev/platform/settings"
 )
@@ -18,6 +19,7 @@
 	maxDrainLimitS     = 86_400
 	minSecretBytes     = 16
 	maxNameBytes       = 255
+	maxBorrowFromMS    = 60_000
 )
 
 // Settings are the contents of the settings file.
@@ -47,11 +49,16 @@
 	Trace string `toml:"trace"`
 	// Policy is default or baseline.
 	Policy string `toml:"policy"`
+	// BorrowFromMS is the backlog, in milliseconds, from which slots are used
+	// that are assigned to other instances: fewer milliseconds shorten the
+	// slowest answers and cost refused starts (docs/MEASUREMENTS.md).
+	BorrowFromMS int `toml:"borrow_from_ms"`
 }
 
 // LoadSettings reads and checks the file at path.
 func LoadSettings(path string) (Settings, finding.List) {
-	s := Settings{DrainLimitS: defaultDrainLimitS, LogLevel: "info", Trace: "off", Policy: "default"}
+	s := Settings{DrainLimitS: defaultDrainLimitS, LogLevel: "info", Trace: "off", Policy: "default",
+		BorrowFromMS: int(dispatch.DefaultConfig("", 1).BorrowFrom.Milliseconds())}
 	file, found := settings.Load(path, &s)
 	if file.Empty() {
 		return s, found
@@ -96,6 +103,9 @@
 	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
 		add("log_level", "must be debug, info, warn or error")
 	}
+	if s.BorrowFromMS < 1 || s.BorrowFromMS > maxBorrowFromMS {
+		add("borrow_from_ms", "must be 1 to 60000")
+	}
 	if s.Policy != "default" && s.Policy != "baseline" {
 		add("policy", "must be default or baseline")
 	}
