core/membership: send old hand-overs seldom; bench/slopes: time tickets

Cause: every exchange message carried up to 32 mappings of moved incarnations for 24 hours. A message costs 12 times a second and a mapping about 36 bytes, so that five of them add 2.1 KB/s to the 3.6 KB/s measured: more than the 5 KB/s of a node. How long a ticket takes at many instances was not measured. Change: mappings older than two minutes are sent one at a time in one of four seconds; slopes reports the longest of 5 tickets to be in force everywhere.

--- a/bench/slopes/command.go
+++ b/bench/slopes/command.go
@@ -68,6 +68,9 @@
 	StoreCalls float64
 	// SetupCPU is the processor time in ms that bringing the units in took.
 	SetupCPU float64
+	// InForce is the longest time in ms from the acceptance of a ticket until
+	// all entry processes have it in force; 0 where it was not measured.
+	InForce float64
 }
 
 // Execute implements flags.Commander.
@@ -98,7 +101,7 @@
 }
 
 func (b bench) run(ctx context.Context, r *run, sizes []int, w io.Writer) error {
-	fmt.Fprintf(w, "%-12s %7s %12s %12s %14s %14s %14s\n", "unit", "size", "resident_KB", "cpu_ms/s", "io_bytes/s", "store_calls/s", "setup_cpu_ms")
+	fmt.Fprintf(w, "%-12s %7s %12s %12s %14s %14s %14s %12s\n", "unit", "size", "resident_KB", "cpu_ms/s", "io_bytes/s", "store_calls/s", "setup_cpu_ms", "in_force_ms")
 	var points []Point
 	for _, n := range sizes {
 		p, err := b.point(ctx, r, n)
@@ -107,7 +110,8 @@
 		}
 		p.Size = n
 		points = append(points, p)
-		fmt.Fprintf(w, "%-12s %7d %12.0f %12.2f %14.0f %14.2f %14.0f\n", b.unit, n, p.Resident/1024, p.CPU, p.IO, p.StoreCalls, p.SetupCPU)
+		fmt.Fprintf(w, "%-12s %7d %12.0f %12.2f %14.0f %14.2f %14.0f %12.0f\n",
+			b.unit, n, p.Resident/1024, p.CPU, p.IO, p.StoreCalls, p.SetupCPU, p.InForce)
 	}
 	printSlopes(w, b.unit, points)
 	return nil
--- a/bench/slopes/points.go
+++ b/bench/slopes/points.go
@@ -29,7 +29,9 @@
 	// blockMS keeps the only slot busy for longer than the observation.
 	blockMS     = 120_000
 	ticketLimit = 60 * time.Second
-	parallel    = 32
+	// ticketRounds is how many tickets are timed.
+	ticketRounds = 5
+	parallel     = 32
 )
 
 var desk = directory.Service{Name: service, Owner: "bench", ExpectedMS: 1, MaxAttempts: 3}
@@ -178,14 +180,34 @@
 	})
 }
 
-// peers observes n entry processes, eight to an availability zone.
+// peers observes n entry processes, eight to an availability zone, and how
+// long tickets take to reach all of them.
 func peers(ctx context.Context, r *run, n int) (Point, error) {
 	f, err := r.system(ctx, n)
 	if err != nil {
 		return Point{}, err
 	}
 	defer f.Close()
-	return r.setUp(f, func(*fleet.Entry) error { return nil })
+	p, err := r.setUp(f, func(*fleet.Entry) error { return nil })
+	for i := 0; err == nil && i < ticketRounds; i++ {
+		var took time.Duration
+		took, err = propagation(ctx, f, 2+i)
+		p.InForce = max(p.InForce, took.Seconds()*1000)
+	}
+	return p, err
+}
+
+// propagation accepts a ticket and waits until all entry processes have it in
+// force. Asking them in turn is part of the time.
+func propagation(ctx context.Context, f *fleet.Fleet, weight int) (time.Duration, error) {
+	put := directory.State{Teams: map[string]directory.Team{"bench": {Name: "bench", Weight: weight}}}
+	number, err := f.Apply(ctx, put)
+	if err != nil {
+		return 0, err
+	}
+	accepted := time.Now()
+	err = f.AwaitTicket(number, ticketLimit)
+	return time.Since(accepted), err
 }
 
 func client(e *fleet.Entry) (*caller.Client, error) {
--- a/core/membership/moved.go
+++ b/core/membership/moved.go
@@ -9,6 +9,11 @@
 const (
 	movedKeep  = 24 * time.Hour
 	movedLimit = 4096
+	// movedFresh is how long every message carries a mapping. A message
+	// reaches all instances of a region within a few rounds of a second.
+	movedFresh = 2 * time.Minute
+	// olderEvery is the interval, in seconds, of messages with an older one.
+	olderEvery = 4
 	// maxMoves bounds a lookup, so that contradictory mappings cannot loop.
 	maxMoves = 64
 )
@@ -110,19 +115,30 @@
 	return address, found
 }
 
-// newest returns up to n mappings, newest first.
+// newest returns up to n mappings of the last minutes, newest first. In one of
+// four seconds it adds an older one, in turn, so that instances that started
+// since learn them too: sending all of them with every message would exceed
+// the 5 KB/s of an instance from about five mappings on.
 func (m *moves) newest(now time.Time, n int) []Move {
-	all := make([]Move, 0, len(m.entries))
+	var fresh, older []Move
 	for inc, e := range m.entries {
-		if age := now.Sub(e.at); age <= movedKeep {
-			all = append(all, Move{Incarnation: inc, Successor: e.successor, Age: age})
+		mv := Move{Incarnation: inc, Successor: e.successor, Age: now.Sub(e.at)}
+		switch {
+		case mv.Age <= movedFresh:
+			fresh = append(fresh, mv)
+		case mv.Age <= movedKeep:
+			older = append(older, mv)
 		}
 	}
-	slices.SortFunc(all, func(a, b Move) int {
-		if c := cmp.Compare(a.Age, b.Age); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.Incarnation, b.Incarnation)
-	})
-	return all[:min(n, len(all))]
+	slices.SortFunc(fresh, byAge)
+	fresh = fresh[:min(n, len(fresh))]
+	if second := now.Unix(); len(older) > 0 && second%olderEvery == 0 {
+		slices.SortFunc(older, byAge)
+		fresh = append(fresh, older[int(second/olderEvery)%len(older)])
+	}
+	return fresh
+}
+
+func byAge(a, b Move) int {
+	return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Incarnation, b.Incarnation))
 }
--- a/core/membership/roster_test.go
+++ b/core/membership/roster_test.go
@@ -102,6 +102,31 @@
 	}
 }
 
+// Guards against messages that grow with the hand-overs of a day, and against
+// instances that start later and never learn of an older one.
+func TestMovesSent(t *testing.T) {
+	r := New(identity(1, "a"))
+	for i := range 40 {
+		r.AddMove(start, Move{Incarnation: uint64(100 + i), Successor: "s"})
+	}
+	if n := len(r.NewestMoves(start.Add(time.Minute), 32)); n != 32 {
+		t.Errorf("%d new mappings, want 32", n)
+	}
+	seen := map[uint64]bool{}
+	for i := range 4 * 40 {
+		moves := r.NewestMoves(start.Add(time.Hour+time.Duration(i)*time.Second), 32)
+		if len(moves) > 1 {
+			t.Fatalf("%d mappings after an hour, want at most 1", len(moves))
+		}
+		for _, m := range moves {
+			seen[m.Incarnation] = true
+		}
+	}
+	if len(seen) != 40 {
+		t.Errorf("%d of 40 older mappings were sent in 160 s", len(seen))
+	}
+}
+
 // Guards against a zone without store watchers, and against rounds that miss
 // the other availability zones or spend their calls on dead instances.
 func TestChoices(t *testing.T) {
