core: keep no task waiting that a target could take

Change: Relax also returns targets whose failures were dropped; a task that has failed is a probe where nothing else takes it; retries ask for a target that is large enough and untried.

--- a/core/dispatch/policy_end.go
+++ b/core/dispatch/policy_end.go
@@ -112,7 +112,7 @@
 // allowAgain lets a task that did not run return to the targets it has tried
 // once there is no other; the Dispatcher bounds such starts.
 func (p *loadPolicy) allowAgain(w *pending) {
-	if len(w.tried) >= p.table.Serving(w.job.sub.Service) {
+	if !w.job.rec.Final() && !p.table.Suits(p.need(w)) {
 		w.tried = w.tried[:0]
 	}
 }
@@ -122,7 +122,7 @@
 	if w.job.plan.atFault || w.job.rec.TaskConsumed(w.task) >= service.MaxAttempts {
 		return false
 	}
-	if len(w.tried) >= p.table.Serving(w.job.sub.Service) {
+	if !p.table.Suits(p.need(w)) {
 		return false
 	}
 	w.spends = true
--- a/core/dispatch/policy_next.go
+++ b/core/dispatch/policy_next.go
@@ -77,19 +77,23 @@
 func (p *loadPolicy) place(now time.Time, h queue.Head) (choice, bool) {
 	w := &p.jobs[h.Job].work[h.Task.Index]
 	n := p.need(w)
-	if c, ok := p.probe(now, w, n); ok {
-		return p.take(h.Job, w, c, true), true
+	if c, ok := p.probe(now, w, n); ok && len(w.tried) == 0 {
+		return p.takeProbe(now, h.Job, w, c), true
 	}
 	n.Within = max(w.job.plan.queue.Expected-now.Sub(w.job.admitted), h.Task.Expected)
 	n.Blind = !now.Before(p.blind.next)
 	c, verdict := p.table.Choose(now, n)
-	switch verdict {
-	case placement.Found:
+	if verdict == placement.Found {
 		if c.Blind {
 			p.blind.used(now)
 		}
-		return p.take(h.Job, w, c, false), true
-	case placement.Full:
+		return p.take(h.Job, w, c), true
+	}
+	// A task that has failed is a probe only where nothing else takes it.
+	if c, ok := p.probe(now, w, n); ok {
+		return p.takeProbe(now, h.Job, w, c), true
+	}
+	if verdict == placement.Full {
 		p.blocked = append(p.blocked, n.Service)
 		return choice{}, false
 	}
@@ -119,21 +123,25 @@
 // probe returns an ejected target that is due for a single task.
 func (p *loadPolicy) probe(now time.Time, w *pending, n placement.Need) (placement.Choice, bool) {
 	for _, name := range p.health.Ejected() {
-		if len(w.tried) > 0 || !p.health.ProbeDue(now, name, w.job.sub.Repeatable) {
+		if !p.health.ProbeDue(now, name, w.job.sub.Repeatable) {
 			continue
 		}
 		if c, ok := p.table.Probe(name, n); ok {
-			p.health.Probe(now, name)
 			return c, true
 		}
 	}
 	return placement.Choice{}, false
 }
 
-func (p *loadPolicy) take(job uint64, w *pending, c placement.Choice, probe bool) choice {
+func (p *loadPolicy) take(job uint64, w *pending, c placement.Choice) choice {
 	t, _ := p.queue.Take(job, false)
-	taken := p.taken(w, t, c)
-	taken.probe = probe
+	return p.taken(w, t, c)
+}
+
+func (p *loadPolicy) takeProbe(now time.Time, job uint64, w *pending, c placement.Choice) choice {
+	p.health.Probe(now, c.Target)
+	taken := p.take(job, w, c)
+	taken.probe = true
 	return taken
 }
 
--- a/core/health/monitor.go
+++ b/core/health/monitor.go
@@ -287,14 +287,19 @@
 	}
 }
 
-// Relax returns the targets whose limit of one attempt has ended because
-// nothing failed since. Without it a target could wait for ever for a success
+// Relax returns the targets whose limit of one attempt has ended, because
+// nothing failed since or the failures were a job's own. Without it a target could wait for ever for a success
 // where only tasks exist that avoid targets with failures.
 func (m *Monitor) Relax(now time.Time) []string {
 	var relaxed []string
 	m.suspects = slices.DeleteFunc(m.suspects, func(n string) bool {
 		t := m.targets[n]
-		if t == nil || t.ejected || len(t.failures) == 0 {
+		switch {
+		case t == nil || t.ejected:
+			return true
+		case len(t.failures) == 0:
+			// A success, or a job found at fault, has ended the limit.
+			relaxed = append(relaxed, n)
 			return true
 		}
 		if now.Sub(t.failedAt) < suspectFor {
--- a/core/health/monitor_test.go
+++ b/core/health/monitor_test.go
@@ -44,6 +44,9 @@
 	if !m.Fail(start, "b", 66) || !m.Fail(start, "c", 66) {
 		t.Fatal("failures on targets that serve others well not blamed on the job")
 	}
+	if got := m.Relax(start); len(got) != 1 || got[0] != "a" {
+		t.Fatalf("relaxed %v, want the target whose failure was the job's own", got)
+	}
 	for _, name := range []string{"a", "b", "c"} {
 		if m.Limit(name) != NoLimit {
 			t.Fatalf("%s has limit %d because of a bad job", name, m.Limit(name))
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -116,6 +116,15 @@
 	return Choice{Target: p.target.Name, Address: p.target.address, Expected: time.Duration(base*p.slowness + extra)}
 }
 
+// Suits says whether any target that is not leaving is large enough for the
+// task and has not been tried.
+func (t *Table) Suits(n Need) bool {
+	s := t.services[n.Service]
+	return s != nil && slices.ContainsFunc(s.order, func(p *pair) bool {
+		return !p.target.gone() && p.target.holds(&n) && !slices.Contains(n.Tried, p.target.Name)
+	})
+}
+
 // Probe returns the choice of a target under a limit, for a single task that
 // shows whether it works again.
 func (t *Table) Probe(on string, n Need) (Choice, bool) {
