--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -78,6 +78,10 @@
 // Close drops the idle connections.
 func (p *Peers) Close() { p.transport.CloseIdleConnections() }
 
+// unused are headers that no peer reads. They would be a sixth of the bytes
+// of the exchange messages, which count against 5 KB/s.
+var unused = []string{"Accept", "Twirp-Version"}
+
 // client adds the secret to every request.
 type client struct {
 	http   *http.Client
@@ -87,6 +91,11 @@
 // Do implements wire.HTTPClient.
 func (c *client) Do(req *http.Request) (*http.Response, error) {
 	req.Header.Set(authorization, bearer+c.secret)
+	for _, h := range unused {
+		req.Header.Del(h)
+	}
+	// An empty value keeps the transport from adding its own.
+	req.Header.Set("User-Agent", "")
 	return c.http.Do(req)
 }
 
@@ -109,6 +118,8 @@
 			http.Error(w, "the peer secret is wrong", http.StatusUnauthorized)
 			return
 		}
+		// A nil value keeps the server from adding the header.
+		w.Header()["Date"] = nil
 		next.ServeHTTP(w, r)
 	})
 }
