core, entry: take learned speeds over from a peer at the start

Cause: FetchSpeeds replied empty. A new instance learned the speed of every target anew and sent its first tasks to slow targets. Change: Dispatcher.Speeds reads the learned run times, and the event SpeedsLearned sets those of targets of which the instance has learned nothing. Effects on slowdown were not measured. Conclusion: the first placements of a new instance follow its peers' speeds.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -147,6 +147,8 @@
 		d.importSessions(ev)
 	case ImportAnswers:
 		d.importAnswers(ev)
+	case SpeedsLearned:
+		d.takeOverSpeeds(ev)
 	case StopNow:
 		d.stopNow()
 	case Tick:
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -166,6 +166,22 @@
 	Answers []FinalAnswer
 }
 
+// SpeedsLearned carries run times that another instance learned. They are used
+// where this one has learned nothing itself, and only for targets and services
+// of the configuration in force.
+type SpeedsLearned struct {
+	Speeds []Speed
+}
+
+// Speed is the learned run time of a target for a service.
+type Speed struct {
+	Target  string
+	Service string
+	Mean    time.Duration
+	// Samples is the number of run times in the mean.
+	Samples int
+}
+
 // StopNow ends the drain at its time limit: jobs without an attempted start
 // are answered NotRun, all others by the rules of answers.
 type StopNow struct{}
@@ -211,5 +227,6 @@
 func (Drain) event()            {}
 func (ImportSessions) event()   {}
 func (ImportAnswers) event()    {}
+func (SpeedsLearned) event()    {}
 func (StopNow) event()          {}
 func (Tick) event()             {}
--- a/core/dispatch/policy.go
+++ b/core/dispatch/policy.go
@@ -58,6 +58,10 @@
 	// waitsFor says whether queued work could use a slot of the target, and the
 	// target's address.
 	waitsFor(name string) (string, bool)
+	// speeds returns the learned run times; takeOver uses those of another
+	// instance where this one has learned nothing.
+	speeds() []placement.Speed
+	takeOver(all []placement.Speed)
 	// depth is the number of queued tasks.
 	depth() int
 	// wake is the time at which the policy wants to decide again, or zero.
--- a/entry/peering/server.go
+++ b/entry/peering/server.go
@@ -45,6 +45,8 @@
 	Tickets   Tickets
 	Exchanger *Exchanger
 	Draining  func() bool
+	// Speeds returns the learned run times.
+	Speeds func() []dispatch.Speed
 	// Secrets are the accepted peer secrets.
 	Secrets []string
 }
@@ -178,7 +180,10 @@
 	return s.cfg.Tickets.Fetch(req.GetAfter()), nil
 }
 
-// FetchSpeeds implements wire.Peer.
-func (s *Server) FetchSpeeds(context.Context, *wire.FetchSpeedsRequest) (*wire.FetchSpeedsReply, error) {
-	return &wire.FetchSpeedsReply{}, nil
+// FetchSpeeds implements wire.Peer. The reply is empty for another region.
+func (s *Server) FetchSpeeds(_ context.Context, req *wire.FetchSpeedsRequest) (*wire.FetchSpeedsReply, error) {
+	if req.GetRegion() != s.self.Region {
+		return &wire.FetchSpeedsReply{}, nil
+	}
+	return &wire.FetchSpeedsReply{Speeds: convert.Speeds(s.cfg.Speeds())}, nil
 }
--- a/entry/run/drain.go
+++ b/entry/run/drain.go
@@ -108,9 +108,14 @@
 }
 
 func (in *Instance) waitUntil(ctx context.Context, done func() bool) bool {
+	return in.waitUntilEvery(ctx, idlePoll, done)
+}
+
+// waitUntilEvery looks at done in intervals until it holds or ctx ends.
+func (in *Instance) waitUntilEvery(ctx context.Context, interval time.Duration, done func() bool) bool {
 	for !done() {
 		select {
-		case <-time.After(idlePoll):
+		case <-time.After(interval):
 		case <-ctx.Done():
 			return false
 		}
--- a/entry/run/instance.go
+++ b/entry/run/instance.go
@@ -131,7 +131,7 @@
 	})
 	in.server = peering.NewServer(peering.ServerConfig{
 		Log: in.part("peering"), Tracer: in.tracer, Router: in.router, Engine: in.engine,
-		Peers: in.peers, Tickets: in.configurer, Exchanger: in.exchanger, Draining: in.draining.Load,
+		Peers: in.peers, Tickets: in.configurer, Exchanger: in.exchanger, Draining: in.draining.Load, Speeds: in.speeds,
 		Secrets: []string{s.PeerSecret, s.PreviousPeerSecret},
 	})
 	in.gateway = gateway.New(gateway.Config{
@@ -207,6 +207,7 @@
 	in.wg.Go(func() { in.lister.Run(ctx) })
 	in.wg.Go(func() { in.exchanger.Run(ctx) })
 	in.wg.Go(func() { in.sample(ctx) })
+	in.wg.Go(func() { in.fetchSpeeds(ctx) })
 	in.wg.Go(func() { failed <- in.server.Serve(in.peerListener) })
 	in.wg.Go(func() { failed <- in.gateway.Serve(in.listener) })
 	in.log.Info("The instance serves.", zap.String("listen", in.listener.Addr().String()),
