wire: remove free_slots from the exchange message

Cause: the field was always 0 and nothing read it. A start outside the assigned slots follows the target's own report of at most 50 ms ago, while exchange messages are a second apart and name no target, so that the hint cannot serve a placement. Nothing else decides by a peer's free slots. Conclusion: the message has no field left that stays empty. queued_tasks and running_tasks are filled, but no receiver reads them either.

--- a/entry/peering/exchanger.go
+++ b/entry/peering/exchanger.go
@@ -27,7 +27,7 @@
 
 // Hints are the current loads that peers are told.
 type Hints struct {
-	QueuedTasks, RunningTasks, FreeSlots uint32
+	QueuedTasks, RunningTasks uint32
 }
 
 // ExchangerConfig holds the dependencies of an Exchanger.
@@ -165,7 +165,7 @@
 		Instance: e.self.Name, Address: e.self.Address, Region: e.self.Region,
 		AvailabilityZone: e.self.AvailabilityZone, Incarnation: e.self.Incarnation,
 		State: wire.PeerState_PEER_STATE_LIVE, Ticket: number, TicketDigest: digest,
-		QueuedTasks: hints.QueuedTasks, RunningTasks: hints.RunningTasks, FreeSlots: hints.FreeSlots,
+		QueuedTasks: hints.QueuedTasks, RunningTasks: hints.RunningTasks,
 	}
 	if e.cfg.Draining() {
 		m.State = wire.PeerState_PEER_STATE_DRAINING
