bench/soak: run its processes through bench/fleet

Cause: starting, stopping and killing real processes, their ready lines, settings files and registration with the platform stand-in stood twice, in bench/fleet and in bench/soak.

Change: soak starts its instances and targets with fleet.StartEntry and fleet.StartTarget. Fleet gains what soak needs: Process.Crash, BeginStop and AwaitStop, a faultproxy.Proxy in front of an instance or target, OnLine and StraggleShare of a target, DrainLimitS, SetSpeed, LeaveEntry and Compact. Done now closes after the last line of output was read, since soak judges starts by these lines. The unused EntrySpec.ListedAddress is replaced by Proxy. The tests of demo, measure, slopes and soak build the programs with fleettest.Build.

Lines that are not starts are passed over as before. - A stop in fleet that exceeds its limit kills the process, as soak did. A new test guards the difference between a crash and a stop.

--- a/bench/demo/run_test.go
+++ b/bench/demo/run_test.go
@@ -5,17 +5,14 @@
 	"testing"
 
 	"marigoldfront.dev/bench/fleet"
+	"marigoldfront.dev/bench/fleet/fleettest"
 )
 
 // Guards against any of the guarantees being broken between real processes
 // while an entry instance stops: the counts of callers and targets differ, or
 // a job has another answer than planned.
 func TestDemoAddsUp(t *testing.T) {
-	dir := t.TempDir()
-	if err := fleet.Build(dir); err != nil {
-		t.Fatal(err)
-	}
-	f, err := fleet.New(dir)
+	f, err := fleet.New(fleettest.Build(t))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/bench/fleet/entry.go
+++ b/bench/fleet/entry.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -9,6 +8,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"marigoldfront.dev/bench/faultproxy"
 	"marigoldfront.dev/platform/instancelist"
 )
 
@@ -23,10 +23,13 @@
 	Stores []string
 	// InstanceList replaces the URL of the instance list.
 	InstanceList string
-	// ListedAddress, if set, returns the peer address to put on the list.
-	ListedAddress func(peer string) string
-	LogLevel      string
-	Trace         string
+	// Proxy, if set, stands in front of the peer address and is made known in
+	// its place. It outlives the process, so that a restart keeps the address.
+	Proxy *faultproxy.Proxy
+	// DrainLimitS bounds a planned stop; 0 means 30.
+	DrainLimitS int
+	LogLevel    string
+	Trace       string
 }
 
 // settings is the settings file of an entry instance.
@@ -36,6 +39,7 @@
 	AvailabilityZone string   `toml:"availability_zone"`
 	Listen           string   `toml:"listen"`
 	PeerListen       string   `toml:"peer_listen"`
+	PeerAddress      string   `toml:"peer_address,omitempty"`
 	Store            []string `toml:"store"`
 	InstanceList     string   `toml:"instance_list"`
 	PeerSecret       string   `toml:"peer_secret"`
@@ -72,10 +76,13 @@
 	if err != nil {
 		return nil, err
 	}
-	p, ready, err := f.start(s.Name, entryProgram, "--config", path)
+	p, ready, err := f.start(s.Name, nil, entryProgram, "--config", path)
 	if err != nil {
 		return nil, err
 	}
+	if s.Proxy != nil {
+		s.Proxy.SetServer(ready["peer_listen"])
+	}
 	e := &Entry{Process: p, EntrySpec: s, Address: ready["listen"], PeerAddress: ready["peer_listen"]}
 	f.mu.Lock()
 	f.entries = append(f.entries, e)
@@ -96,6 +103,12 @@
 	if s.InstanceList != "" {
 		c.InstanceList = s.InstanceList
 	}
+	if s.Proxy != nil {
+		c.PeerAddress = s.Proxy.Addr()
+	}
+	if s.DrainLimitS > 0 {
+		c.DrainLimitS = s.DrainLimitS
+	}
 	b, err := toml.Marshal(c)
 	if err != nil {
 		return "", err
@@ -106,21 +119,26 @@
 
 func (e *Entry) instance(state string) instancelist.Instance {
 	address := e.PeerAddress
-	if e.ListedAddress != nil {
-		address = e.ListedAddress(address)
+	if e.Proxy != nil {
+		address = e.Proxy.Addr()
 	}
 	return instancelist.Instance{Name: e.Name, Kind: instancelist.KindEntry, Region: e.Region,
 		AvailabilityZone: e.AvailabilityZone, Address: address, State: state}
 }
 
+// LeaveEntry marks the instance as leaving on the instance list.
+func (f *Fleet) LeaveEntry(e *Entry) error {
+	return f.Platform.Register(e.instance(instancelist.StateLeaving))
+}
+
 // StopEntry marks the instance as leaving, asks it to
 // stop gracefully, waits for its end and takes it off the list.
 func (f *Fleet) StopEntry(e *Entry) error {
-	if err := f.Platform.Register(e.instance(instancelist.StateLeaving)); err != nil {
+	if err := f.LeaveEntry(e); err != nil {
 		return err
 	}
 	if err := e.Stop(stopTimeout); err != nil {
-		return fmt.Errorf("stop %s: %w\n%s", e.EntrySpec.Name, err, e.Tail())
+		return err
 	}
 	return f.Platform.Remove(e.Name)
 }
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	f := &Fleet{bin: bin, dir: dir}
-	p, ready, err := f.start("platform", standinProgram, "platform", "--listen", loopback)
+	p, ready, err := f.start("platform", nil, standinProgram, "platform", "--listen", loopback)
 	if err != nil {
 		f.Close()
 		return nil, err
@@ -70,8 +70,8 @@
 // Program returns the path of a built program.
 func (f *Fleet) Program(name string) string { return filepath.Join(f.bin, name) }
 
-func (f *Fleet) start(name, program string, args ...string) (*Process, map[string]string, error) {
-	p, ready, err := start(f.dir, name, f.Program(program), args...)
+func (f *Fleet) start(name string, onLine func(string), program string, args ...string) (*Process, map[string]string, error) {
+	p, ready, err := start(f.dir, name, onLine, f.Program(program), args...)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -130,16 +130,6 @@
 	return nil
 }
 
-// Ended reports whether the process has ended.
-func (p *Process) Ended() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
-
 // Close ends every process that the fleet started and removes its files.
 func (f *Fleet) Close() {
 	f.mu.Lock()
--- a/bench/fleet/platform.go
+++ b/bench/fleet/platform.go
@@ -31,6 +31,8 @@
 	LoseReplies *int   `json:"lose_replies,omitempty"`
 	ListOutage  *bool  `json:"list_outage,omitempty"`
 	ListLagMS   *int64 `json:"list_lag_ms,omitempty"`
+	// Compact forgets the history of the store once.
+	Compact bool `json:"compact,omitempty"`
 }
 
 // URL returns the base URL.
--- a/bench/fleet/process.go
+++ b/bench/fleet/process.go
@@ -33,19 +33,22 @@
 
 	mu   sync.Mutex
 	last []string
-	err  error
+	// expected says that the run itself ends the process.
+	expected bool
+	err      error
 }
 
 // start runs the program, copies its output to a file of the directory, and
-// waits for its ready line.
-func start(dir, name, program string, args ...string) (*Process, map[string]string, error) {
+// waits for its ready line. Each line of output goes to onLine, if that is set.
+func start(dir, name string, onLine func(string), program string, args ...string) (*Process, map[string]string, error) {
 	p := &Process{
 		label: name, cmd: exec.Command(program, args...),
 		done: make(chan struct{}), ready: make(chan map[string]string, 1),
 	}
 	// Children end with this process, so that an interrupted run leaves none.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	copied, err := os.Create(filepath.Join(dir, name+".log"))
+	// A restarted program continues the file of its predecessor.
+	copied, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -62,8 +65,7 @@
 		copied.Close()
 		return nil, nil, fmt.Errorf("start %s: %w", name, err)
 	}
-	go p.read(out, copied)
-	go p.wait()
+	go p.wait(out, copied, onLine)
 	fields, err := p.awaitReady()
 	if err != nil {
 		p.Kill()
@@ -85,7 +87,10 @@
 	}
 }
 
-func (p *Process) wait() {
+// wait reads the output to its end, which comes with the end of the process,
+// and only then waits for it, so that no line is lost.
+func (p *Process) wait(out io.ReadCloser, copied *os.File, onLine func(string)) {
+	p.read(out, copied, onLine)
 	err := p.cmd.Wait()
 	p.mu.Lock()
 	p.err = err
@@ -95,7 +100,7 @@
 
 // read keeps the last lines of the output, copies all of them, and recognises
 // the ready line.
-func (p *Process) read(out io.ReadCloser, copied *os.File) {
+func (p *Process) read(out io.ReadCloser, copied *os.File, onLine func(string)) {
 	defer out.Close()
 	defer copied.Close()
 	lines := bufio.NewScanner(out)
@@ -108,6 +113,9 @@
 			seen = true
 			p.ready <- f
 		}
+		if onLine != nil {
+			onLine(line)
+		}
 		p.mu.Lock()
 		p.last = append(p.last, line)
 		if len(p.last) > keptLines {
@@ -115,6 +123,7 @@
 		}
 		p.mu.Unlock()
 	}
+	_, _ = io.Copy(io.Discard, out) // A line above the limit must not block the program.
 }
 
 // PID returns the process id.
@@ -130,6 +139,36 @@
 	return p.err
 }
 
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+var errEnded = errors.New("process ended")
+
+// Crash returns how the process ended without being stopped or killed by the
+// run, or nil.
+func (p *Process) Crash() error {
+	p.mu.Lock()
+	expected := p.expected
+	p.mu.Unlock()
+	if expected || !p.Ended() {
+		return nil
+	}
+	return fmt.Errorf("%s ended by itself: %w\n%s", p.label, errors.Join(p.Err(), errEnded), p.Tail())
+}
+
+func (p *Process) expectEnd() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expected = true
+}
+
 // Tail returns the last lines of the output.
 func (p *Process) Tail() string {
 	p.mu.Lock()
@@ -158,21 +197,38 @@
 
 // Stop asks the process to end and waits for it up to limit.
 func (p *Process) Stop(limit time.Duration) error {
-	if err := p.Signal(syscall.SIGTERM); err != nil {
+	if err := p.BeginStop(); err != nil {
 		return err
 	}
+	return p.AwaitStop(limit)
+}
+
+// BeginStop asks the process to end.
+func (p *Process) BeginStop() error {
+	p.expectEnd()
+	return p.Signal(syscall.SIGTERM)
+}
+
+// AwaitStop waits up to limit for the end of a process that was asked to end,
+// and then kills it. An exit code other than 0 is an error.
+func (p *Process) AwaitStop(limit time.Duration) error {
 	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
 	case <-p.done:
-		return p.Err()
+		if err := p.Err(); err != nil {
+			return fmt.Errorf("stop %s: %w\n%s", p.label, err, p.Tail())
+		}
+		return nil
 	case <-t.C:
+		p.Kill()
 		return fmt.Errorf("%s runs %v after its stop\n%s", p.label, limit, p.Tail())
 	}
 }
 
 // Kill ends the process at once and waits for its end.
 func (p *Process) Kill() {
+	p.expectEnd()
 	_ = p.Signal(syscall.SIGKILL)
 	<-p.done
 }
--- a/bench/fleet/process_test.go
+++ b/bench/fleet/process_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"slices"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -9,7 +11,7 @@
 // Guards against a process that outlives the run that started it, and against
 // taking any line of output for the ready line.
 func TestProcessIsReadyAndEnds(t *testing.T) {
-	p, ready, err := start(t.TempDir(), "echo", "/bin/sh", "-c", "echo starting; echo 127.0.0.1:4711; exec sleep 60")
+	p, ready, err := start(t.TempDir(), "echo", nil, "/bin/sh", "-c", "echo starting; echo 127.0.0.1:4711; exec sleep 60")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,8 +31,33 @@
 // Guards against a run that waits for a program that has already failed.
 func TestStartReportsAnEarlyEnd(t *testing.T) {
 	begin := time.Now()
-	_, _, err := start(t.TempDir(), "broken", "/bin/sh", "-c", "echo no such setting; exit 3")
+	_, _, err := start(t.TempDir(), "broken", nil, "/bin/sh", "-c", "echo no such setting; exit 3")
 	if err == nil || time.Since(begin) > readyTimeout/2 {
 		t.Errorf("got %v after %v, want the error at once", err, time.Since(begin))
 	}
 }
+
+// Guards against a crash that goes unnoticed, an expected end that is taken for
+// one, and an end that is reported before the last line was read.
+func TestCrashIsToldFromAStop(t *testing.T) {
+	const script = "trap 'echo last; exit 0' TERM; echo 127.0.0.1:4711; while :; do sleep 0.01; done"
+	for _, crash := range []bool{true, false} {
+		var lines []string
+		p, _, err := start(t.TempDir(), "echo", func(line string) { lines = append(lines, line) }, "/bin/sh", "-c", script)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if crash {
+			err = p.Signal(syscall.SIGTERM)
+		} else {
+			err = p.Stop(readyTimeout)
+		}
+		<-p.Done()
+		if err != nil || (p.Crash() != nil) != crash {
+			t.Errorf("got %v and the crash %v, want a crash: %v", err, p.Crash(), crash)
+		}
+		if !slices.Contains(lines, "last") {
+			t.Errorf("read the lines %q, want the last one too", lines)
+		}
+	}
+}
--- a/bench/fleet/target.go
+++ b/bench/fleet/target.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 
+	"marigoldfront.dev/bench/faultproxy"
 	"marigoldfront.dev/core/directory"
 	"marigoldfront.dev/platform/instancelist"
 )
@@ -22,6 +23,14 @@
 	MemoryMB         int64
 	Accelerators     int64
 	FailAll          bool
+	// StraggleShare is the share of tasks that take 10 times as long, 0 to 1.
+	StraggleShare float64
+	// Proxy, if set, stands in front of the target and is made known in its
+	// place. It outlives the process, so that a restart keeps the address.
+	Proxy *faultproxy.Proxy
+	// OnLine, if set, gets each line of output; the target then prints its
+	// starts, so that those of a target that ends are not lost.
+	OnLine func(line string)
 }
 
 // Target is a started stand-in target.
@@ -47,14 +56,21 @@
 func (f *Fleet) StartTarget(s TargetSpec) (*Target, error) {
 	args := []string{"target", "--listen", loopback, "--name", s.Name,
 		"--slots", fmt.Sprint(s.Slots), "--connections", fmt.Sprint(s.Connections),
-		"--speed", fmt.Sprint(s.Speed), "--seed", fmt.Sprint(s.Seed)}
+		"--speed", fmt.Sprint(s.Speed), "--seed", fmt.Sprint(s.Seed),
+		"--straggle-share", fmt.Sprint(s.StraggleShare)}
 	if s.FailAll {
 		args = append(args, "--fail-all")
 	}
-	p, ready, err := f.start(s.Name, standinProgram, args...)
+	if s.OnLine != nil {
+		args = append(args, "--print-starts")
+	}
+	p, ready, err := f.start(s.Name, s.OnLine, standinProgram, args...)
 	if err != nil {
 		return nil, err
 	}
+	if s.Proxy != nil {
+		s.Proxy.SetServer(ready["listen"])
+	}
 	t := &Target{Process: p, TargetSpec: s, Address: ready["listen"]}
 	f.mu.Lock()
 	f.targets = append(f.targets, t)
@@ -64,7 +80,15 @@
 
 func (t *Target) instance(state string) instancelist.Instance {
 	return instancelist.Instance{Name: t.Name, Kind: instancelist.KindTarget, Region: t.Region,
-		AvailabilityZone: t.AvailabilityZone, Address: t.Address, State: state}
+		AvailabilityZone: t.AvailabilityZone, Address: t.listed(), State: state}
+}
+
+// listed returns the address that others use.
+func (t *Target) listed() string {
+	if t.Proxy != nil {
+		return t.Proxy.Addr()
+	}
+	return t.Address
 }
 
 // Leave marks the target as leaving on the instance list.
@@ -86,9 +110,14 @@
 	return control(http.MethodPost, "http://"+t.Address+"/v1/control", map[string]bool{"fail_all": fail}, nil)
 }
 
+// SetSpeed changes the speed of the tasks that start from now on.
+func (t *Target) SetSpeed(speed float64) error {
+	return control(http.MethodPost, "http://"+t.Address+"/v1/control", map[string]float64{"speed": speed}, nil)
+}
+
 // Configured returns the target as a ticket states it.
 func (t *Target) Configured() directory.Target {
 	return directory.Target{Name: t.Name, Services: t.Services, Region: t.Region,
-		AvailabilityZone: t.AvailabilityZone, Rack: t.Rack, Address: t.Address, Slots: t.Slots,
+		AvailabilityZone: t.AvailabilityZone, Rack: t.Rack, Address: t.listed(), Slots: t.Slots,
 		Connections: t.Connections, MemoryMB: t.MemoryMB, Accelerators: t.Accelerators}
 }
--- a/bench/measure/run_test.go
+++ b/bench/measure/run_test.go
@@ -4,16 +4,13 @@
 	"context"
 	"testing"
 
-	"marigoldfront.dev/bench/fleet"
+	"marigoldfront.dev/bench/fleet/fleettest"
 )
 
 // Guards against a measurement that cannot run, that loses jobs, or in which
 // an attempt is started twice.
 func TestShortRun(t *testing.T) {
-	dir := t.TempDir()
-	if err := fleet.Build(dir); err != nil {
-		t.Fatal(err)
-	}
+	dir := fleettest.Build(t)
 	c := Command{Short: true, FirstSeed: 1, Scenario: []string{"idle", "steady 50%", "target killed"}, Out: dir}
 	rows, err := c.run(context.Background(), dir)
 	if err != nil {
--- a/bench/slopes/run_test.go
+++ b/bench/slopes/run_test.go
@@ -5,16 +5,12 @@
 	"strings"
 	"testing"
 
-	"marigoldfront.dev/bench/fleet"
+	"marigoldfront.dev/bench/fleet/fleettest"
 )
 
 // Guards against a quantity that can no longer be set up or observed.
 func TestShortRun(t *testing.T) {
-	dir := t.TempDir()
-	if err := fleet.Build(dir); err != nil {
-		t.Fatal(err)
-	}
-	r := &run{bin: dir, window: shortWindow, settle: shortSettle}
+	r := &run{bin: fleettest.Build(t), window: shortWindow, settle: shortSettle}
 	for _, b := range benches {
 		p, err := b.point(context.Background(), r, b.short[0])
 		if err != nil {
--- a/bench/soak/chaos.go
+++ b/bench/soak/chaos.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 
 	"marigoldfront.dev/bench/faultproxy"
+	"marigoldfront.dev/bench/fleet"
 	"marigoldfront.dev/core/directory"
 )
 
@@ -121,15 +122,15 @@
 		return errBusy
 	}
 	defer e.busy.Unlock()
-	ch.c.crashed(e.p.crash())
-	e.p.kill()
+	ch.c.crashed(e.p.Load().Crash())
+	e.p.Load().Kill()
 	if victim/len(ch.c.entries)%2 == 1 {
-		if err := ch.c.unlist(e.name); err != nil {
+		if err := ch.c.fleet.Platform.Remove(e.spec.Name); err != nil {
 			return err
 		}
 	}
 	hold()
-	return ch.revive(e.start, e.list)
+	return ch.revive(e.start)
 }
 
 // drainEntry is a planned restart.
@@ -139,28 +140,26 @@
 		return errBusy
 	}
 	defer e.busy.Unlock()
-	ch.c.crashed(e.p.crash())
-	if err := e.list("leaving"); err != nil {
+	ch.c.crashed(e.p.Load().Crash())
+	if err := ch.c.fleet.LeaveEntry(e.p.Load()); err != nil {
 		return err
 	}
 	ch.stops.drained()
 	e.draining.Store(true)
 	defer e.draining.Store(false)
-	ch.c.crashed(e.p.stop(stopLimit))
-	if err := ch.c.unlist(e.name); err != nil {
+	ch.c.crashed(e.p.Load().Stop(stopLimit))
+	if err := ch.c.fleet.Platform.Remove(e.spec.Name); err != nil {
 		return err
 	}
-	return ch.revive(e.start, e.list)
+	return ch.revive(e.start)
 }
 
 // revive starts a process again and lists it. A process that does not start
 // ends up as a crash.
-func (ch *chaos) revive(start func() error, list func(string) error) error {
-	if err := start(); err != nil {
-		ch.c.crashed(err)
-		return err
-	}
-	return list("live")
+func (ch *chaos) revive(start func() error) error {
+	err := start()
+	ch.c.crashed(err)
+	return err
 }
 
 func (ch *chaos) pauseEntry(victim int, hold func()) error {
@@ -169,14 +168,13 @@
 		return errBusy
 	}
 	defer e.busy.Unlock()
-	return ch.stops.hide([]*entry{e}, func() error { return pause(e.p, hold) })
+	return ch.stops.hide([]*entry{e}, func() error { return pause(e.p.Load().Process, hold) })
 }
 
-func pause(p *process, hold func()) error {
-	p.signal(syscall.SIGSTOP)
+func pause(p *fleet.Process, hold func()) error {
+	err := p.Pause()
 	hold()
-	p.signal(syscall.SIGCONT)
-	return nil
+	return errors.Join(err, p.Resume())
 }
 
 func (ch *chaos) killTarget(victim int, hold func()) error {
@@ -185,10 +183,10 @@
 		return errBusy
 	}
 	defer t.busy.Unlock()
-	ch.c.crashed(t.p.crash())
-	t.p.kill()
+	ch.c.crashed(t.p.Load().Crash())
+	t.p.Load().Kill()
 	hold()
-	return ch.revive(t.start, t.list)
+	return ch.revive(t.start)
 }
 
 // drainTarget announces a planned stop on the list alone, and stops the target
@@ -199,15 +197,15 @@
 		return errBusy
 	}
 	defer t.busy.Unlock()
-	if err := t.list("leaving"); err != nil {
+	if err := ch.c.fleet.Leave(t.p.Load()); err != nil {
 		return err
 	}
 	from := time.Now()
 	time.Sleep(leaveBound)
 	hold()
-	ch.stops.left(leave{t.name, interval{from, time.Now()}})
-	ch.c.crashed(t.p.stop(stopLimit))
-	return ch.revive(t.start, t.list)
+	ch.stops.left(leave{t.spec.Name, interval{from, time.Now()}})
+	ch.c.crashed(t.p.Load().Stop(stopLimit))
+	return ch.revive(t.start)
 }
 
 func (ch *chaos) pauseTarget(victim int, hold func()) error {
@@ -216,34 +214,34 @@
 		return errBusy
 	}
 	defer t.busy.Unlock()
-	return pause(t.p, hold)
+	return pause(t.p.Load().Process, hold)
 }
 
 func (ch *chaos) failTarget(victim int, hold func()) error {
 	t := ch.target(victim)
-	if err := t.control(map[string]any{"fail_all": true}); err != nil {
+	if err := t.p.Load().SetFailAll(true); err != nil {
 		return err
 	}
 	hold()
-	return t.control(map[string]any{"fail_all": false})
+	return t.p.Load().SetFailAll(false)
 }
 
 func (ch *chaos) slowTarget(victim int, hold func()) error {
 	t := ch.target(victim)
-	if err := t.control(map[string]any{"speed": 0.1}); err != nil {
+	if err := t.p.Load().SetSpeed(0.1); err != nil {
 		return err
 	}
 	hold()
-	return t.control(map[string]any{"speed": 1})
+	return t.p.Load().SetSpeed(1)
 }
 
 func (ch *chaos) disturbTarget(victim int, hold func()) error {
-	disturb(ch.target(victim).proxy, victim/len(ch.c.targets), hold)
+	disturb(ch.target(victim).spec.Proxy, victim/len(ch.c.targets), hold)
 	return nil
 }
 
 func (ch *chaos) disturbPeer(victim int, hold func()) error {
-	disturb(ch.entry(victim).proxy, victim/len(ch.c.entries), hold)
+	disturb(ch.entry(victim).spec.Proxy, victim/len(ch.c.entries), hold)
 	return nil
 }
 
@@ -293,7 +291,7 @@
 	z := victim % len(ch.c.stores)
 	cut := []*faultproxy.Proxy{ch.c.stores[z]}
 	for _, e := range ch.c.inZone(z) {
-		cut = append(cut, e.proxy)
+		cut = append(cut, e.spec.Proxy)
 	}
 	return ch.stops.hide(ch.c.inZone(z), func() error {
 		for _, p := range cut {
@@ -309,29 +307,29 @@
 }
 
 func (ch *chaos) storeOutage(_ int, hold func()) error {
-	if err := ch.c.fault(map[string]any{"outage": true}); err != nil {
+	if err := ch.c.fleet.Platform.SetFaults(fleet.Faults{Outage: new(true)}); err != nil {
 		return err
 	}
 	hold()
-	return ch.c.fault(map[string]any{"outage": false, "compact": true})
+	return ch.c.fleet.Platform.SetFaults(fleet.Faults{Outage: new(false), Compact: true})
 }
 
 func (ch *chaos) slowStore(_ int, hold func()) error {
-	if err := ch.c.fault(map[string]any{"delay_ms": 400, "lose_replies": 1}); err != nil {
+	if err := ch.c.fleet.Platform.SetFaults(fleet.Faults{DelayMS: new(int64(400)), LoseReplies: new(1)}); err != nil {
 		return err
 	}
 	hold()
-	return ch.c.fault(map[string]any{"delay_ms": 0, "lose_replies": 0})
+	return ch.c.fleet.Platform.SetFaults(fleet.Faults{DelayMS: new(int64(0)), LoseReplies: new(0)})
 }
 
 func (ch *chaos) listFault(victim int, hold func()) error {
-	change := map[string]any{"list_outage": victim%2 == 0, "list_lag_ms": 3000}
+	change := fleet.Faults{ListOutage: new(victim%2 == 0), ListLagMS: new(int64(3000))}
 	return ch.stops.hide(ch.c.entries, func() error {
-		if err := ch.c.fault(change); err != nil {
+		if err := ch.c.fleet.Platform.SetFaults(change); err != nil {
 			return err
 		}
 		hold()
-		return ch.c.fault(map[string]any{"list_outage": false, "list_lag_ms": 0})
+		return ch.c.fleet.Platform.SetFaults(fleet.Faults{ListOutage: new(false), ListLagMS: new(int64(0))})
 	})
 }
 
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"time"
 
 	"marigoldfront.dev/bench/faultproxy"
+	"marigoldfront.dev/bench/fleet"
 	"marigoldfront.dev/core/directory"
-	"marigoldfront.dev/core/ticket"
 	"marigoldfront.dev/platform/store"
 	"marigoldfront.dev/platform/ticketlog"
 )
@@ -25,7 +20,6 @@
 	region      = "soak"
 	callerName  = "soak-caller"
 	callerToken = "soak-caller-token"
-	peerSecret  = "soak-peer-secret-of-sufficient-length"
 	teamName    = "soak-team"
 	// drainLimitS is above the longest timeout of a job in the load, so that
 	// a drain never has to give a job up.
@@ -46,10 +40,9 @@
 // cluster is the set of processes of a run. The proxies outlive the processes
 // behind them, so that an instance keeps its addresses over a restart.
 type cluster struct {
-	bin, dir string
-	platform *process
-	// platformAddr is used by the run itself, the proxies by the instances.
-	platformAddr string
+	// fleet holds the processes. The run itself calls the platform directly,
+	// the instances through the proxies.
+	fleet *fleet.Fleet
 	// stores holds one proxy per availability zone in front of the platform.
 	stores  []*faultproxy.Proxy
 	entries []*entry
@@ -63,15 +56,11 @@
 }
 
 func newCluster(bin string, zones, entriesPerZone, targetsPerZone int, seed uint64) (*cluster, error) {
-	dir, err := os.MkdirTemp("", "marigold-soak-")
+	f, err := fleet.New(bin)
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{bin: bin, dir: dir, homes: map[string]string{}}
-	if err := c.startPlatform(); err != nil {
-		c.close()
-		return nil, err
-	}
+	c := &cluster{fleet: f, homes: map[string]string{}}
 	for z := range zones {
 		if err := c.addZone(fmt.Sprintf("zone-%d", z), entriesPerZone, targetsPerZone, seed); err != nil {
 			c.close()
@@ -85,61 +74,34 @@
 	return c, nil
 }
 
-func (c *cluster) startPlatform() error {
-	ready := make(chan string, 1)
-	p, err := launch(c.bin, c.dir, "platform", "marigold-standin", []string{"platform", "--listen", loopback}, once(ready))
-	if err != nil {
-		return err
-	}
-	c.platform = p
-	c.platformAddr, err = await(p, ready)
-	return err
-}
-
-// once sends the first line and drops the others.
-func once(ready chan<- string) func(string) {
-	return func(line string) {
-		select {
-		case ready <- line:
-		default:
-		}
-	}
-}
-
-func await(p *process, ready <-chan string) (string, error) {
-	select {
-	case line := <-ready:
-		return line, nil
-	case <-p.done:
-		return "", p.crash()
-	case <-time.After(readyTimeout):
-		return "", fmt.Errorf("%s was not ready after %v", p.name, readyTimeout)
-	}
-}
-
 func (c *cluster) addZone(zone string, entries, targets int, seed uint64) error {
-	st, err := faultproxy.New(loopback, c.platformAddr)
+	st, err := faultproxy.New(loopback, c.fleet.Platform.Address)
 	if err != nil {
 		return err
 	}
 	c.stores = append(c.stores, st)
 	for i := range targets {
-		t := &target{c: c, name: fmt.Sprintf("%s-target-%d", zone, i), zone: zone, seed: seed + uint64(len(c.targets))}
-		if t.proxy, err = faultproxy.New(loopback, loopback); err != nil {
+		name := fmt.Sprintf("%s-target-%d", zone, i)
+		t := &target{c: c, spec: fleet.TargetSpec{Name: name, Region: region, AvailabilityZone: zone, Rack: name,
+			Services: []string{"quick", "billed"}, Slots: slots, Connections: connections, Speed: 1,
+			Seed: seed + uint64(len(c.targets)), MemoryMB: targetMemoryMB, StraggleShare: 0.01, OnLine: c.started}}
+		if t.spec.Proxy, err = faultproxy.New(loopback, loopback); err != nil {
 			return err
 		}
 		c.targets = append(c.targets, t)
-		if err := errors.Join(t.start(), t.list("live")); err != nil {
+		if err := t.start(); err != nil {
 			return err
 		}
 	}
 	for i := range entries {
-		e := &entry{c: c, name: fmt.Sprintf("%s-entry-%d", zone, i), zone: zone, platform: st.Addr()}
-		if e.proxy, err = faultproxy.New(loopback, loopback); err != nil {
+		e := &entry{c: c, spec: fleet.EntrySpec{Name: fmt.Sprintf("%s-entry-%d", zone, i), Region: region,
+			AvailabilityZone: zone, Stores: []string{st.Addr()}, InstanceList: "http://" + st.Addr(),
+			DrainLimitS: drainLimitS, LogLevel: "info"}}
+		if e.spec.Proxy, err = faultproxy.New(loopback, loopback); err != nil {
 			return err
 		}
 		c.entries = append(c.entries, e)
-		if err := errors.Join(e.start(), e.list("live")); err != nil {
+		if err := e.start(); err != nil {
 			return err
 		}
 	}
@@ -147,36 +109,27 @@
 }
 
 func (c *cluster) firstTicket() error {
-	sum := sha256.Sum256([]byte(callerToken))
 	s := directory.State{
 		Teams:    map[string]directory.Team{teamName: {Name: teamName, Weight: 1}},
 		Services: services,
 		Callers: map[string]directory.Caller{callerName: {Name: callerName, Team: teamName, Owner: "soak",
-			TokenSHA256: hex.EncodeToString(sum[:]), Services: []string{"quick", "billed"}}},
+			TokenSHA256: fleet.TokenSHA256(callerToken), Services: []string{"quick", "billed"}}},
 		Targets: map[string]directory.Target{},
 	}
 	for _, t := range c.targets {
-		s.Targets[t.name] = t.configured()
+		s.Targets[t.spec.Name] = t.p.Load().Configured()
 	}
 	return c.accept(context.Background(), s)
 }
 
 // accept changes the configuration as an operator does, on the newest one.
 func (c *cluster) accept(ctx context.Context, put directory.State) error {
-	l := c.log()
-	d, err := l.Load(ctx, 0)
-	if err != nil {
-		return err
-	}
-	t, _, err := ticket.Prepare(d, ticket.Ticket{Nonce: ticketlog.NewNonce(), Author: "soak", Put: put})
-	if err != nil {
-		return err
-	}
-	return l.Accept(ctx, d, t)
+	_, err := c.fleet.Apply(ctx, put)
+	return err
 }
 
 func (c *cluster) log() *ticketlog.Log {
-	return ticketlog.New(store.New([]string{c.platformAddr}, nil))
+	return ticketlog.New(store.New([]string{c.fleet.Platform.Address}, nil))
 }
 
 // started records one line of a target, a start.
@@ -194,7 +147,7 @@
 func (c *cluster) inZone(z int) []*entry {
 	var out []*entry
 	for _, e := range c.entries {
-		if e.platform == c.stores[z].Addr() {
+		if e.spec.Stores[0] == c.stores[z].Addr() {
 			out = append(out, e)
 		}
 	}
@@ -227,14 +180,12 @@
 // returns the starts and what ended by itself.
 func (c *cluster) finish() ([]start, []string) {
 	for _, e := range c.entries {
-		c.crashed(e.p.crash())
-		e.p.kill()
+		c.crashed(e.p.Load().Crash())
+		e.p.Load().Kill()
 	}
 	for _, t := range c.targets {
-		c.crashed(t.p.crash())
-		if err := t.p.stop(stopLimit); err != nil {
-			c.crashed(err)
-		}
+		c.crashed(t.p.Load().Crash())
+		c.crashed(t.p.Load().Stop(stopLimit))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -243,25 +194,14 @@
 
 // close ends every process and proxy that is left and removes the files.
 func (c *cluster) close() {
+	c.fleet.Close()
 	for _, e := range c.entries {
-		if e.p != nil {
-			e.p.kill()
-		}
-		e.proxy.Close()
+		e.spec.Proxy.Close()
 	}
 	for _, t := range c.targets {
-		if t.p != nil {
-			t.p.kill()
-		}
-		t.proxy.Close()
+		t.spec.Proxy.Close()
 	}
 	for _, s := range c.stores {
 		s.Close()
 	}
-	if c.platform != nil {
-		c.platform.kill()
-	}
-	_ = os.RemoveAll(c.dir)
 }
-
-func (c *cluster) path(name string) string { return filepath.Join(c.dir, name) }
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -180,24 +180,24 @@
 	began := time.Now()
 	o, err := request()
 	if err != nil {
-		r.noAnswer(e.name, err)
+		r.noAnswer(e.spec.Name, err)
 	}
 	var rejected *rejectedError
 	cut := err != nil && !errors.As(err, &rejected) && !errors.Is(err, context.DeadlineExceeded)
 	if after := time.Since(began); cut && after > inFlightAfter && e.draining.Load() {
-		l.stops.interrupt(e.name, err, after)
+		l.stops.interrupt(e.spec.Name, err, after)
 	}
 	if errors.As(err, &rejected) {
 		if rejected.status >= http.StatusInternalServerError || rejected.status == http.StatusTooManyRequests {
 			return false
 		}
-		r.reject(e.name + ": " + err.Error())
+		r.reject(e.spec.Name + ": " + err.Error())
 		return true
 	}
 	if err != nil {
 		return false
 	}
-	o.Instance = e.name
+	o.Instance = e.spec.Name
 	r.add(o)
 	return true
 }
@@ -249,7 +249,7 @@
 	if err != nil || !final {
 		return false
 	}
-	o.Instance = e.name
+	o.Instance = e.spec.Name
 	r.add(o)
 	return true
 }
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -10,10 +10,10 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
+	"marigoldfront.dev/bench/fleet"
 	"marigoldfront.dev/core/directory"
 )
 
@@ -49,14 +49,11 @@
 
 // Execute implements flags.Commander.
 func (c *Command) Execute([]string) error {
-	if c.Bin == "" {
-		exe, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Bin = filepath.Dir(exe)
+	bin, err := fleet.BinDir(c.Bin)
+	if err != nil {
+		return err
 	}
-	s, err := Run(Config{Duration: c.Duration, Seed: c.Seed, Bin: c.Bin, Out: os.Stdout})
+	s, err := Run(Config{Duration: c.Duration, Seed: c.Seed, Bin: bin, Out: os.Stdout})
 	if err != nil {
 		return err
 	}
@@ -147,7 +144,7 @@
 				break
 			}
 			if ctx.Err() != nil {
-				return fmt.Errorf("%s has ticket %d after %v, the newest is %d (%w)", e.name, s.Ticket, limit, head, err)
+				return fmt.Errorf("%s has ticket %d after %v, the newest is %d (%w)", e.spec.Name, s.Ticket, limit, head, err)
 			}
 			sleep(ctx, retryWait)
 		}
--- a/bench/soak/stop_test.go
+++ b/bench/soak/stop_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"marigoldfront.dev/bench/fleet/fleettest"
 )
 
 type reply struct {
@@ -23,7 +25,7 @@
 // startPair submits a job of one task through an instance and waits until the
 // task runs.
 func startPair(t *testing.T, through int, runMS int64) *pair {
-	c, err := newCluster(build(t), 1, 2, 1, 1)
+	c, err := newCluster(fleettest.Build(t), 1, 2, 1, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +68,9 @@
 // forwarded: their home may need longer than the instance's own last work.
 func TestPlannedStopInterruptsNoForwardedRequest(t *testing.T) {
 	p := startPair(t, 1, 12_000)
-	p.entries[1].p.beginStop()
+	if err := p.entries[1].p.Load().BeginStop(); err != nil {
+		t.Fatal(err)
+	}
 	p.wantComplete()
 }
 
@@ -75,7 +79,9 @@
 func TestPlannedStopEndsWhenTheSuccessorWasReplaced(t *testing.T) {
 	p := startPair(t, 0, 3_000)
 	first, second := p.entries[0], p.entries[1]
-	first.p.beginStop()
+	if err := first.p.Load().BeginStop(); err != nil {
+		t.Fatal(err)
+	}
 	p.until("the session is handed over", func() bool {
 		var s struct {
 			Sessions int `json:"sessions"`
@@ -83,14 +89,14 @@
 		_, err := p.api.call(context.Background(), "GET", second.url()+"/v1/status", nil, &s)
 		return err == nil && s.Sessions == 1
 	})
-	second.p.kill()
+	second.p.Load().Kill()
 	if err := second.start(); err != nil {
 		t.Fatal(err)
 	}
 	p.wantComplete()
 	// Half of the drain limit is ample for the rest of the stop, whose last
 	// part waits up to 5 s for callers to turn away.
-	if err := first.p.awaitStop(drainLimitS / 2 * time.Second); err != nil {
+	if err := first.p.Load().AwaitStop(drainLimitS / 2 * time.Second); err != nil {
 		t.Error(err)
 	}
 }
--- a/bench/soak/stops.go
+++ b/bench/soak/stops.go
@@ -55,7 +55,7 @@
 		s.hidden = map[string][]interval{}
 	}
 	for _, e := range instances {
-		s.hidden[e.name] = append(s.hidden[e.name], interval{from, time.Now().Add(leaveBound)})
+		s.hidden[e.spec.Name] = append(s.hidden[e.spec.Name], interval{from, time.Now().Add(leaveBound)})
 	}
 	return err
 }
