bench/soak: take the first configuration from bench/fleet

Cause: soak put together its first ticket by hand, as Fleet.State does for the other benchmarks.

Change: firstTicket uses Fleet.State; the services of the load are a list. The accepted objects are the same.

Conclusion: one construction of the configuration for all benchmarks.

--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -32,9 +32,9 @@
 )
 
 // The services of the load: one allows hedging, the other does not.
-var services = map[string]directory.Service{
-	"quick":  {Name: "quick", Owner: "soak", ExpectedMS: 40, HedgePercent: 2, MaxAttempts: 3},
-	"billed": {Name: "billed", Owner: "soak", ExpectedMS: 40, MaxAttempts: 3},
+var services = []directory.Service{
+	{Name: "quick", Owner: "soak", ExpectedMS: 40, HedgePercent: 2, MaxAttempts: 3},
+	{Name: "billed", Owner: "soak", ExpectedMS: 40, MaxAttempts: 3},
 }
 
 // cluster is the set of processes of a run. The proxies outlive the processes
@@ -109,17 +109,9 @@
 }
 
 func (c *cluster) firstTicket() error {
-	s := directory.State{
-		Teams:    map[string]directory.Team{teamName: {Name: teamName, Weight: 1}},
-		Services: services,
-		Callers: map[string]directory.Caller{callerName: {Name: callerName, Team: teamName, Owner: "soak",
-			TokenSHA256: fleet.TokenSHA256(callerToken), Services: []string{"quick", "billed"}}},
-		Targets: map[string]directory.Target{},
-	}
-	for _, t := range c.targets {
-		s.Targets[t.spec.Name] = t.p.Load().Configured()
-	}
-	return c.accept(context.Background(), s)
+	caller := directory.Caller{Name: callerName, Team: teamName, Owner: "soak",
+		TokenSHA256: fleet.TokenSHA256(callerToken), Services: []string{"quick", "billed"}}
+	return c.accept(context.Background(), c.fleet.State(services, []directory.Caller{caller}))
 }
 
 // accept changes the configuration as an operator does, on the newest one.
