entry: keep the tests on the default settings, end starts that fail

Cause: the setting borrow_from_ms has a lower bound of 1, but the integration tests wrote settings without it, so that no instance started; the clean-up of a process that never became ready waited without end, and the package hung for 10 minutes instead of failing. Change: run.DefaultSettings is the one place of the defaults; a process that does not become ready is reaped; make test limits a package to 5 minutes. Conclusion: the fault was in the tests' settings, not in the stop.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 test: build
 	@test -z "$(KNOWN_RED)" || { echo "known red, not run:"; cat KNOWN-RED.txt; }
-	go test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(PACKAGES)
+	go test -count=1 -timeout 5m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(PACKAGES)
 
 # check runs the formatter, go vet, staticcheck, revive and the generated code check.
 check:
--- a/entry/integration/cluster_test.go
+++ b/entry/integration/cluster_test.go
@@ -121,11 +121,11 @@
 
 func (c *cluster) entry(name string, change ...func(*run.Settings)) *entry {
 	c.t.Helper()
-	s := run.Settings{
-		Name: name, Region: region, AvailabilityZone: zone, Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
-		Store: []string{c.platform.address()}, InstanceList: "http://" + c.platform.address(),
-		PeerSecret: "a secret of the tests", DrainLimitS: 30, LogLevel: "info", Trace: "off", Policy: "default",
-	}
+	s := run.DefaultSettings()
+	s.Name, s.Region, s.AvailabilityZone = name, region, zone
+	s.Listen, s.PeerListen = "127.0.0.1:0", "127.0.0.1:0"
+	s.Store, s.InstanceList = []string{c.platform.address()}, "http://"+c.platform.address()
+	s.PeerSecret, s.DrainLimitS = "a secret of the tests", 30
 	for _, fn := range change {
 		fn(&s)
 	}
--- a/entry/integration/process_test.go
+++ b/entry/integration/process_test.go
@@ -86,15 +86,17 @@
 	})
 	lines := bufio.NewReader(out)
 	p.ready, err = lines.ReadString('\n')
-	if err != nil {
-		text, _ := os.ReadFile(log.Name())
-		t.Fatalf("%s did not become ready: %v\n%s", name, err, text)
-	}
+	// A process that did not become ready is waited for as well, so that the
+	// clean-up does not wait without end.
 	go func() {
 		_, _ = io.Copy(io.Discard, lines)
 		_ = p.cmd.Wait()
 		close(p.exited)
 	}()
+	if err != nil {
+		text, _ := os.ReadFile(log.Name())
+		t.Fatalf("%s did not become ready: %v\n%s", name, err, text)
+	}
 	return p
 }
 
--- a/entry/run/settings.go
+++ b/entry/run/settings.go
@@ -55,10 +55,17 @@
 	BorrowFromMS int `toml:"borrow_from_ms"`
 }
 
+// DefaultSettings holds the values of the keys that a file may leave out.
+func DefaultSettings() Settings {
+	return Settings{
+		DrainLimitS: defaultDrainLimitS, LogLevel: "info", Trace: "off", Policy: "default",
+		BorrowFromMS: int(dispatch.DefaultConfig("", 1).BorrowFrom.Milliseconds()),
+	}
+}
+
 // LoadSettings reads and checks the file at path.
 func LoadSettings(path string) (Settings, finding.List) {
-	s := Settings{DrainLimitS: defaultDrainLimitS, LogLevel: "info", Trace: "off", Policy: "default",
-		BorrowFromMS: int(dispatch.DefaultConfig("", 1).BorrowFrom.Milliseconds())}
+	s := DefaultSettings()
 	file, found := settings.Load(path, &s)
 	if file.Empty() {
 		return s, found
