entry/sender: accept a refusal only if it names the attempt

Change: the stand-in target repeats job, task and attempt in refusals; the sender takes one without them, or with others, as ambiguous. Conclusion: every reply of a target proves something about its own attempt only. A target that refuses without names makes its starts ambiguous.

--- a/entry/sender/sender_test.go
+++ b/entry/sender/sender_test.go
@@ -148,9 +148,11 @@
 		"cut":              {"HTTP/1.1 200 X\r\nContent-Length: 500\r\n\r\n{", "dispatch.Lost"},
 		"server error":     {response(500, `{}`), "dispatch.Lost"},
 		"large":            {response(200, wrong("cg==", strings.Repeat("AAAA", maxResultBytes/3+1))), "dispatch.Lost"},
-		"no slot":          {response(429, `{"running":8,"slots":8}`), "dispatch.Refused"},
-		"leaving":          {response(410, `{}`), "dispatch.Refused"},
-		"expired":          {response(412, `{}`), "dispatch.Refused"},
+		"no slot":          {response(429, doneReply(1)), "dispatch.Refused"},
+		"leaving":          {response(410, doneReply(1)), "dispatch.Refused"},
+		"expired":          {response(412, doneReply(1)), "dispatch.Refused"},
+		"crossed refusal":  {response(429, doneReply(2)), "dispatch.Lost"},
+		"nameless refusal": {response(429, `{"running":8,"slots":8}`), "dispatch.Lost"},
 		"malformed refuse": {response(429, `<html>`), "dispatch.Lost"},
 	}
 	for name, tc := range cases {
--- a/entry/sender/wire.go
+++ b/entry/sender/wire.go
@@ -94,23 +94,31 @@
 	return outcome, load(&r), err
 }
 
+// refusals are the statuses that say that the task did not run.
+var refusals = map[int]dispatch.RefusalCause{
+	http.StatusTooManyRequests:    dispatch.NoSlot,
+	http.StatusGone:               dispatch.Leaving,
+	http.StatusPreconditionFailed: dispatch.LeaseLapsed,
+	http.StatusBadRequest:         dispatch.BadRequest,
+}
+
+// classify returns the outcome of a reply. Refusals must name the attempt as
+// well: one that belongs to another start would let a task run a second time.
 func classify(status int, r *reply, job string, id dispatch.AttemptID, took time.Duration) (dispatch.Outcome, error) {
-	switch status {
-	case http.StatusOK:
-	case http.StatusTooManyRequests:
-		return dispatch.Refused{Cause: dispatch.NoSlot}, nil
-	case http.StatusGone:
-		return dispatch.Refused{Cause: dispatch.Leaving}, nil
-	case http.StatusPreconditionFailed:
-		return dispatch.Refused{Cause: dispatch.LeaseLapsed}, nil
-	case http.StatusBadRequest:
-		return dispatch.Refused{Cause: dispatch.BadRequest}, nil
-	default:
+	cause, refused := refusals[status]
+	switch {
+	case !refused && status != http.StatusOK:
 		return nil, fmt.Errorf("the reply has status %d", status)
-	}
-	if r.Job != job || r.Task != id.Task || r.Attempt != id.Number {
+	case r.Job != job || r.Task != id.Task || r.Attempt != id.Number:
 		return nil, errMismatch
+	case refused:
+		return dispatch.Refused{Cause: cause}, nil
+	default:
+		return ended(r, took)
 	}
+}
+
+func ended(r *reply, took time.Duration) (dispatch.Outcome, error) {
 	switch r.Outcome {
 	case "done":
 		if len(r.Result) > maxResultBytes {
--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -61,13 +61,13 @@
 func (t *Target) postTask(w http.ResponseWriter, r *http.Request) {
 	var req request
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
-		t.refuse(w, http.StatusBadRequest, err.Error())
+		t.refuse(w, http.StatusBadRequest, req, err.Error())
 		return
 	}
 	over, _ := r.Context().Value(overKey{}).(bool)
 	status, p, stop := t.begin(req, over)
 	if status != http.StatusOK {
-		t.refuse(w, status, http.StatusText(status))
+		t.refuse(w, status, req, http.StatusText(status))
 		return
 	}
 	message := wait(req, p, stop)
@@ -83,9 +83,9 @@
 	writeJSON(w, http.StatusOK, out)
 }
 
-func (t *Target) refuse(w http.ResponseWriter, status int, message string) {
+func (t *Target) refuse(w http.ResponseWriter, status int, req request, message string) {
 	running, slots := t.load()
-	writeJSON(w, status, reply{Message: message, Running: running, Slots: slots})
+	writeJSON(w, status, reply{Job: req.Job, Task: req.Task, Attempt: req.Attempt, Message: message, Running: running, Slots: slots})
 }
 
 func (t *Target) deleteTask(w http.ResponseWriter, r *http.Request) {
