--- a/core/placement/service.go
+++ b/core/placement/service.go
@@ -130,8 +130,10 @@
 
 func (p *pair) learn(took float64, ratio float64) {
 	p.samples++
+	// The slowness starts from 1 as if it were a sample; the mean starts from
+	// the first run time.
 	w := max(meanWeight, 1/float64(p.samples+1))
-	p.mean += w * (took - p.mean)
+	p.mean += max(meanWeight, 1/float64(p.samples)) * (took - p.mean)
 	p.slowness = min(max(p.slowness+w*(min(ratio, maxSlowness)-p.slowness), minSlowness), maxSlowness)
 }
 
--- a/core/placement/takeover.go
+++ b/core/placement/takeover.go
@@ -16,9 +16,8 @@
 	maxTaken = 10 * time.Minute
 )
 
-// plausible leaves out the speeds of fewer than takenSamples run times too:
-// they are mostly noise, and the mean of n of them is low by 1/(n+1), because
-// it starts from 0.
+// plausible leaves out the speeds of fewer than takenSamples run times too,
+// because they are mostly noise.
 func (s *Speed) plausible() bool {
 	return s.Mean > 0 && s.Mean <= maxTaken && s.Samples >= takenSamples
 }
--- a/entry/peering/exchanger.go
+++ b/entry/peering/exchanger.go
@@ -25,11 +25,6 @@
 	sentMoves = 32
 )
 
-// Hints are the current loads that peers are told.
-type Hints struct {
-	QueuedTasks, RunningTasks uint32
-}
-
 // ExchangerConfig holds the dependencies of an Exchanger.
 type ExchangerConfig struct {
 	Log     *zap.Logger
@@ -38,7 +33,6 @@
 	// InForce returns the number and the digest of the configuration.
 	InForce  func() (number, digest uint64)
 	Draining func() bool
-	Hints    func() Hints
 	// Heard is called after each message from a peer. It must not block.
 	Heard func()
 }
@@ -160,12 +154,10 @@
 // Message returns this instance's own message.
 func (e *Exchanger) Message() *wire.ExchangeMessage {
 	number, digest := e.cfg.InForce()
-	hints := e.cfg.Hints()
 	m := &wire.ExchangeMessage{
 		Instance: e.self.Name, Address: e.self.Address, Region: e.self.Region,
 		AvailabilityZone: e.self.AvailabilityZone, Incarnation: e.self.Incarnation,
 		State: wire.PeerState_PEER_STATE_LIVE, Ticket: number, TicketDigest: digest,
-		QueuedTasks: hints.QueuedTasks, RunningTasks: hints.RunningTasks,
 	}
 	if e.cfg.Draining() {
 		m.State = wire.PeerState_PEER_STATE_DRAINING
--- a/entry/run/instance.go
+++ b/entry/run/instance.go
@@ -62,7 +62,6 @@
 
 	draining atomic.Bool
 	drained  chan struct{}
-	hints    atomic.Pointer[peering.Hints]
 	wg       sync.WaitGroup
 }
 
@@ -73,7 +72,6 @@
 		return nil, err
 	}
 	in := &Instance{settings: s, log: log, drained: make(chan struct{}), http: &http.Client{}}
-	in.hints.Store(&peering.Hints{})
 	if in.tracer, err = tracing.New(s.Trace, s.Name); err != nil {
 		return nil, err
 	}
@@ -163,7 +161,6 @@
 		Log: in.part("peering"), Metrics: in.metrics, Peers: in.peers,
 		InForce:  func() (uint64, uint64) { return in.configurer.InForce() },
 		Draining: in.draining.Load,
-		Hints:    func() peering.Hints { return *in.hints.Load() },
 		Heard: func() {
 			in.configurer.Kick()
 			in.lister.Refresh()
--- a/entry/run/sample.go
+++ b/entry/run/sample.go
@@ -5,13 +5,12 @@
 	"time"
 
 	"marigoldfront.dev/core/dispatch"
-	"marigoldfront.dev/entry/peering"
 )
 
-// sampleInterval is how often the gauges and the hints for peers are renewed.
+// sampleInterval is how often the gauges are renewed.
 const sampleInterval = 500 * time.Millisecond
 
-// sample renews the gauges, the Dispatcher's counters and the hints.
+// sample renews the gauges and the Dispatcher's counters.
 func (in *Instance) sample(ctx context.Context) {
 	ticker := time.NewTicker(sampleInterval)
 	defer ticker.Stop()
@@ -26,11 +25,9 @@
 		if !in.engine.Inspect(func() { stats = in.dispatcher.Stats() }) {
 			return
 		}
-		running := in.sender.InFlight()
 		in.metrics.Queued.Update(float64(stats.QueuedTasks))
-		in.metrics.Running.Update(float64(running))
+		in.metrics.Running.Update(float64(in.sender.InFlight()))
 		in.metrics.Sessions.Update(float64(stats.Sessions))
-		in.hints.Store(&peering.Hints{QueuedTasks: uint32(stats.QueuedTasks), RunningTasks: uint32(running)})
 		for event, n := range events(stats) {
 			in.metrics.Dispatch(event, n-counted[event])
 			counted[event] = n
