--- a/core/membership/head.go
+++ b/core/membership/head.go
@@ -92,7 +92,8 @@
 	return r.moved.find(now, incarnation)
 }
 
-// NewestMoves returns up to n mappings for an exchange message, newest first.
+// NewestMoves returns the mappings for an exchange message: up to n of the last
+// minutes, and now and then an older one.
 func (r *Roster) NewestMoves(now time.Time, n int) []Move {
 	return r.moved.newest(now, n)
 }
