entry/run: show ejected targets in the status

Cause: no command told why a live target gets no work. Conclusion: the question has an answer of one line.

--- a/core/dispatch/policy.go
+++ b/core/dispatch/policy.go
@@ -62,6 +62,8 @@
 	// instance where this one has learned nothing.
 	speeds() []placement.Speed
 	takeOver(all []placement.Speed)
+	// ejected returns the targets that get no work but probes.
+	ejected() []string
 	// depth is the number of queued tasks.
 	depth() int
 	// wake is the time at which the policy wants to decide again, or zero.
--- a/core/dispatch/policy_test.go
+++ b/core/dispatch/policy_test.go
@@ -84,6 +84,9 @@
 	if hits < 3 || hits > 6 || b.load().health.Limit("taa") != health.Excluded {
 		t.Fatalf("%d starts on the failing target", hits)
 	}
+	if got := b.d.Ejected(); len(got) != 1 || got[0] != "taa" {
+		t.Fatalf("ejected targets %v, want taa", got)
+	}
 }
 
 // Guards against a queue full of one team's tasks turning away the others, and
--- a/core/dispatch/speeds.go
+++ b/core/dispatch/speeds.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "marigoldfront.dev/core/placement"
+import (
+	"slices"
+
+	"marigoldfront.dev/core/placement"
+)
 
 // Speeds returns the learned run times, ordered by service and target. They
 // include those that were taken over.
@@ -30,3 +34,12 @@
 // The baseline policy learns no run times.
 func (p *baseline) speeds() []placement.Speed  { return nil }
 func (p *baseline) takeOver([]placement.Speed) {}
+
+// Ejected returns the targets that get no work but probes, because their tasks
+// failed.
+func (d *Dispatcher) Ejected() []string { return slices.Clone(d.policy.ejected()) }
+
+func (p *loadPolicy) ejected() []string { return p.health.Ejected() }
+
+// The baseline policy ejects no target.
+func (p *baseline) ejected() []string { return nil }
--- a/entry/run/status.go
+++ b/entry/run/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"marigoldfront.dev/core/dispatch"
@@ -46,11 +47,15 @@
 	Target  string `json:"target"`
 	Address string `json:"address"`
 	State   string `json:"state"`
+	// Ejected says that the target gets no work but probes, because its tasks
+	// failed.
+	Ejected bool `json:"ejected,omitempty"`
 }
 
 func (in *Instance) status() any {
 	var stats dispatch.Stats
-	in.engine.Inspect(func() { stats = in.dispatcher.Stats() })
+	var ejected []string
+	in.engine.Inspect(func() { stats, ejected = in.dispatcher.Stats(), in.dispatcher.Ejected() })
 	number, digest := in.configurer.InForce()
 	s := Status{
 		Instance: in.self.Name, Region: in.self.Region, AvailabilityZone: in.self.AvailabilityZone,
@@ -77,7 +82,7 @@
 		if t.Leaving {
 			state = "leaving"
 		}
-		s.Targets = append(s.Targets, TargetStatus{Target: t.Name, Address: t.Address, State: state})
+		s.Targets = append(s.Targets, TargetStatus{Target: t.Name, Address: t.Address, State: state, Ejected: slices.Contains(ejected, t.Name)})
 	}
 	return s
 }
