core: use the usual terms for failing jobs and unknown targets

Cause: doom, unfunded, condemned, blind and stranded are private words that a newcomer has to look up. Change: failWhenSettled, awaitingBudget, shouldEject, unreported and shortOfSlots; no change of behaviour.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -133,9 +133,9 @@
 func (d *Dispatcher) settle(j *activeJob, i int, end job.End, o Outcome) {
 	switch {
 	case end == job.Ambiguous && !j.rec.Repeatable():
-		d.doom(j, answer.CodeAmbiguousAttempt, "the reply of a target was lost; the task may have run")
-	case j.doom != nil:
-		d.doom(j, j.doom.Code, j.doom.Message)
+		d.failWhenSettled(j, answer.CodeAmbiguousAttempt, "the reply of a target was lost; the task may have run")
+	case j.failure != nil:
+		d.failWhenSettled(j, j.failure.Code, j.failure.Message)
 	case end == job.Done:
 		d.taskDone(j, i)
 	case j.rec.TaskInFlight(i) > 0:
@@ -146,7 +146,7 @@
 		d.policy.enqueue(d.now, &j.work[i], true)
 	default:
 		code, msg := exhausted(i, o)
-		d.doom(j, code, msg)
+		d.failWhenSettled(j, code, msg)
 	}
 }
 
@@ -171,7 +171,7 @@
 func (d *Dispatcher) afterRefusal(j *activeJob, i int, o Outcome) {
 	if j.rec.TaskRefused(i) >= d.cfg.MaxRefusals {
 		code, msg := exhausted(i, o)
-		d.doom(j, code, msg)
+		d.failWhenSettled(j, code, msg)
 		return
 	}
 	d.policy.enqueue(d.now, &j.work[i], true)
@@ -188,15 +188,15 @@
 	return answer.CodeAttemptsExhausted, fmt.Sprintf("task %d was refused too often", i)
 }
 
-// doom fails a job that cannot succeed any more. A job that is not repeatable
+// failWhenSettled fails a job that cannot succeed any more. A job that is not repeatable
 // first waits for its attempts in flight, because its answer says whether any
 // of them may have run without a known end.
-func (d *Dispatcher) doom(j *activeJob, code answer.Code, msg string) {
+func (d *Dispatcher) failWhenSettled(j *activeJob, code answer.Code, msg string) {
 	if j.rec.Repeatable() || code == answer.CodeAmbiguousAttempt || j.rec.InFlight() == 0 {
 		d.fail(j, code, msg)
 		return
 	}
-	j.doom = &answer.Reason{Code: code, Message: msg}
+	j.failure = &answer.Reason{Code: code, Message: msg}
 	for i := range j.work {
 		d.policy.remove(&j.work[i])
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -70,9 +70,9 @@
 	work     []pending
 	// plan belongs to the policy.
 	plan *plan
-	// doom is set where a job that is not repeatable has failed and waits for
+	// failure is set where a job that is not repeatable has failed and waits for
 	// the end of its attempts in flight.
-	doom *answer.Reason
+	failure *answer.Reason
 
 	wake  time.Time
 	timer int
--- a/core/dispatch/policy.go
+++ b/core/dispatch/policy.go
@@ -99,8 +99,8 @@
 	target, address string
 	expected        time.Duration
 	// charged is the slot time that the queue charged to the team.
-	charged             time.Duration
-	probe, hedge, blind bool
+	charged                  time.Duration
+	probe, hedge, unreported bool
 }
 
 func newPolicy(cfg Config, rng *rand.Rand) policy {
--- a/core/dispatch/policy_end.go
+++ b/core/dispatch/policy_end.go
@@ -41,8 +41,8 @@
 		used = 0
 	}
 	p.queue.Ended(j.plan.queue.Team, o.choice.charged, used)
-	if o.choice.blind {
-		p.blind.ended(ran(ev.Outcome))
+	if o.choice.unreported {
+		p.unreported.ended(ran(ev.Outcome))
 	}
 	p.judge(now, w, o, ev, counted)
 	if o.choice.probe {
--- a/core/dispatch/policy_load.go
+++ b/core/dispatch/policy_load.go
@@ -44,11 +44,11 @@
 	jobs    map[uint64]*activeJob
 	lastKey uint64
 	entries int
-	// unfunded are the retries that wait for the budget.
-	unfunded []*pending
-	hedges   hedgeTimes
-	blocked  []string
-	blind    blindStarts
+	// awaitingBudget are the retries that wait for the budget.
+	awaitingBudget []*pending
+	hedges         hedgeTimes
+	blocked        []string
+	unreported     unreportedStarts
 }
 
 // plan is what the policy keeps of a job.
@@ -164,7 +164,7 @@
 	tasks, bytes := p.queue.Len()
 	own := p.queue.Team(team)
 	return admission.Load{
-		QueuedTasks: tasks + len(p.unfunded), QueuedBytes: bytes,
+		QueuedTasks: tasks + len(p.awaitingBudget), QueuedBytes: bytes,
 		TeamTasks: own.Queued, TeamWork: own.Work,
 		Work: p.queue.Work(), Slots: p.table.Slots(), Share: p.queue.Share(team, p.table.Slots()),
 	}
@@ -182,7 +182,7 @@
 		}
 	case w.spends && !p.budget.Take():
 		w.queued = true
-		p.unfunded = append(p.unfunded, w)
+		p.awaitingBudget = append(p.awaitingBudget, w)
 	default:
 		p.requeue(w)
 	}
@@ -215,7 +215,7 @@
 	dropped := p.queue.Drop(j.plan.queue.Key)
 	p.await(j, -len(dropped))
 	if len(dropped) < len(j.work) {
-		p.unfunded = slices.DeleteFunc(p.unfunded, func(u *pending) bool { return u.job == j })
+		p.awaitingBudget = slices.DeleteFunc(p.awaitingBudget, func(u *pending) bool { return u.job == j })
 	}
 	for i := range j.work {
 		j.work[i].queued = false
@@ -240,7 +240,7 @@
 
 func (p *loadPolicy) depth() int {
 	tasks, _ := p.queue.Len()
-	return tasks + len(p.unfunded)
+	return tasks + len(p.awaitingBudget)
 }
 
 func (p *loadPolicy) wake(now time.Time) time.Time {
--- a/core/dispatch/policy_next.go
+++ b/core/dispatch/policy_next.go
@@ -14,30 +14,30 @@
 	// maxSkip bounds the jobs that one decision passes over because no free
 	// slot suits their next task.
 	maxSkip = 16
-	// blindFirst and blindLast bound the time between starts on targets of
+	// unreportedFirst and unreportedLast bound the time between starts on targets of
 	// which nothing is known.
-	blindFirst = 500 * time.Millisecond
-	blindLast  = 10 * time.Second
+	unreportedFirst = 500 * time.Millisecond
+	unreportedLast  = 10 * time.Second
 )
 
-// blindStarts spaces out the starts on targets of which nothing is known:
+// unreportedStarts spaces out the starts on targets of which nothing is known:
 // twice as far after each refusal.
-type blindStarts struct {
+type unreportedStarts struct {
 	next     time.Time
 	interval time.Duration
 }
 
-func (b *blindStarts) used(now time.Time) {
-	b.interval = max(b.interval, blindFirst)
+func (b *unreportedStarts) used(now time.Time) {
+	b.interval = max(b.interval, unreportedFirst)
 	b.next = now.Add(b.interval)
 }
 
-func (b *blindStarts) ended(ran bool) {
+func (b *unreportedStarts) ended(ran bool) {
 	if ran {
-		b.interval, b.next = blindFirst, time.Time{}
+		b.interval, b.next = unreportedFirst, time.Time{}
 		return
 	}
-	b.interval = min(2*b.interval, blindLast)
+	b.interval = min(2*b.interval, unreportedLast)
 }
 
 func (p *loadPolicy) next(now time.Time) (choice, bool) {
@@ -66,9 +66,9 @@
 
 // fund queues the retries that the budget allows now.
 func (p *loadPolicy) fund() {
-	for len(p.unfunded) > 0 && p.budget.Take() {
-		p.requeue(p.unfunded[0])
-		p.unfunded = p.unfunded[1:]
+	for len(p.awaitingBudget) > 0 && p.budget.Take() {
+		p.requeue(p.awaitingBudget[0])
+		p.awaitingBudget = p.awaitingBudget[1:]
 	}
 }
 
@@ -81,11 +81,11 @@
 		return p.takeProbe(now, h.Job, w, c), true
 	}
 	n.Within = max(w.job.plan.queue.Expected-now.Sub(w.job.admitted), h.Task.Expected)
-	n.Blind = !now.Before(p.blind.next)
+	n.Unreported = !now.Before(p.unreported.next)
 	c, verdict := p.table.Choose(now, n)
 	if verdict == placement.Found {
-		if c.Blind {
-			p.blind.used(now)
+		if c.Unreported {
+			p.unreported.used(now)
 		}
 		return p.take(h.Job, w, c), true
 	}
@@ -149,7 +149,7 @@
 	p.await(w.job, -1)
 	w.queued = false
 	return choice{
-		work: w, target: c.Target, address: c.Address, expected: c.Expected, charged: t.Expected, blind: c.Blind,
+		work: w, target: c.Target, address: c.Address, expected: c.Expected, charged: t.Expected, unreported: c.Unreported,
 	}
 }
 
--- a/core/dispatch/policy_test.go
+++ b/core/dispatch/policy_test.go
@@ -58,8 +58,8 @@
 	}
 	p := b.load()
 	tasks, bytes := p.queue.Len()
-	if tasks != 0 || bytes != 0 || len(p.jobs) != 0 || len(p.unfunded) != 0 || p.depth() != 0 {
-		t.Fatalf("left: %d tasks, %d bytes, %d jobs, %d unfunded", tasks, bytes, len(p.jobs), len(p.unfunded))
+	if tasks != 0 || bytes != 0 || len(p.jobs) != 0 || len(p.awaitingBudget) != 0 || p.depth() != 0 {
+		t.Fatalf("left: %d tasks, %d bytes, %d jobs, %d awaitingBudget", tasks, bytes, len(p.jobs), len(p.awaitingBudget))
 	}
 }
 
--- a/core/health/monitor.go
+++ b/core/health/monitor.go
@@ -178,7 +178,7 @@
 	if len(t.failures) > strictFailures {
 		t.failures = slices.Delete(t.failures, 0, 1)
 	}
-	if m.condemned(t) && (m.mayEject() || len(t.failures) >= strictFailures) {
+	if m.shouldEject(t) && (m.mayEject() || len(t.failures) >= strictFailures) {
 		t.ejected, t.ejectedAt, t.interval = true, now, firstProbe
 		t.probeAt = now.Add(firstProbe)
 		m.ejected = append(m.ejected, name)
@@ -186,7 +186,7 @@
 	return false
 }
 
-func (m *Monitor) condemned(t *target) bool {
+func (m *Monitor) shouldEject(t *target) bool {
 	if len(t.failures) < ejectFailures {
 		return false
 	}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -12,14 +12,14 @@
 	// freshReport is how long a report of free slots allows a start outside
 	// the assigned slots.
 	freshReport = 50 * time.Millisecond
-	// blindFrom is the backlog from which a target may be tried of which
+	// unreportedFrom is the backlog from which a target may be tried of which
 	// nothing is known.
-	blindFrom = 4 * time.Second
-	// strandedPart is the part of the assigned slots that must be left, or else
+	unreportedFrom = 4 * time.Second
+	// shortPart is the part of the assigned slots that must be left, or else
 	// the targets of other availability zones are used without a report, up to
 	// spillPart of each one's slots.
-	strandedPart = 4
-	spillPart    = 4
+	shortPart = 4
+	spillPart = 4
 	// withinShare is the part of a job's time that the forecast of a task on a
 	// slow target may take up, because forecasts err. With 0.6 or 0.9 the p99
 	// slowdown at fourfold speeds was 1.75 or 1.63 instead of 1.58.
@@ -93,12 +93,12 @@
 		}
 		return Choice{}, Unsuited
 	}
-	if !n.Blind || t.backlog(s, n.Ahead) < blindFrom {
+	if !n.Unreported || t.backlog(s, n.Ahead) < unreportedFrom {
 		return Choice{}, verdict
 	}
 	if p := s.unreported(&n); p != nil {
 		c := p.choice(base, 0)
-		c.Blind = true
+		c.Unreported = true
 		return c, Found
 	}
 	return Choice{}, verdict
@@ -203,7 +203,7 @@
 func (t *Table) first(now time.Time, s *service, tier int, n *Need) (found *pair, free bool) {
 	for i := s.free[tier].next(0); i >= 0; i = s.free[tier].next(i + 1) {
 		p := s.order[i]
-		if tier != assigned && now.Sub(p.target.reportedAt) > freshReport && !t.stranded {
+		if tier != assigned && now.Sub(p.target.reportedAt) > freshReport && !t.shortOfSlots {
 			s.free[tier].set(i, false)
 			continue
 		}
@@ -320,7 +320,7 @@
 			t.shares += n.share
 		}
 	}
-	t.stranded = t.shares*strandedPart <= all
+	t.shortOfSlots = t.shares*shortPart <= all
 	for _, s := range t.services {
 		s.sortedAt = time.Time{}
 	}
@@ -344,7 +344,7 @@
 	free := n.freeSlots(s)
 	s.free[assigned].set(p.pos, room && n.outstanding < n.share && free > 0)
 	borrow := room && free > reserve && !n.reportedAt.IsZero()
-	spill := t.stranded && room && n.mayHaveRoom(s)
+	spill := t.shortOfSlots && room && n.mayHaveRoom(s)
 	s.free[sameZone].set(p.pos, (borrow || spill) && n.sameAZ)
 	s.free[otherZone].set(p.pos, (borrow || spill) && !n.sameAZ)
 }
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -54,9 +54,9 @@
 	Within time.Duration
 	// Sure excludes targets under a limit, for tasks that cannot be repeated.
 	Sure bool
-	// Blind allows a target of which nothing is known, at the risk of a
+	// Unreported allows a target of which nothing is known, at the risk of a
 	// refusal.
-	Blind bool
+	Unreported bool
 }
 
 // Choice is a target with a slot that is likely to be free.
@@ -65,8 +65,8 @@
 	Address string
 	// Expected is the forecast run time on the target.
 	Expected time.Duration
-	// Blind says that nothing is known of the target's free slots.
-	Blind bool
+	// Unreported says that nothing is known of the target's free slots.
+	Unreported bool
 }
 
 // target is what is known of one target, over all services.
@@ -115,8 +115,8 @@
 	// shares is the sum of the slots assigned to this instance on usable
 	// targets.
 	shares int
-	// stranded is set where few of them are left.
-	stranded bool
+	// shortOfSlots is set where few of them are left.
+	shortOfSlots bool
 }
 
 // New returns a Table without targets.
