entry/routing: take the time before a hop off the timeout

Cause: a forwarded submission carried its full timeout, also after waiting for the successor of a moved session, so that its job could outlive what its caller waits for. Change: the timeout is reduced by the time spent here before a hop. Conclusion: a job ends when its caller expects it, less one network hop.

--- a/entry/routing/router.go
+++ b/entry/routing/router.go
@@ -83,15 +83,25 @@
 	}
 	req.Caller = tok.Caller
 	began := time.Now()
-	reply := r.reach(ctx, tok, req)
+	until := began.Add(time.Duration(req.GetSubmission().GetTimeoutMs()) * time.Millisecond)
+	reply := r.reach(ctx, tok, req, until)
 	if lost(reply) && time.Since(began) < seekWithin {
+		setTimeLeft(req, until)
 		return r.seek(ctx, tok, req, reply)
 	}
 	return reply
 }
 
+// setTimeLeft takes the time spent here off the timeout of a submission, so
+// that a forwarded job ends when its caller expects it.
+func setTimeLeft(req *wire.ForwardRequest, until time.Time) {
+	if s := req.GetSubmission(); s != nil {
+		s.TimeoutMs = max(1, time.Until(until).Milliseconds())
+	}
+}
+
 // reach serves the request here or forwards it to where its home should be.
-func (r *Router) reach(ctx context.Context, tok token.Token, req *wire.ForwardRequest) *wire.ForwardReply {
+func (r *Router) reach(ctx context.Context, tok token.Token, req *wire.ForwardRequest, until time.Time) *wire.ForwardReply {
 	address := r.locate(tok)
 	if address == "" {
 		reply, moved := r.cfg.Home.Serve(ctx, tok, req)
@@ -102,6 +112,7 @@
 		if address, ok = r.cfg.Mover.Successor(ctx); !ok {
 			return unreachable("the session has no home any more")
 		}
+		setTimeLeft(req, until)
 	}
 	return r.follow(ctx, address, req)
 }
--- a/entry/routing/router_test.go
+++ b/entry/routing/router_test.go
@@ -101,6 +101,21 @@
 	}
 }
 
+// Guards against a job that outlives its caller's timeout, because the time
+// before a hop was not taken off.
+func TestTimeLeft(t *testing.T) {
+	req := &wire.ForwardRequest{Submission: &wire.Submission{TimeoutMs: 5000}}
+	setTimeLeft(req, time.Now().Add(2*time.Second))
+	if ms := req.GetSubmission().GetTimeoutMs(); ms > 2000 || ms < 1000 {
+		t.Errorf("%d ms left of 2 s", ms)
+	}
+	setTimeLeft(req, time.Now().Add(-time.Second))
+	if ms := req.GetSubmission().GetTimeoutMs(); ms != 1 {
+		t.Errorf("%d ms left of a timeout that has passed, want 1", ms)
+	}
+	setTimeLeft(&wire.ForwardRequest{}, time.Now())
+}
+
 // Guards against P3 broken by a reply to another forwarded request.
 func TestCrossedReplyIsUnknown(t *testing.T) {
 	at := newPeer(t, complete())
