entry/run: look for peers with speeds twice a second

Cause: an instance without peers looked ten times a second in its first minute. Change: twice a second.

--- a/entry/run/speeds.go
+++ b/entry/run/speeds.go
@@ -21,7 +21,9 @@
 	// speedWait bounds the wait for a configuration and a peer. After it own
 	// observations make the speeds of others pointless.
 	speedWait = time.Minute
-	speedPoll = 100 * time.Millisecond
+	// speedPoll is how often the wait looks; at 100 ms an idle instance without
+	// peers used 5 ms of processor time a second instead of 3.
+	speedPoll = 500 * time.Millisecond
 )
 
 // speeds returns the learned run times, none once the engine has stopped.
