--- a/bench/fleet/entry.go
+++ b/bench/fleet/entry.go
@@ -9,7 +9,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"marigoldfront.dev/bench/faultproxy"
-	"marigoldfront.dev/platform/instancelist"
+	"marigoldfront.dev/infra/instancelist"
 )
 
 // EntrySpec describes an entry instance.
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -15,8 +15,8 @@
 
 	"marigoldfront.dev/core/directory"
 	"marigoldfront.dev/core/ticket"
-	"marigoldfront.dev/platform/store"
-	"marigoldfront.dev/platform/ticketlog"
+	"marigoldfront.dev/infra/store"
+	"marigoldfront.dev/infra/ticketlog"
 )
 
 const (
--- a/bench/fleet/platform.go
+++ b/bench/fleet/platform.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"marigoldfront.dev/platform/instancelist"
+	"marigoldfront.dev/infra/instancelist"
 )
 
 const (
--- a/bench/fleet/target.go
+++ b/bench/fleet/target.go
@@ -6,7 +6,7 @@
 
 	"marigoldfront.dev/bench/faultproxy"
 	"marigoldfront.dev/core/directory"
-	"marigoldfront.dev/platform/instancelist"
+	"marigoldfront.dev/infra/instancelist"
 )
 
 // TargetSpec describes a stand-in target.
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -11,8 +11,8 @@
 	"marigoldfront.dev/bench/faultproxy"
 	"marigoldfront.dev/bench/fleet"
 	"marigoldfront.dev/core/directory"
-	"marigoldfront.dev/platform/store"
-	"marigoldfront.dev/platform/ticketlog"
+	"marigoldfront.dev/infra/store"
+	"marigoldfront.dev/infra/ticketlog"
 )
 
 const (
--- /dev/null
+++ b/core/scheduler/action.go
@@ -0,0 +1,99 @@
+package scheduler
+
+import "time"
+
+// Action is an output of the Scheduler, to be carried out by the parts with
+// I/O.
+type Action interface{ action() }
+
+// Start tells a target to start a run.
+type Start struct {
+	Run     RunID
+	Target  string
+	Address string
+	Payload string
+	Fence   int64
+	// LeaseMS is the end of the lease on the target's clock, in milliseconds.
+	LeaseMS int64
+}
+
+// Stop tells a target to stop a run, or never to start it.
+type Stop struct {
+	Run     RunID
+	Target  string
+	Address string
+	Fence   int64
+}
+
+// Look asks a target for its runs and ends, acknowledges earlier ends, and
+// extends the lease on all that runs there.
+type Look struct {
+	Target  string
+	Address string
+	Fence   int64
+	Sent    time.Time
+	// Seen is the number of the last end that was taken note of.
+	Seen int64
+	// LeaseMS is the end of the lease on the target's clock, in milliseconds;
+	// 0 extends nothing.
+	LeaseMS int64
+	// Wait is how long the target may wait for an end.
+	Wait time.Duration
+}
+
+// Reply answers all requests that wait for a job.
+type Reply struct {
+	Requests []RequestID
+	Job      string
+	Outcome  Outcome
+}
+
+// LostTarget says that another instance holds the target.
+type LostTarget struct {
+	Target string
+	Fence  int64
+}
+
+func (Start) action()      {}
+func (Stop) action()       {}
+func (Look) action()       {}
+func (Reply) action()      {}
+func (LostTarget) action() {}
+
+// Outcome is the answer to a job.
+type Outcome interface{ outcome() }
+
+// Completed says that all tasks have ended well.
+type Completed struct{}
+
+// Failed says that a task has failed as often as it may.
+type Failed struct{ Reason string }
+
+// Refused says that nothing of the job ran, and nothing will.
+type Refused struct {
+	Reason Reason
+	// RetryAfter is when a new attempt is likely to be accepted.
+	RetryAfter time.Duration
+}
+
+// Unknown says that tasks of the job may have run.
+type Unknown struct{ Reason Reason }
+
+func (Completed) outcome() {}
+func (Failed) outcome()    {}
+func (Refused) outcome()   {}
+func (Unknown) outcome()   {}
+
+// Reason says why a job has no result.
+type Reason string
+
+// The reasons.
+const (
+	ReasonOverloaded Reason = "overloaded"
+	ReasonDeadline   Reason = "deadline"
+	ReasonNoTarget   Reason = "no_target"
+	ReasonNeverFits  Reason = "never_fits"
+	ReasonCancelled  Reason = "cancelled"
+	ReasonDraining   Reason = "draining"
+	ReasonWithdrawn  Reason = "withdrawn"
+)
--- /dev/null
+++ b/core/scheduler/place.go
@@ -0,0 +1,251 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxSkip bounds the jobs that one decision passes over because nothing
+	// fits their tasks.
+	maxSkip = 16
+	// packing is the share of the processors that tasks of odd sizes can use.
+	packing = 0.85
+	// onTimeShare is the share of the time left that a forecast run time may
+	// take up, because forecasts err.
+	onTimeShare = 0.8
+	// latePenalty ranks a target on which the objective is missed behind all
+	// others.
+	latePenalty = 10
+	// spreadWeight weighs unused room beside a task against its run time, so
+	// that large tasks find room later.
+	spreadWeight = 0.2
+)
+
+// compareJobs orders the queue: jobs that have started, then by the latest
+// start that meets the objective.
+func compareJobs(a, b *job) int {
+	if a.started != b.started {
+		if a.started {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(a.latestStart().Compare(b.latestStart()), cmp.Compare(a.ID, b.ID))
+}
+
+// place starts tasks of the queued jobs, in order, as long as any fits.
+func (s *Scheduler) place() {
+	if len(s.queue) == 0 {
+		return
+	}
+	slices.SortStableFunc(s.queue, compareJobs)
+	skipped := 0
+	for _, j := range slices.Clone(s.queue) {
+		if skipped >= maxSkip {
+			return
+		}
+		s.placeJob(j)
+		if j.unplaced > 0 {
+			skipped++
+		} else {
+			s.dequeue(j)
+		}
+	}
+}
+
+func (s *Scheduler) placeJob(j *job) {
+	for _, ts := range j.tasks {
+		for _, k := range ts {
+			if !k.waiting() {
+				continue
+			}
+			t := s.choose(k)
+			if t == nil {
+				break
+			}
+			s.begin(k, t)
+			j.unplaced--
+		}
+	}
+}
+
+// choose returns the best target for a task, or nil.
+func (s *Scheduler) choose(k *task) *target {
+	var best *target
+	bestScore := 0.0
+	left := k.job.Arrived.Add(k.job.objective).Sub(s.now)
+	for _, t := range s.order {
+		if !s.takes(t, k) {
+			continue
+		}
+		score := s.score(k, t, left)
+		if best == nil || score < bestScore {
+			best, bestScore = t, score
+		}
+	}
+	return best
+}
+
+// score rates a target for a task; less is better.
+func (s *Scheduler) score(k *task, t *target, left time.Duration) float64 {
+	d := s.expect(k, t)
+	score := float64(d) / float64(max(left, time.Millisecond))
+	if score > onTimeShare {
+		score = latePenalty + float64(d)/float64(time.Second)
+	}
+	rest := float64(t.free.cpu-k.step.CPU) / float64(max(t.CPU, 1))
+	return score + spreadWeight*rest
+}
+
+func (s *Scheduler) expect(k *task, t *target) time.Duration {
+	d := float64(s.model.Base(k.job.Queue, k.step.Estimate)) * s.model.Slowness(t.ID)
+	if k.step.Rack != "" && !slices.Contains(t.Labels, k.step.Rack) {
+		d *= max(1, s.cfg.FarFactor)
+	}
+	return time.Duration(d)
+}
+
+// takes says whether the task may start on the target now.
+func (s *Scheduler) takes(t *target, k *task) bool {
+	if !t.usable() || !t.ejectedUntil.IsZero() || t.clockAt.IsZero() || t.Service != k.job.Service {
+		return false
+	}
+	if t.badRuns >= ejectAfter && len(t.runs) > 0 {
+		// After an ejection a single task shows whether the target has recovered.
+		return false
+	}
+	if !t.free.fits(k.step.need()) || slices.Contains(k.avoid, t.ID) && s.hasOther(k) {
+		return false
+	}
+	return s.allowed(t, k)
+}
+
+// allowed checks the constraints of the step.
+func (s *Scheduler) allowed(t *target, k *task) bool {
+	st := k.step
+	if st.Label != "" && !slices.Contains(t.Labels, st.Label) {
+		return false
+	}
+	if st.MaxPerTarget <= 0 {
+		return true
+	}
+	n := 0
+	for _, r := range t.runs {
+		if r.id.Task.Job == k.id.Job && r.id.Task.Step == k.id.Step {
+			n++
+		}
+	}
+	return n < st.MaxPerTarget
+}
+
+// hasOther says whether a target exists that the task need not avoid.
+func (s *Scheduler) hasOther(k *task) bool {
+	return slices.ContainsFunc(s.order, func(t *target) bool {
+		return t.usable() && t.Service == k.job.Service && !slices.Contains(k.avoid, t.ID) && s.allowed(t, k)
+	})
+}
+
+// admit says whether a new job has a chance, and why not.
+func (s *Scheduler) admit(j *job) (Reason, bool) {
+	if s.draining {
+		return ReasonDraining, false
+	}
+	fits, any := true, false
+	for i := range j.Steps {
+		ok := false
+		for _, t := range s.order {
+			if t.Service != j.Service || t.removed {
+				continue
+			}
+			any = true
+			whole := capacity{t.CPU, t.MemoryMB, t.Accelerators}
+			labelled := j.Steps[i].Label == "" || slices.Contains(t.Labels, j.Steps[i].Label)
+			ok = ok || whole.fits(j.Steps[i].need()) && labelled
+		}
+		fits = fits && ok
+	}
+	switch {
+	case !any:
+		return ReasonNoTarget, false
+	case !fits:
+		return ReasonNeverFits, false
+	}
+	wait := s.backlog(j)
+	end := s.now.Add(wait + j.longest)
+	if wait > 0 && end.After(j.limit()) {
+		return ReasonOverloaded, false
+	}
+	return "", true
+}
+
+// limit is the time after which the answer is of no use to the caller.
+func (j *job) limit() time.Time {
+	return earliest(j.Deadline, j.Arrived.Add(lateFactor*j.objective))
+}
+
+// hopeless says whether a job that has not started cannot meet its objective.
+func (s *Scheduler) hopeless(j *job) bool {
+	return s.now.Add(s.backlog(j)).After(j.latestStart())
+}
+
+// backlog forecasts the time until the tasks of j start, behind the queued
+// jobs that come before it; with nil, those of a job behind all others.
+func (s *Scheduler) backlog(j *job) time.Duration {
+	var rate, releases, free float64
+	for _, t := range s.order {
+		if !t.usable() {
+			continue
+		}
+		rate += float64(t.CPU) * packing
+		free += float64(t.free.cpu)
+		for _, r := range t.runs {
+			left := r.started.Add(r.expected).Sub(s.now)
+			releases += float64(r.need.cpu) / float64(max(left, 20*time.Millisecond))
+		}
+	}
+	if rate == 0 {
+		return time.Minute
+	}
+	ahead, demand := 0.0, 0.0
+	for _, q := range s.queue {
+		if q == j || j != nil && compareJobs(q, j) > 0 {
+			continue
+		}
+		w, c := s.unplacedWork(q)
+		ahead += w
+		demand += c
+	}
+	if j != nil {
+		_, c := s.unplacedWork(j)
+		demand += c
+	}
+	missing := demand - free*packing
+	if missing <= 0 {
+		return 0
+	}
+	if releases == 0 {
+		return time.Duration(ahead / rate)
+	}
+	return time.Duration(min(missing/releases, float64(time.Minute)) + ahead/rate)
+}
+
+// unplacedWork returns the work and the processors of the waiting tasks, in
+// thousandths of a core by nanoseconds and thousandths of a core.
+func (s *Scheduler) unplacedWork(j *job) (work, cpu float64) {
+	for i, ts := range j.tasks {
+		if !j.ready(i) {
+			continue
+		}
+		st := &j.Steps[i]
+		base := float64(s.model.Base(j.Queue, st.Estimate))
+		for _, k := range ts {
+			if k.waiting() {
+				cpu += float64(st.CPU)
+				work += float64(st.CPU) * base
+			}
+		}
+	}
+	return work, cpu
+}
--- /dev/null
+++ b/core/scheduler/scheduler.go
@@ -0,0 +1,157 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"marigoldfront.dev/core/forecast"
+)
+
+// Config holds the figures that the platform sets.
+type Config struct {
+	// Lease is the longest lease that a target grants, in its own time.
+	Lease time.Duration
+	// ClockError is the share by which a target's clock may be slow.
+	ClockError float64
+	// FarFactor is how many times longer a task runs away from its rack.
+	FarFactor float64
+}
+
+// Scheduler owns the jobs and targets of one instance. It is used by one
+// goroutine.
+type Scheduler struct {
+	cfg      Config
+	now      time.Time
+	model    *forecast.Model
+	targets  map[string]*target
+	order    []*target // by ID, so that choices repeat
+	jobs     map[string]*job
+	queue    []*job // with tasks to place, in order of urgency
+	requests map[RequestID]*job
+	draining bool
+	out      []Action
+}
+
+// New returns a Scheduler without targets.
+func New(cfg Config) *Scheduler {
+	return &Scheduler{
+		cfg:      cfg,
+		model:    forecast.New(),
+		targets:  map[string]*target{},
+		jobs:     map[string]*job{},
+		requests: map[RequestID]*job{},
+	}
+}
+
+// Handle applies an event and returns what is to be done, in order.
+func (s *Scheduler) Handle(now time.Time, ev Event) []Action {
+	if now.After(s.now) {
+		s.now = now
+	}
+	s.out = nil
+	s.apply(ev)
+	s.expire()
+	s.place()
+	s.lookAll()
+	return s.out
+}
+
+func (s *Scheduler) apply(ev Event) {
+	switch ev := ev.(type) {
+	case Submit:
+		s.submit(ev)
+	case Withdraw:
+		s.withdraw(ev.Request)
+	case Cancel:
+		if j := s.jobs[ev.Job]; j != nil {
+			s.giveUp(j, ReasonCancelled)
+		}
+	case TargetsChanged:
+		s.changeTargets(ev.Targets)
+	case StartEnded:
+		s.startEnded(ev)
+	case StopEnded:
+		s.stopEnded(ev)
+	case LookEnded:
+		s.lookEnded(ev)
+	case Drain:
+		s.drain()
+	case Tick:
+	default:
+		panic(fmt.Sprintf("scheduler: unknown event %T", ev))
+	}
+}
+
+func (s *Scheduler) emit(a Action) { s.out = append(s.out, a) }
+
+// NextWake is the time of the next decision that no event causes, or zero.
+func (s *Scheduler) NextWake() time.Time {
+	var next time.Time
+	for _, j := range s.jobs {
+		next = earliest(next, j.Deadline)
+		if !j.started {
+			next = earliest(next, j.refuseAt)
+		}
+	}
+	for _, t := range s.order {
+		next = earliest(next, s.wakeTarget(t))
+	}
+	return next
+}
+
+// earliest returns the earlier of two times, where zero means never.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
+// Stats describes the state for logs, metrics and load reports.
+type Stats struct {
+	Jobs, Queued, Running int
+	Targets, Usable       int
+	// FreeCPU and CPU are in thousandths of a core, over the usable targets.
+	FreeCPU, CPU int64
+	// Wait is the forecast time until a new task starts.
+	Wait time.Duration
+}
+
+// Stats returns the current state.
+func (s *Scheduler) Stats() Stats {
+	st := Stats{Jobs: len(s.jobs), Queued: len(s.queue), Targets: len(s.order)}
+	for _, t := range s.order {
+		st.Running += len(t.runs)
+		if t.usable() {
+			st.Usable++
+			st.CPU += t.CPU
+			st.FreeCPU += t.free.cpu
+		}
+	}
+	st.Wait = s.backlog(nil)
+	return st
+}
+
+// Waiting is the number of the queue's jobs of which no task has started.
+func (s *Scheduler) Waiting(queue string) int {
+	n := 0
+	for _, j := range s.queue {
+		if j.Queue == queue && !j.started {
+			n++
+		}
+	}
+	return n
+}
+
+// drain refuses the jobs without a start and lets the others end.
+func (s *Scheduler) drain() {
+	s.draining = true
+	for _, j := range s.sortedJobs() {
+		if !j.mayHaveRun {
+			s.finish(j, Refused{Reason: ReasonDraining, RetryAfter: retrySoon})
+		}
+	}
+}
+
+// Idle says whether no job is left.
+func (s *Scheduler) Idle() bool { return len(s.jobs) == 0 }
--- a/ctl/command/directory.go
+++ b/ctl/command/directory.go
@@ -13,7 +13,7 @@
 	"marigoldfront.dev/core/directory"
 	"marigoldfront.dev/ctl/exit"
 	"marigoldfront.dev/ctl/output"
-	"marigoldfront.dev/platform/instancelist"
+	"marigoldfront.dev/infra/instancelist"
 )
 
 type asOf struct {
--- a/ctl/command/store.go
+++ b/ctl/command/store.go
@@ -8,8 +8,8 @@
 
 	"marigoldfront.dev/core/directory"
 	"marigoldfront.dev/ctl/exit"
-	"marigoldfront.dev/platform/store"
-	"marigoldfront.dev/platform/ticketlog"
+	"marigoldfront.dev/infra/store"
+	"marigoldfront.dev/infra/ticketlog"
 )
 
 // log returns the tickets of the store that the command line names.
--- a/ctl/command/ticket.go
+++ b/ctl/command/ticket.go
@@ -14,7 +14,7 @@
 	"marigoldfront.dev/core/ticket"
 	"marigoldfront.dev/ctl/exit"
 	"marigoldfront.dev/ctl/ticketfile"
-	"marigoldfront.dev/platform/ticketlog"
+	"marigoldfront.dev/infra/ticketlog"
 )
 
 type fileArgument struct {
--- a/ctl/jobfile/jobfile.go
+++ b/ctl/jobfile/jobfile.go
@@ -7,7 +7,7 @@
 
 	"marigoldfront.dev/caller"
 	"marigoldfront.dev/core/finding"
-	"marigoldfront.dev/platform/settings"
+	"marigoldfront.dev/infra/settings"
 )
 
 const (
--- a/ctl/ticketfile/ticketfile.go
+++ b/ctl/ticketfile/ticketfile.go
@@ -9,7 +9,7 @@
 	"marigoldfront.dev/core/directory"
 	"marigoldfront.dev/core/finding"
 	"marigoldfront.dev/core/ticket"
-	"marigoldfront.dev/platform/settings"
+	"marigoldfront.dev/infra/settings"
 )
 
 // File is a ticket as its author wrote it: without number and digest.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -16,7 +16,7 @@
 	"marigoldfront.dev/entry/home"
 	"marigoldfront.dev/entry/metrics"
 	"marigoldfront.dev/entry/routing"
-	"marigoldfront.dev/platform/tracing"
+	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
 
--- a/entry/home/submission.go
+++ b/entry/home/submission.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"marigoldfront.dev/core/dispatch"
-	"marigoldfront.dev/platform/tracing"
+	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
 
--- a/entry/integration/cluster_test.go
+++ b/entry/integration/cluster_test.go
@@ -17,9 +17,9 @@
 	"marigoldfront.dev/core/directory"
 	"marigoldfront.dev/core/ticket"
 	"marigoldfront.dev/entry/run"
-	"marigoldfront.dev/platform/instancelist"
-	"marigoldfront.dev/platform/store"
-	"marigoldfront.dev/platform/ticketlog"
+	"marigoldfront.dev/infra/instancelist"
+	"marigoldfront.dev/infra/store"
+	"marigoldfront.dev/infra/ticketlog"
 )
 
 const (
--- a/entry/integration/drain_test.go
+++ b/entry/integration/drain_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"marigoldfront.dev/entry/run"
-	"marigoldfront.dev/platform/instancelist"
+	"marigoldfront.dev/infra/instancelist"
 )
 
 // Guards against answers and sessions that are lost when one home after the
--- a/entry/integration/failure_test.go
+++ b/entry/integration/failure_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"marigoldfront.dev/platform/instancelist"
+	"marigoldfront.dev/infra/instancelist"
 )
 
 // Guards against a submission that starts twice because copies of it arrive
--- a/entry/lister/lister.go
+++ b/entry/lister/lister.go
@@ -16,7 +16,7 @@
 	"marigoldfront.dev/entry/metrics"
 	"marigoldfront.dev/entry/peers"
 	"marigoldfront.dev/entry/sender"
-	"marigoldfront.dev/platform/instancelist"
+	"marigoldfront.dev/infra/instancelist"
 )
 
 // Config holds the dependencies of a Lister.
--- a/entry/peering/server.go
+++ b/entry/peering/server.go
@@ -18,7 +18,7 @@
 	"marigoldfront.dev/entry/engine"
 	"marigoldfront.dev/entry/peers"
 	"marigoldfront.dev/entry/routing"
-	"marigoldfront.dev/platform/tracing"
+	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
 
--- a/entry/routing/router.go
+++ b/entry/routing/router.go
@@ -18,7 +18,7 @@
 	"marigoldfront.dev/entry/home"
 	"marigoldfront.dev/entry/metrics"
 	"marigoldfront.dev/entry/peers"
-	"marigoldfront.dev/platform/tracing"
+	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
 
--- a/entry/run/instance.go
+++ b/entry/run/instance.go
@@ -28,11 +28,11 @@
 	"marigoldfront.dev/entry/peers"
 	"marigoldfront.dev/entry/routing"
 	"marigoldfront.dev/entry/sender"
-	"marigoldfront.dev/platform/instancelist"
-	"marigoldfront.dev/platform/logging"
-	"marigoldfront.dev/platform/store"
-	"marigoldfront.dev/platform/ticketlog"
-	"marigoldfront.dev/platform/tracing"
+	"marigoldfront.dev/infra/instancelist"
+	"marigoldfront.dev/infra/logging"
+	"marigoldfront.dev/infra/store"
+	"marigoldfront.dev/infra/ticketlog"
+	"marigoldfront.dev/infra/tracing"
 )
 
 // Instance is a composed entry instance.
--- a/entry/run/settings.go
+++ b/entry/run/settings.go
@@ -11,7 +11,7 @@
 
 	"marigoldfront.dev/core/dispatch"
 	"marigoldfront.dev/core/finding"
-	"marigoldfront.dev/platform/settings"
+	"marigoldfront.dev/infra/settings"
 )
 
 const (
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -18,7 +18,7 @@
 
 	"marigoldfront.dev/core/dispatch"
 	"marigoldfront.dev/entry/metrics"
-	"marigoldfront.dev/platform/tracing"
+	"marigoldfront.dev/infra/tracing"
 )
 
 const (
--- /dev/null
+++ b/infra/doc.go
@@ -0,0 +1,2 @@
+// Package platform is the root of its module; see docs/design.md.
+package platform
--- a/platform/instancelist/instancelist_test.go
+++ b/infra/instancelist/instancelist_test.go
@@ -7,7 +7,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"marigoldfront.dev/platform/instancelist"
+	"marigoldfront.dev/infra/instancelist"
 )
 
 // Guards against losing the last list to an error, an unreadable reply or an
--- a/platform/logging/logging_test.go
+++ b/infra/logging/logging_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"marigoldfront.dev/platform/logging"
+	"marigoldfront.dev/infra/logging"
 )
 
 // Guards against lines without the prefix of their part, against a level that
--- a/platform/settings/settings_test.go
+++ b/infra/settings/settings_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"marigoldfront.dev/platform/settings"
+	"marigoldfront.dev/infra/settings"
 )
 
 type config struct {
--- a/platform/store/store.go
+++ b/infra/store/store.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"marigoldfront.dev/platform/gateway"
+	"marigoldfront.dev/infra/gateway"
 )
 
 const (
--- a/platform/store/store_test.go
+++ b/infra/store/store_test.go
@@ -11,7 +11,7 @@
 	"strings"
 	"testing"
 
-	"marigoldfront.dev/platform/store"
+	"marigoldfront.dev/infra/store"
 )
 
 type roundTrip func(*http.Request) (*http.Response, error)
--- a/platform/store/watch.go
+++ b/infra/store/watch.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"marigoldfront.dev/platform/gateway"
+	"marigoldfront.dev/infra/gateway"
 )
 
 // Event is a change of a key.
--- a/platform/ticketlog/accept.go
+++ b/infra/ticketlog/accept.go
@@ -12,7 +12,7 @@
 
 	"marigoldfront.dev/core/directory"
 	"marigoldfront.dev/core/ticket"
-	"marigoldfront.dev/platform/store"
+	"marigoldfront.dev/infra/store"
 )
 
 const (
--- a/platform/ticketlog/parts_test.go
+++ b/infra/ticketlog/parts_test.go
@@ -11,8 +11,8 @@
 
 	"marigoldfront.dev/core/directory"
 	"marigoldfront.dev/core/ticket"
-	"marigoldfront.dev/platform/gateway"
-	"marigoldfront.dev/platform/store"
+	"marigoldfront.dev/infra/gateway"
+	"marigoldfront.dev/infra/store"
 )
 
 // keyStore holds keys for Put and Get alone.
--- a/platform/ticketlog/snapshot.go
+++ b/infra/ticketlog/snapshot.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"marigoldfront.dev/core/directory"
-	"marigoldfront.dev/platform/store"
+	"marigoldfront.dev/infra/store"
 )
 
 const (
--- a/platform/ticketlog/watch.go
+++ b/infra/ticketlog/watch.go
@@ -5,7 +5,7 @@
 	"errors"
 
 	"marigoldfront.dev/core/ticket"
-	"marigoldfront.dev/platform/store"
+	"marigoldfront.dev/infra/store"
 )
 
 // watchBuffer is the number of store events held while a ticket is taken.
--- a/platform/tracing/tracing_test.go
+++ b/infra/tracing/tracing_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"marigoldfront.dev/platform/tracing"
+	"marigoldfront.dev/infra/tracing"
 )
 
 // Guards against hops that are written under different traces, and against
--- /dev/null
+++ b/pool/desk/desk.go
@@ -0,0 +1,201 @@
+// Package desk takes the jobs of callers: it finds their queue, chooses the
+// owner of targets that runs them, and returns the answer.
+package desk
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/catalog"
+	"marigoldfront.dev/core/ownership"
+	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/pool/relay"
+)
+
+const (
+	// freshLoad is how old an owner's report may be to be compared.
+	freshLoad = 1500 * time.Millisecond
+	// awayCost is what an owner in another availability zone has to gain in
+	// waiting time: two round trips, and the uncertainty of its report.
+	awayCost = 10 * time.Millisecond
+	// maxOwners bounds the owners that are asked in turn.
+	maxOwners = 2
+)
+
+// Config holds the dependencies of a Desk.
+type Config struct {
+	Log     *zap.Logger
+	Zone    string
+	Clock   func() time.Time
+	Catalog func() *catalog.Catalog
+	Holders func(service string) map[ownership.Shard]ownership.Claim
+	Relay   *relay.Relay
+	// Self is the address under which other instances know this one.
+	Self string
+	// Submit and Load are those of this instance's own targets.
+	Submit  func(ctx context.Context, j scheduler.Job) (scheduler.Outcome, error)
+	Load    func() relay.Load
+	Waiting func(queue string) int
+	Closing func() bool
+}
+
+// Desk implements port.Desk.
+type Desk struct {
+	cfg Config
+
+	mu   sync.Mutex
+	jobs map[string]context.CancelFunc
+}
+
+// New returns a Desk.
+func New(cfg Config) *Desk {
+	return &Desk{cfg: cfg, jobs: map[string]context.CancelFunc{}}
+}
+
+// Find implements port.Desk.
+func (d *Desk) Find(host, path string) (q catalog.Queue, rest string, found, configured bool) {
+	c := d.cfg.Catalog()
+	if c == nil {
+		return catalog.Queue{}, "", false, false
+	}
+	q, rest, found = c.Find(host, path)
+	return q, rest, found, true
+}
+
+// Waiting implements port.Desk.
+func (d *Desk) Waiting(queue string) int { return d.cfg.Waiting(queue) }
+
+// Closing implements port.Desk.
+func (d *Desk) Closing() bool { return d.cfg.Closing() }
+
+// Cancel implements port.Desk.
+func (d *Desk) Cancel(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	cancel, ok := d.jobs[id]
+	if ok {
+		cancel()
+	}
+	return ok
+}
+
+// Submit implements port.Desk.
+func (d *Desk) Submit(ctx context.Context, j scheduler.Job) scheduler.Outcome {
+	jobCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.mu.Lock()
+	d.jobs[j.ID] = cancel
+	d.mu.Unlock()
+	o := d.run(jobCtx, &j)
+	d.mu.Lock()
+	delete(d.jobs, j.ID)
+	d.mu.Unlock()
+	if jobCtx.Err() != nil && ctx.Err() == nil {
+		o = scheduler.Unknown{Reason: scheduler.ReasonCancelled}
+	}
+	d.log(&j, o)
+	return o
+}
+
+// run asks the owners in turn, as long as the last one has certainly started
+// nothing.
+func (d *Desk) run(ctx context.Context, j *scheduler.Job) scheduler.Outcome {
+	var o scheduler.Outcome = scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
+	for i, address := range d.owners(j) {
+		if i >= maxOwners {
+			break
+		}
+		o = d.ask(ctx, address, j)
+		r, refused := o.(scheduler.Refused)
+		if !refused || r.Reason == scheduler.ReasonNeverFits || r.Reason == scheduler.ReasonCancelled || ctx.Err() != nil {
+			break
+		}
+	}
+	return o
+}
+
+func (d *Desk) ask(ctx context.Context, address string, j *scheduler.Job) scheduler.Outcome {
+	if address != d.cfg.Self {
+		return d.cfg.Relay.Run(ctx, address, d.cfg.Clock(), j)
+	}
+	o, err := d.cfg.Submit(ctx, *j)
+	switch {
+	case err == nil:
+		return o
+	case ctx.Err() != nil:
+		return scheduler.Unknown{Reason: scheduler.ReasonWithdrawn}
+	}
+	return scheduler.Refused{Reason: scheduler.ReasonOverloaded, RetryAfter: time.Second}
+}
+
+// candidate is an owner of targets of the job's service.
+type candidate struct {
+	address string
+	near    bool
+	load    relay.Load
+}
+
+// cost is the forecast wait at the owner.
+func (c candidate) cost(now time.Time) time.Duration {
+	cost := time.Duration(0)
+	if !c.near {
+		cost += awayCost
+	}
+	if c.load.Draining {
+		cost += time.Second
+	}
+	if now.Sub(c.load.At) < freshLoad {
+		cost += c.load.Wait
+	}
+	return cost
+}
+
+// owners returns the owners for a job, the best one first.
+func (d *Desk) owners(j *scheduler.Job) []string {
+	now := time.Now()
+	var all []candidate
+	for s, c := range d.cfg.Holders(j.Service) {
+		i := slices.IndexFunc(all, func(o candidate) bool { return o.address == c.Address })
+		if i < 0 {
+			i = len(all)
+			all = append(all, candidate{address: c.Address, load: d.load(c.Address)})
+		}
+		all[i].near = all[i].near || s.Zone == d.cfg.Zone
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.cost(now), b.cost(now)), cmp.Compare(a.address, b.address))
+	})
+	out := make([]string, len(all))
+	for i, c := range all {
+		out[i] = c.address
+	}
+	return out
+}
+
+func (d *Desk) load(address string) relay.Load {
+	if address == d.cfg.Self {
+		return d.cfg.Load()
+	}
+	return d.cfg.Relay.Load(address)
+}
+
+// log writes one line for each answer that is not the job's result.
+func (d *Desk) log(j *scheduler.Job, o scheduler.Outcome) {
+	fields := []zap.Field{
+		zap.String("job", j.ID), zap.String("queue", j.Queue), zap.Duration("age", d.cfg.Clock().Sub(j.Arrived)),
+	}
+	switch o := o.(type) {
+	case scheduler.Refused:
+		d.cfg.Log.Info("A job was refused.", append(fields, zap.String("reason", string(o.Reason)),
+			zap.Duration("retry_after", o.RetryAfter))...)
+	case scheduler.Unknown:
+		d.cfg.Log.Info("The fate of a job is unknown.", append(fields, zap.String("reason", string(o.Reason)))...)
+	case scheduler.Failed:
+		d.cfg.Log.Info("A job failed.", append(fields, zap.String("reason", o.Reason))...)
+	}
+}
--- /dev/null
+++ b/pool/listing/sort.go
@@ -0,0 +1,12 @@
+package listing
+
+import (
+	"cmp"
+	"slices"
+
+	"marigoldfront.dev/core/scheduler"
+)
+
+func sortTargets(all []scheduler.Target) {
+	slices.SortFunc(all, func(a, b scheduler.Target) int { return cmp.Compare(a.ID, b.ID) })
+}
--- /dev/null
+++ b/pool/relay/convert.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/wire"
+)
+
+func toWire(now time.Time, j *scheduler.Job) *wire.RunRequest {
+	out := &wire.RunRequest{
+		Job: j.ID, Queue: j.Queue, Service: j.Service, Priority: int32(j.Priority), Attempts: int32(j.Attempts),
+		Stretch: j.Stretch, SlackMs: j.Slack.Milliseconds(), AgeMs: now.Sub(j.Arrived).Milliseconds(),
+		RemainingMs: j.Deadline.Sub(now).Milliseconds(), Payload: j.Payload,
+	}
+	for _, s := range j.Steps {
+		st := &wire.PoolStep{
+			Count: int32(s.Count), Cpu: s.CPU, MemoryMb: s.MemoryMB, Accelerators: s.Accelerators,
+			EstimateMs: s.Estimate.Milliseconds(), Label: s.Label, Rack: s.Rack, MaxPerTarget: int32(s.MaxPerTarget),
+		}
+		for _, a := range s.After {
+			st.After = append(st.After, int32(a))
+		}
+		out.Steps = append(out.Steps, st)
+	}
+	return out
+}
+
+func jobFromWire(now time.Time, in *wire.RunRequest) scheduler.Job {
+	j := scheduler.Job{
+		ID: in.Job, Queue: in.Queue, Service: in.Service, Priority: int(in.Priority), Attempts: int(in.Attempts),
+		Stretch: in.Stretch, Slack: time.Duration(in.SlackMs) * time.Millisecond,
+		Arrived:  now.Add(-time.Duration(in.AgeMs) * time.Millisecond),
+		Deadline: now.Add(time.Duration(in.RemainingMs) * time.Millisecond), Payload: in.Payload,
+	}
+	for _, s := range in.Steps {
+		st := scheduler.Step{
+			Count: int(s.Count), CPU: s.Cpu, MemoryMB: s.MemoryMb, Accelerators: s.Accelerators,
+			Estimate: time.Duration(s.EstimateMs) * time.Millisecond, Label: s.Label, Rack: s.Rack,
+			MaxPerTarget: int(s.MaxPerTarget),
+		}
+		for _, a := range s.After {
+			st.After = append(st.After, int(a))
+		}
+		j.Steps = append(j.Steps, st)
+	}
+	return j
+}
+
+func replyToWire(o scheduler.Outcome) *wire.RunReply {
+	switch o := o.(type) {
+	case scheduler.Completed:
+		return &wire.RunReply{State: wire.RunState_RUN_STATE_COMPLETED}
+	case scheduler.Failed:
+		return &wire.RunReply{State: wire.RunState_RUN_STATE_FAILED, Reason: o.Reason}
+	case scheduler.Refused:
+		return &wire.RunReply{
+			State: wire.RunState_RUN_STATE_REFUSED, Reason: string(o.Reason), RetryAfterMs: o.RetryAfter.Milliseconds(),
+		}
+	case scheduler.Unknown:
+		return &wire.RunReply{State: wire.RunState_RUN_STATE_UNKNOWN, Reason: string(o.Reason)}
+	}
+	panic(fmt.Sprintf("relay: unknown outcome %T", o))
+}
+
+// fromWire reads a reply. A state that this version does not know may mean
+// that the job ran.
+func fromWire(r *wire.RunReply) scheduler.Outcome {
+	switch r.State {
+	case wire.RunState_RUN_STATE_COMPLETED:
+		return scheduler.Completed{}
+	case wire.RunState_RUN_STATE_FAILED:
+		return scheduler.Failed{Reason: r.Reason}
+	case wire.RunState_RUN_STATE_REFUSED:
+		return scheduler.Refused{
+			Reason: scheduler.Reason(r.Reason), RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond,
+		}
+	}
+	return scheduler.Unknown{Reason: scheduler.Reason(r.Reason)}
+}
--- /dev/null
+++ b/pool/relay/relay.go
@@ -0,0 +1,244 @@
+// Package relay passes jobs between instances: to the owner of targets, and
+// back the answer. An owner stops the jobs of a sender that it no longer hears
+// of, because the sender's callers send them again elsewhere.
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/wire"
+)
+
+const (
+	// beatEvery is the time between two messages to an owner that runs jobs
+	// for this instance.
+	beatEvery = 250 * time.Millisecond
+	// senderTimeout is how long after the last message of a sender its jobs
+	// are stopped. With the stop itself it stays below the second after which
+	// callers send a job again.
+	senderTimeout = 800 * time.Millisecond
+	// ownerTimeout is how long an owner may leave beats unanswered before its
+	// jobs are given up.
+	ownerTimeout = 700 * time.Millisecond
+	// beatTimeout bounds one beat.
+	beatTimeout = 400 * time.Millisecond
+	// dialTimeout bounds a connection to another instance.
+	dialTimeout = 300 * time.Millisecond
+	// replySlack is how long after a job's deadline its reply is awaited.
+	replySlack = 100 * time.Millisecond
+	maxIdle    = 16
+)
+
+// Peer is another instance.
+type Peer struct {
+	Address     string
+	Incarnation uint64
+}
+
+// Load describes an owner's targets, as of At.
+type Load struct {
+	Wait     time.Duration
+	FreeCPU  int64
+	CPU      int64
+	Queued   int
+	Draining bool
+	At       time.Time
+}
+
+// Relay is the client side.
+type Relay struct {
+	log         *zap.Logger
+	name        string
+	incarnation uint64
+	version     func() int64
+	newer       func(wire.Pool)
+	http        *http.Client
+	ctx         context.Context
+	cancel      context.CancelFunc
+	wg          sync.WaitGroup
+
+	mu     sync.Mutex
+	owners map[string]*owner // by address
+	last   uint64
+}
+
+// owner is another instance that runs jobs for this one.
+type owner struct {
+	client wire.Pool
+	load   Load
+	// flights are the jobs on their way there, with what gives them up.
+	flights map[uint64]context.CancelCauseFunc
+	beating bool
+	heard   time.Time
+}
+
+var errSilent = errors.New("the owner does not answer")
+
+// NewRelay returns a Relay. The version in force goes with every beat; newer
+// is called with an owner that has a newer configuration.
+func NewRelay(log *zap.Logger, name string, incarnation uint64, version func() int64, newer func(wire.Pool)) *Relay {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Relay{
+		log: log, name: name, incarnation: incarnation, version: version, newer: newer, ctx: ctx, cancel: cancel,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
+			MaxIdleConnsPerHost: maxIdle,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}},
+		owners: map[string]*owner{},
+	}
+}
+
+func (r *Relay) owner(address string) *owner {
+	o := r.owners[address]
+	if o == nil {
+		o = &owner{
+			client:  wire.NewPoolProtobufClient("http://"+address, r.http),
+			flights: map[uint64]context.CancelCauseFunc{},
+		}
+		r.owners[address] = o
+	}
+	return o
+}
+
+// Load returns what the owner at the address last said about itself.
+func (r *Relay) Load(address string) Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o := r.owners[address]; o != nil {
+		return o.load
+	}
+	return Load{}
+}
+
+// Run passes a job on and returns its answer. Refused is returned only if the
+// job certainly does not run there.
+func (r *Relay) Run(ctx context.Context, address string, now time.Time, j *scheduler.Job) scheduler.Outcome {
+	ctx, cancelTimeout := context.WithTimeout(ctx, j.Deadline.Sub(now)+replySlack)
+	defer cancelTimeout()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	o, id := r.begin(address, cancel)
+	defer r.end(o, id)
+	in := toWire(now, j)
+	in.Sender, in.Incarnation = r.name, r.incarnation
+	out, err := o.client.Run(ctx, in)
+	if err == nil {
+		r.learn(o, out.Load)
+		return fromWire(out)
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		r.forget(o)
+		return scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
+	}
+	var te twirp.Error
+	if errors.As(err, &te) && te.Code() == twirp.ResourceExhausted {
+		return scheduler.Refused{Reason: scheduler.ReasonOverloaded, RetryAfter: time.Second}
+	}
+	r.log.Info("An owner did not answer for a job.", zap.String("job", j.ID), zap.String("owner", address),
+		zap.Error(err), zap.NamedError("cause", context.Cause(ctx)))
+	return scheduler.Unknown{Reason: scheduler.ReasonDeadline}
+}
+
+// begin records a job on its way, and sees to it that the owner hears of this
+// instance as long as one is.
+func (r *Relay) begin(address string, cancel context.CancelCauseFunc) (*owner, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.owner(address)
+	r.last++
+	o.flights[r.last] = cancel
+	if !o.beating {
+		o.beating, o.heard = true, time.Now()
+		r.wg.Go(func() { r.beatAlways(o) })
+	}
+	return o, r.last
+}
+
+func (r *Relay) end(o *owner, id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(o.flights, id)
+}
+
+func (r *Relay) learn(o *owner, l *wire.PoolLoad) {
+	if l == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o.heard = time.Now()
+	o.load = Load{
+		Wait: time.Duration(l.WaitMs) * time.Millisecond, FreeCPU: l.FreeCpu, CPU: l.Cpu,
+		Queued: int(l.Queued), Draining: l.Draining, At: time.Now(),
+	}
+}
+
+func (r *Relay) forget(o *owner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o.load = Load{}
+}
+
+// beatAlways sends beats as long as jobs are on their way.
+func (r *Relay) beatAlways(o *owner) {
+	tick := time.NewTicker(beatEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-r.ctx.Done():
+			return
+		}
+		r.mu.Lock()
+		if len(o.flights) == 0 {
+			o.beating = false
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+		r.beat(o)
+	}
+}
+
+func (r *Relay) beat(o *owner) {
+	ctx, cancel := context.WithTimeout(r.ctx, beatTimeout)
+	defer cancel()
+	out, err := o.client.Beat(ctx, &wire.BeatRequest{Sender: r.name, Incarnation: r.incarnation, Configuration: r.version()})
+	if err == nil {
+		r.learn(o, out.Load)
+		if out.Configuration > r.version() {
+			r.newer(o.client)
+		}
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(o.heard) < ownerTimeout {
+		return
+	}
+	r.log.Warn("An owner is silent; its jobs are given up.", zap.Int("jobs", len(o.flights)), zap.Error(err),
+		zap.Duration("silent", time.Since(o.heard)))
+	o.load = Load{}
+	for _, cancel := range o.flights {
+		cancel(errSilent)
+	}
+}
+
+// Close ends all calls.
+func (r *Relay) Close() {
+	r.cancel()
+	r.wg.Wait()
+	r.http.CloseIdleConnections()
+}
--- /dev/null
+++ b/pool/run/main.go
@@ -0,0 +1,76 @@
+package run
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"marigoldfront.dev/pool/settings"
+)
+
+// The exit codes of Main.
+const (
+	exitOK = iota
+	exitFailed
+	exitUsage
+)
+
+const (
+	// gcPercent trades memory for processor time: the live heap is a few MB.
+	gcPercent = 200
+	// memoryShare is the share of the memory limit that the heap may take up
+	// before it is collected whatever it costs.
+	memoryShare = 0.7
+)
+
+type options struct {
+	Config string `long:"config" value-name:"FILE" env:"MARIGOLDFRONT_CONFIG" required:"true" description:"settings file"`
+	Check  bool   `long:"check" description:"print all findings of the settings file and exit"`
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, connect func(settings.Settings) Platform, stdout, stderr io.Writer) int {
+	var opts options
+	parser := flags.NewNamedParser("marigold-pool", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		panic(err)
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		var flagErr *flags.Error
+		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+			fmt.Fprintln(stdout, err)
+			return exitOK
+		}
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	cfg, found := settings.Load(opts.Config)
+	if len(found) > 0 {
+		fmt.Fprintln(stderr, found.Error())
+		return exitFailed
+	}
+	if opts.Check {
+		return exitOK
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20)))
+	in, err := New(cfg, connect(cfg))
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signal.Ignore(syscall.SIGHUP)
+	if err := in.Serve(signals); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/pool/run/run.go
@@ -0,0 +1,275 @@
+// Package run composes an instance and runs it.
+package run
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/catalog"
+	"marigoldfront.dev/core/ownership"
+	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/infra/clock"
+	"marigoldfront.dev/infra/logging"
+	"marigoldfront.dev/pool/configuration"
+	"marigoldfront.dev/pool/desk"
+	"marigoldfront.dev/pool/listing"
+	"marigoldfront.dev/pool/loop"
+	"marigoldfront.dev/pool/owner"
+	"marigoldfront.dev/pool/port"
+	"marigoldfront.dev/pool/relay"
+	"marigoldfront.dev/pool/sender"
+	"marigoldfront.dev/pool/settings"
+	"marigoldfront.dev/wire"
+)
+
+const (
+	// clockError is the share by which a target's clock may be slow, as the
+	// platform states it.
+	clockError = 0.02
+	// headerTime and idleTime bound the connections of callers.
+	headerTime = 3 * time.Second
+	idleTime   = time.Minute
+	// closeMargin is left of the grace period for the end of the process.
+	closeMargin = 500 * time.Millisecond
+	// awayTime is how long callers' new connections may still arrive after
+	// the instance has said that it is not ready: two checks, a second apart.
+	awayTime = 2200 * time.Millisecond
+	// idleTimeout bounds the wait for the own targets' tasks, before the
+	// targets are left to another owner, which stops what is left.
+	idleTimeout = 1800 * time.Millisecond
+	idlePoll    = 20 * time.Millisecond
+	// loadEvery is how long a report of the own load is used.
+	loadEvery = 20 * time.Millisecond
+	// fetchTimeout bounds reading the configuration from another instance.
+	fetchTimeout = time.Second
+)
+
+// Platform is what the adapter of a platform provides.
+type Platform struct {
+	Store   port.Store
+	Targets port.Targets
+	Formats port.Formats
+	// Handler takes the requests of callers.
+	Handler func(d port.Desk, clock func() time.Time, log *zap.Logger) http.Handler
+	// Ready takes the load balancer's checks.
+	Ready func(ready func() bool) http.Handler
+}
+
+// Instance is a composed instance.
+type Instance struct {
+	cfg      settings.Settings
+	platform Platform
+	log      *zap.Logger
+	self     ownership.Member
+
+	loop    *loop.Loop
+	sender  *sender.Sender
+	owner   *owner.Owner
+	listing *listing.Listing
+	conf    *configuration.Configuration
+	relay   *relay.Relay
+	server  *relay.Server
+	desk    *desk.Desk
+
+	callers *http.Server
+	ready   *http.Server
+	wg      sync.WaitGroup
+
+	draining atomic.Bool
+	load     atomic.Pointer[relay.Load]
+}
+
+// New composes an instance.
+func New(cfg settings.Settings, p Platform) (*Instance, error) {
+	log, err := logging.New(os.Stdout, cfg.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	in := &Instance{
+		cfg: cfg, platform: p, log: log,
+		self: ownership.Member{
+			Name: cfg.Name, Zone: cfg.AvailabilityZone, Address: cfg.PeerListen, Incarnation: rand.Uint64(),
+		},
+	}
+	in.compose()
+	return in, nil
+}
+
+func (in *Instance) part(name string) *zap.Logger { return logging.Part(in.log, name) }
+
+func (in *Instance) compose() {
+	cfg, p := in.cfg, in.platform
+	sched := scheduler.New(scheduler.Config{Lease: cfg.Lease(), ClockError: clockError, FarFactor: cfg.FarFactor})
+	in.loop = loop.New(sched, clock.Now, loop.Outputs{
+		Start:    func(a scheduler.Start) { in.sender.Start(a) },
+		Stop:     func(a scheduler.Stop) { in.sender.Stop(a) },
+		Look:     func(a scheduler.Look) { in.sender.Look(a) },
+		Lost:     in.lost,
+		Answered: func(scheduler.Reply) {},
+	})
+	in.sender = sender.New(in.part("sender"), p.Targets, in.loop.Post)
+	in.owner = owner.New(in.part("owner"), p.Store, in.self, cfg.Zones, cfg.Shards, clock.Now,
+		func() { in.listing.Refresh() })
+	in.listing = listing.New(in.part("listing"), p.Store, p.Formats, in.owner.Owned, cfg.Shards, clock.Now, in.loop.Post)
+	in.conf = configuration.New(in.part("configuration"), p.Store, p.Formats, func(c *catalog.Catalog) {
+		in.owner.SetServices(c.Services)
+	})
+	in.relay = relay.NewRelay(in.part("relay"), cfg.Name, in.self.Incarnation, in.conf.Version, in.fetch)
+	in.server = relay.NewServer(relay.ServerConfig{
+		Log: in.part("relay"), Submit: in.loop.Submit, Clock: clock.Now, Load: in.wireLoad,
+		Configuration: in.conf.Value, Incarnation: in.self.Incarnation,
+	})
+	in.desk = desk.New(desk.Config{
+		Log: in.part("desk"), Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.conf.Catalog,
+		Holders: in.owner.Holders, Relay: in.relay, Self: cfg.PeerListen, Submit: in.loop.Submit, Load: in.ownLoad,
+		Waiting: in.waiting, Closing: in.draining.Load,
+	})
+	in.callers = &http.Server{
+		Handler:           p.Handler(in.desk, clock.Now, in.part("callers")),
+		ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+	}
+	in.ready = &http.Server{Handler: p.Ready(in.isReady), ReadHeaderTimeout: headerTime}
+}
+
+// lost drops the claim of a target that has another owner.
+func (in *Instance) lost(a scheduler.LostTarget) {
+	in.log.Warn("A target has another owner.", zap.String("target", a.Target), zap.Int64("fence", a.Fence))
+	go func() {
+		for s, c := range in.owner.Owned() {
+			if c.Revision == a.Fence {
+				in.owner.Lost(s, a.Fence)
+			}
+		}
+		in.listing.Refresh()
+	}()
+}
+
+func (in *Instance) isReady() bool { return !in.draining.Load() && in.conf.Catalog() != nil }
+
+func (in *Instance) waiting(queue string) int {
+	n := 0
+	in.loop.Inspect(func(s *scheduler.Scheduler) { n = s.Waiting(queue) })
+	return n
+}
+
+// ownLoad describes the own targets, not older than loadEvery.
+func (in *Instance) ownLoad() relay.Load {
+	if l := in.load.Load(); l != nil && time.Since(l.At) < loadEvery {
+		return *l
+	}
+	l := relay.Load{At: time.Now(), Draining: in.draining.Load()}
+	in.loop.Inspect(func(s *scheduler.Scheduler) {
+		st := s.Stats()
+		l.Wait, l.FreeCPU, l.CPU, l.Queued = st.Wait, st.FreeCPU, st.CPU, st.Queued
+	})
+	in.load.Store(&l)
+	return l
+}
+
+func (in *Instance) wireLoad() *wire.PoolLoad {
+	l := in.ownLoad()
+	return &wire.PoolLoad{
+		WaitMs: l.Wait.Milliseconds(), FreeCpu: l.FreeCPU, Cpu: l.CPU, Queued: int32(l.Queued), Draining: l.Draining,
+	}
+}
+
+// fetch takes a newer configuration from another instance.
+func (in *Instance) fetch(p wire.Pool) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	out, err := p.FetchConfiguration(ctx, &wire.FetchConfigurationRequest{})
+	if err != nil {
+		in.log.Info("A newer configuration could not be fetched.", zap.Error(err))
+		return
+	}
+	in.conf.Offer(out.Value, "instance")
+}
+
+// Serve runs the instance until stop.
+func (in *Instance) Serve(stop <-chan os.Signal) error {
+	addresses := map[string]func(net.Listener) error{
+		in.cfg.PeerListen: in.server.Serve, in.cfg.Listen: in.callers.Serve, in.cfg.ReadyListen: in.ready.Serve,
+	}
+	failed := make(chan error, len(addresses))
+	for address, serve := range addresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		in.wg.Go(func() {
+			if err := serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
+	}
+	in.wg.Go(in.loop.Run)
+	in.wg.Go(in.owner.Run)
+	in.wg.Go(in.listing.Run)
+	in.wg.Go(in.conf.Run)
+	in.log.Info("The instance serves.", zap.String("name", in.cfg.Name), zap.String("listen", in.cfg.Listen),
+		zap.String("incarnation", fmt.Sprintf("%016x", in.self.Incarnation)))
+	var err error
+	select {
+	case <-stop:
+		in.drain()
+	case err = <-failed:
+		in.log.Error("A listener failed.", zap.Error(err))
+	}
+	in.close()
+	return err
+}
+
+// drain is the planned stop.
+func (in *Instance) drain() {
+	in.log.Info("The stop begins.")
+	end := time.Now().Add(in.cfg.Grace() - closeMargin)
+	away := time.Now().Add(awayTime)
+	in.draining.Store(true)
+	in.owner.Drain()
+	in.loop.Post(scheduler.Drain{})
+	in.waitIdle(time.Now().Add(idleTimeout))
+	in.owner.Release()
+	time.Sleep(time.Until(away))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := in.callers.Shutdown(ctx); err != nil {
+		in.log.Warn("Callers were cut off by the stop.", zap.Error(err))
+	}
+	if err := in.server.Close(ctx); err != nil {
+		in.log.Warn("Other instances were cut off by the stop.", zap.Error(err))
+	}
+}
+
+// waitIdle waits until no task runs on the own targets.
+func (in *Instance) waitIdle(limit time.Time) {
+	idle := false
+	for !idle && time.Now().Before(limit) {
+		time.Sleep(idlePoll)
+		in.loop.Inspect(func(s *scheduler.Scheduler) { idle = s.Idle() })
+	}
+	in.log.Info("The targets are released.", zap.Bool("idle", idle))
+}
+
+func (in *Instance) close() {
+	_ = in.callers.Close()
+	_ = in.ready.Close()
+	in.relay.Close()
+	in.conf.Close()
+	in.listing.Close()
+	in.owner.Close()
+	in.sender.Close()
+	in.loop.Close()
+	in.wg.Wait()
+	in.log.Info("The instance has stopped.")
+	_ = in.log.Sync()
+}
--- /dev/null
+++ b/pool/sender/sender.go
@@ -0,0 +1,82 @@
+// Package sender carries out the scheduler's orders to targets.
+package sender
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/pool/port"
+)
+
+const (
+	// orderTimeout bounds a start or stop. A target answers within
+	// milliseconds; the rest is for a lost packet that is sent again.
+	orderTimeout = 400 * time.Millisecond
+	// lookSlack is how much longer than its wait a look may take. Wait and
+	// slack together leave time for a second look within the lease.
+	lookSlack = 250 * time.Millisecond
+)
+
+// Sender sends orders, each in its own goroutine.
+type Sender struct {
+	log     *zap.Logger
+	targets port.Targets
+	post    func(scheduler.Event)
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// New returns a Sender that reports what became of the orders to post.
+func New(log *zap.Logger, targets port.Targets, post func(scheduler.Event)) *Sender {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Sender{log: log, targets: targets, post: post, ctx: ctx, cancel: cancel}
+}
+
+// Start sends a start.
+func (s *Sender) Start(o scheduler.Start) {
+	s.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+		defer cancel()
+		ev := s.targets.Start(ctx, o)
+		if ev.Result != scheduler.StartAccepted {
+			s.log.Info("A start was not accepted.", zap.String("job", o.Run.Task.Job), zap.Int("task", o.Run.Task.Index),
+				zap.Int("run", o.Run.Number), zap.String("target", o.Target), zap.Int64("fence", o.Fence),
+				zap.Stringer("result", ev.Result))
+		}
+		s.post(ev)
+	})
+}
+
+// Stop sends a stop.
+func (s *Sender) Stop(o scheduler.Stop) {
+	s.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+		defer cancel()
+		s.post(s.targets.Stop(ctx, o))
+	})
+}
+
+// Look sends a look.
+func (s *Sender) Look(o scheduler.Look) {
+	s.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, o.Wait+lookSlack)
+		defer cancel()
+		ev := s.targets.Look(ctx, o)
+		if !ev.Answered || ev.Fenced || ev.Moved {
+			s.log.Info("A look failed.", zap.String("target", o.Target), zap.Int64("fence", o.Fence),
+				zap.Bool("answered", ev.Answered), zap.Bool("fenced", ev.Fenced), zap.Bool("moved", ev.Moved))
+		}
+		s.post(ev)
+	})
+}
+
+// Close ends all orders in flight and waits for them.
+func (s *Sender) Close() {
+	s.cancel()
+	s.wg.Wait()
+}
--- /dev/null
+++ b/pool/settings/settings.go
@@ -0,0 +1,101 @@
+// Package settings reads and checks the settings of an instance.
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"marigoldfront.dev/core/finding"
+	infra "marigoldfront.dev/infra/settings"
+)
+
+// Settings are the settings of an instance, as its TOML file has them.
+type Settings struct {
+	Name             string   `toml:"name"`
+	AvailabilityZone string   `toml:"availability_zone"`
+	Zones            []string `toml:"availability_zones"`
+	// Listen takes callers, ReadyListen the load balancer's checks, and
+	// PeerListen other instances. MetricsListen may be empty.
+	Listen        string `toml:"listen"`
+	ReadyListen   string `toml:"ready_listen"`
+	PeerListen    string `toml:"peer_listen"`
+	MetricsListen string `toml:"metrics_listen"`
+	// Store is the address of the platform's store.
+	Store string `toml:"store"`
+	// MemoryMB bounds the memory of the process.
+	MemoryMB int `toml:"memory_mb"`
+	// LeaseMS is the longest lease that targets grant.
+	LeaseMS int `toml:"lease_ms"`
+	// FarFactor is how many times longer a task runs away from its rack.
+	FarFactor float64 `toml:"far_factor"`
+	// GraceS is the time between the signal to stop and the end by force.
+	GraceS float64 `toml:"grace_s"`
+	// Shards is the number of parts into which the targets of a service in an
+	// availability zone are divided. It must be the same at all instances.
+	Shards   int    `toml:"shards"`
+	LogLevel string `toml:"log_level"`
+}
+
+// Default holds the values of keys that a file may leave out.
+func Default() Settings {
+	return Settings{Shards: 4, LogLevel: "info", FarFactor: 1}
+}
+
+// Load reads and checks the file at path.
+func Load(path string) (Settings, finding.List) {
+	s := Default()
+	file, found := infra.Load(path, &s)
+	if len(found) > 0 {
+		return s, found
+	}
+	return s, s.check(file)
+}
+
+func (s *Settings) check(file *infra.File) finding.List {
+	var found finding.List
+	add := func(key, message string) { found.Add(file.Place(key), "%s", message) }
+	for key, v := range map[string]string{"name": s.Name, "availability_zone": s.AvailabilityZone} {
+		if v == "" {
+			add(key, "must not be empty")
+		}
+	}
+	for key, v := range map[string]string{
+		"listen": s.Listen, "ready_listen": s.ReadyListen, "peer_listen": s.PeerListen, "store": s.Store,
+	} {
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			add(key, "must be an IP:port")
+		}
+	}
+	if s.MetricsListen != "" {
+		if _, err := netip.ParseAddrPort(s.MetricsListen); err != nil {
+			add("metrics_listen", "must be an IP:port")
+		}
+	}
+	if len(s.Zones) == 0 {
+		add("availability_zones", "must name at least one")
+	}
+	if s.LeaseMS < 100 || s.LeaseMS > 60_000 {
+		add("lease_ms", "must be 100 to 60000")
+	}
+	if s.MemoryMB < 16 {
+		add("memory_mb", "must be at least 16")
+	}
+	if s.Shards < 1 || s.Shards > 16 {
+		add("shards", "must be 1 to 16")
+	}
+	if s.GraceS < 1 {
+		add("grace_s", "must be at least 1")
+	}
+	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
+		add("log_level", "must be debug, info, warn or error")
+	}
+	return found
+}
+
+// Lease is the longest lease that targets grant.
+func (s *Settings) Lease() time.Duration { return time.Duration(s.LeaseMS) * time.Millisecond }
+
+// Grace is the time between the signal to stop and the end by force.
+func (s *Settings) Grace() time.Duration { return time.Duration(s.GraceS * float64(time.Second)) }
--- a/standin/platform/kv.go
+++ b/standin/platform/kv.go
@@ -8,7 +8,7 @@
 	"strings"
 	"sync"
 
-	"marigoldfront.dev/platform/gateway"
+	"marigoldfront.dev/infra/gateway"
 )
 
 // kv is a store with revisions. It keeps the history of events since the
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"sync/atomic"
 
-	"marigoldfront.dev/platform/gateway"
+	"marigoldfront.dev/infra/gateway"
 )
 
 // maxBodyBytes admits a value of 1 MB in base64.
--- a/standin/platform/ticketlog_test.go
+++ b/standin/platform/ticketlog_test.go
@@ -14,9 +14,9 @@
 	"marigoldfront.dev/core/directory"
 	"marigoldfront.dev/core/finding"
 	"marigoldfront.dev/core/ticket"
-	"marigoldfront.dev/platform/gateway"
-	"marigoldfront.dev/platform/store"
-	"marigoldfront.dev/platform/ticketlog"
+	"marigoldfront.dev/infra/gateway"
+	"marigoldfront.dev/infra/store"
+	"marigoldfront.dev/infra/ticketlog"
 	"marigoldfront.dev/standin/platform"
 )
 
