core/scheduler: look at a target as soon as it runs something again

Cause: an idle target's next look was put off by two seconds to save the acknowledgement, also when a start made it busy, so that ends were seen late. Ruled out: slow targets (their answers took 3 ms) and a slow loop.

--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -73,7 +73,7 @@
 	k.job.started, k.job.mayHaveRun = true, true
 	t.runs[r.id] = r
 	t.free.add(r.need, -1)
-	t.extended = s.now
+	t.extended, t.lookAt = s.now, s.now
 	s.emit(Start{
 		Run: r.id, Target: t.ID, Address: t.Address, Payload: k.job.Payload, Fence: t.Fence, LeaseMS: s.leaseMS(t),
 	})
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -48,6 +48,8 @@
 	// targets are left to another owner, which stops what is left.
 	idleTimeout = 1800 * time.Millisecond
 	idlePoll    = 20 * time.Millisecond
+	// reportEvery is the time between two lines about the own targets.
+	reportEvery = 2 * time.Second
 	// loadEvery is how long a report of the own load is used.
 	loadEvery = 20 * time.Millisecond
 	// fetchTimeout bounds reading the configuration from another instance.
@@ -216,6 +218,9 @@
 	in.wg.Go(in.owner.Run)
 	in.wg.Go(in.listing.Run)
 	in.wg.Go(in.conf.Run)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	in.wg.Go(func() { in.report(ctx) })
 	in.log.Info("The instance serves.", zap.String("name", in.cfg.Name), zap.String("listen", in.cfg.Listen),
 		zap.String("incarnation", fmt.Sprintf("%016x", in.self.Incarnation)))
 	var err error
@@ -225,6 +230,7 @@
 	case err = <-failed:
 		in.log.Error("A listener failed.", zap.Error(err))
 	}
+	cancel()
 	in.close()
 	return err
 }
@@ -250,6 +256,28 @@
 	}
 }
 
+// report writes a line about the own targets from time to time.
+func (in *Instance) report(ctx context.Context) {
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		var st scheduler.Stats
+		if !in.loop.Inspect(func(s *scheduler.Scheduler) { st = s.Stats() }) {
+			return
+		}
+		if st.Targets > 0 || st.Jobs > 0 {
+			in.log.Info("Own targets.", zap.Int("targets", st.Targets), zap.Int("usable", st.Usable),
+				zap.Int64("cpu", st.CPU), zap.Int64("free_cpu", st.FreeCPU), zap.Int("jobs", st.Jobs),
+				zap.Int("queued", st.Queued), zap.Int("running", st.Running), zap.Duration("wait", st.Wait))
+		}
+	}
+}
+
 // waitIdle waits until no task runs on the own targets.
 func (in *Instance) waitIdle(limit time.Time) {
 	idle := false
