--- a/core/forecast/forecast.go
+++ b/core/forecast/forecast.go
@@ -10,10 +10,13 @@
 const (
 	// queueWeight and targetWeight are the weights of one sample in the
 	// averages, which are kept as logarithms.
-	queueWeight  = 0.02
+	queueWeight  = 0.01
 	targetWeight = 0.1
-	// minSamples is the number of samples for which early ones weigh more.
-	minSamples = 5
+	// priorSamples is the number of samples that the assumption is worth that
+	// estimates are exact and targets equally fast.
+	priorSamples = 4
+	// priorVariance is the assumed variance of the logarithm of estimates.
+	priorVariance = 0.1
 	// maxError bounds the logarithm of one sample's error, so that one outlier
 	// cannot decide.
 	maxError = 1.5
@@ -24,39 +27,69 @@
 
 // Model forecasts run times. The zero value is not usable; see New.
 type Model struct {
-	queues  map[string]*average
-	targets map[string]*average
-	// mean is the average of the targets' logarithmic slowness, which keeps
-	// it from drifting against the scale of the queues.
-	mean average
+	queues  map[string]*queue
+	targets map[string]*speed
+	// sum is over the targets' values. Their mean is taken off, so that it
+	// cannot drift against the run times of the queues.
+	sum float64
 }
 
-type average struct {
-	value   float64
-	samples int
+// queue is a linear regression of the logarithm of run times on that of
+// estimates. Estimates that tell little give a slope below 1, which draws the
+// forecasts towards the queue's mean.
+type queue struct {
+	samples          int
+	meanX, meanY     float64
+	varX, covariance float64
 }
 
-func (a *average) add(x, weight float64) {
-	a.samples++
-	a.value += max(weight, 1/float64(a.samples+minSamples)) * (x - a.value)
+// speed is the logarithm of a target's slowness.
+type speed struct {
+	value   float64
+	samples int
 }
 
 // New returns a Model that trusts the estimates and takes all targets to be
 // equally fast.
 func New() *Model {
-	return &Model{queues: map[string]*average{}, targets: map[string]*average{}}
+	return &Model{queues: map[string]*queue{}, targets: map[string]*speed{}}
 }
 
 // Base forecasts the run time on a target of average speed.
-func (m *Model) Base(queue string, estimate time.Duration) time.Duration {
-	if estimate <= 0 {
-		estimate = unknownEstimate
-	}
-	q := m.queues[queue]
+func (m *Model) Base(name string, estimate time.Duration) time.Duration {
+	estimate = known(estimate)
+	q := m.queues[name]
 	if q == nil {
 		return estimate
 	}
-	return time.Duration(float64(estimate) * math.Exp(q.value))
+	return time.Duration(math.Exp(q.predict(math.Log(float64(estimate)))))
+}
+
+func known(estimate time.Duration) time.Duration {
+	if estimate <= 0 {
+		return unknownEstimate
+	}
+	return estimate
+}
+
+func (q *queue) predict(x float64) float64 {
+	slope := min(max(q.covariance/q.varX, 0), 1)
+	return q.meanY + slope*(x-q.meanX)
+}
+
+func (q *queue) learn(x, y float64) {
+	q.samples++
+	w := weight(queueWeight, q.samples)
+	dx, dy := x-q.meanX, y-q.meanY
+	q.meanX += w * dx
+	q.meanY += w * dy
+	q.varX = (1 - w) * (q.varX + w*dx*dx)
+	q.covariance = (1 - w) * (q.covariance + w*dx*dy)
+}
+
+// weight lets early samples weigh more.
+func weight(least float64, samples int) float64 {
+	return max(least, 1/float64(samples+priorSamples))
 }
 
 // Slowness is the run time on the target relative to one of average speed.
@@ -65,34 +98,41 @@
 	if t == nil {
 		return 1
 	}
-	return math.Exp(t.value - m.mean.value)
+	return math.Exp(t.value - m.mean())
 }
 
+func (m *Model) mean() float64 { return m.sum / float64(max(len(m.targets), 1)) }
+
 // Learn takes in the run time of a task that has ended well.
-func (m *Model) Learn(queue, target string, estimate, took time.Duration) {
+func (m *Model) Learn(name, target string, estimate, took time.Duration) {
 	if took <= 0 {
 		return
 	}
-	if estimate <= 0 {
-		estimate = unknownEstimate
-	}
-	q, t := m.queues[queue], m.targets[target]
+	x, y := math.Log(float64(known(estimate))), math.Log(float64(took))
+	q, t := m.queues[name], m.targets[target]
 	if q == nil {
-		q = &average{}
-		m.queues[queue] = q
+		q = &queue{meanX: x, meanY: x, varX: priorVariance, covariance: priorVariance}
+		m.queues[name] = q
 	}
 	if t == nil {
-		t = &average{}
+		t = &speed{value: m.mean()}
 		m.targets[target] = t
+		m.sum += t.value
 	}
-	ratio := math.Log(float64(took) / float64(estimate))
-	slowness := t.value - m.mean.value
-	t.add(t.value+clamp(ratio-q.value-slowness), targetWeight)
-	m.mean.add(t.value, queueWeight)
-	q.add(q.value+clamp(ratio-q.value-slowness), queueWeight)
+	slowness := t.value - m.mean()
+	off := y - q.predict(x) - slowness
+	off = min(max(off, -maxError), maxError)
+	t.samples++
+	change := weight(targetWeight, t.samples) * off
+	t.value += change
+	m.sum += change
+	q.learn(x, q.predict(x)+off)
 }
 
 // Forget drops what is known of a target, for example when it starts anew.
-func (m *Model) Forget(target string) { delete(m.targets, target) }
-
-func clamp(x float64) float64 { return min(max(x, -maxError), maxError) }
+func (m *Model) Forget(target string) {
+	if t := m.targets[target]; t != nil {
+		m.sum -= t.value
+		delete(m.targets, target)
+	}
+}
--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -90,10 +90,12 @@
 // The reasons.
 const (
 	ReasonOverloaded Reason = "overloaded"
-	ReasonDeadline   Reason = "deadline"
-	ReasonNoTarget   Reason = "no_target"
-	ReasonNeverFits  Reason = "never_fits"
-	ReasonCancelled  Reason = "cancelled"
-	ReasonDraining   Reason = "draining"
-	ReasonWithdrawn  Reason = "withdrawn"
+	// ReasonBusy refuses a job that only another owner could start at once.
+	ReasonBusy      Reason = "busy"
+	ReasonDeadline  Reason = "deadline"
+	ReasonNoTarget  Reason = "no_target"
+	ReasonNeverFits Reason = "never_fits"
+	ReasonCancelled Reason = "cancelled"
+	ReasonDraining  Reason = "draining"
+	ReasonWithdrawn Reason = "withdrawn"
 )
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -35,6 +35,9 @@
 	// Arrived is when the caller sent the job, and Deadline when it stops
 	// waiting.
 	Arrived, Deadline time.Time
+	// OnlyNow refuses the job unless all of its tasks can start at once and end
+	// in time, so that another owner can be asked.
+	OnlyNow bool
 	// Payload is passed to every task.
 	Payload string
 	Steps   []Step
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -24,6 +24,7 @@
 	Job
 	tasks   [][]*task // by step
 	left    []int     // tasks of each step that are not done
+	ended   []sum     // run times of the done tasks of each step
 	waiters []RequestID
 	// unplaced is the number of tasks of ready steps that wait for a target.
 	unplaced int
@@ -37,6 +38,12 @@
 	queued             bool
 }
 
+// sum adds up run times, as on a target of average speed.
+type sum struct {
+	total time.Duration
+	count int
+}
+
 // task is one task of a job.
 type task struct {
 	id       TaskID
@@ -88,7 +95,7 @@
 }
 
 func (s *Scheduler) newJob(in Job) *job {
-	j := &job{Job: in, tasks: make([][]*task, len(in.Steps)), left: make([]int, len(in.Steps))}
+	j := &job{Job: in, tasks: make([][]*task, len(in.Steps)), left: make([]int, len(in.Steps)), ended: make([]sum, len(in.Steps))}
 	ends := make([]time.Duration, len(in.Steps))
 	for i := range in.Steps {
 		step := &j.Steps[i]
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -15,12 +16,9 @@
 	// onTimeShare is the share of the time left that a forecast run time may
 	// take up, because forecasts err.
 	onTimeShare = 0.8
-	// latePenalty ranks a target on which the objective is missed behind all
-	// others.
-	latePenalty = 10
-	// spreadWeight weighs unused room beside a task against its run time, so
-	// that large tasks find room later.
-	spreadWeight = 0.2
+	// speedClass is the width of a class of targets that count as equally
+	// fast, as a logarithm.
+	speedClass = 0.3
 )
 
 // compareJobs orders the queue: jobs that have started, then by the latest
@@ -71,57 +69,93 @@
 	}
 }
 
-// choose returns the best target for a task, or nil.
+// choose returns the best target for a task, or nil. Of the targets on which
+// the task is forecast to end in time it takes a slow one, because others need
+// the fast ones. Where only targets are free that are too slow, the task waits
+// as long as a faster one would still be in time.
 func (s *Scheduler) choose(k *task) *target {
-	var best *target
-	bestScore := 0.0
 	left := k.job.Arrived.Add(k.job.objective).Sub(s.now)
+	var best, quickest *target
+	var bestScore float64
+	var quickestTime, anyTime time.Duration
 	for _, t := range s.order {
-		if !s.takes(t, k) {
+		if !s.candidate(t, k) {
 			continue
 		}
-		score := s.score(k, t, left)
-		if best == nil || score < bestScore {
+		d := s.expect(k, t)
+		if anyTime == 0 || d < anyTime {
+			anyTime = d
+		}
+		if !s.hasRoom(t, k) {
+			continue
+		}
+		if quickest == nil || d < quickestTime {
+			quickest, quickestTime = t, d
+		}
+		if float64(d) > onTimeShare*float64(left) {
+			continue
+		}
+		if score := s.score(k, t); best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
 	}
-	return best
+	if best != nil || quickest == nil {
+		return best
+	}
+	if quickestTime > left && anyTime <= left && k.job.canWait(s.now, anyTime) {
+		return nil
+	}
+	return quickest
 }
 
-// score rates a target for a task; less is better.
-func (s *Scheduler) score(k *task, t *target, left time.Duration) float64 {
-	d := s.expect(k, t)
-	score := float64(d) / float64(max(left, time.Millisecond))
-	if score > onTimeShare {
-		score = latePenalty + float64(d)/float64(time.Second)
-	}
+// canWait says whether a task that runs for d may still wait.
+func (j *job) canWait(now time.Time, d time.Duration) bool {
+	return now.Add(d).Before(j.Arrived.Add(j.objective))
+}
+
+// score rates a target on which the task ends in time; less is better.
+func (s *Scheduler) score(k *task, t *target) float64 {
+	class := math.Round(math.Log(s.model.Slowness(t.ID)) / speedClass)
 	rest := float64(t.free.cpu-k.step.CPU) / float64(max(t.CPU, 1))
-	return score + spreadWeight*rest
+	return rest - class
 }
 
 func (s *Scheduler) expect(k *task, t *target) time.Duration {
-	d := float64(s.model.Base(k.job.Queue, k.step.Estimate)) * s.model.Slowness(t.ID)
+	d := float64(k.base(s)) * s.model.Slowness(t.ID)
 	if k.step.Rack != "" && !slices.Contains(t.Labels, k.step.Rack) {
 		d *= max(1, s.cfg.FarFactor)
 	}
 	return time.Duration(d)
 }
 
-// takes says whether the task may start on the target now.
-func (s *Scheduler) takes(t *target, k *task) bool {
-	if !t.usable() || !t.ejectedUntil.IsZero() || t.clockAt.IsZero() || t.Service != k.job.Service {
-		return false
+// base is the forecast of a task's run time on a target of average speed. The
+// tasks of a step take about equally long, so that the ones that have ended
+// tell more than the estimate.
+func (k *task) base(s *Scheduler) time.Duration {
+	if n := k.job.ended[k.id.Step]; n.count > 0 {
+		return n.total / time.Duration(n.count)
 	}
-	if t.badRuns >= ejectAfter && len(t.runs) > 0 {
-		// After an ejection a single task shows whether the target has recovered.
+	return s.model.Base(k.job.Queue, k.step.Estimate)
+}
+
+// candidate says whether the task may start on the target once that has room.
+func (s *Scheduler) candidate(t *target, k *task) bool {
+	if !t.usable() || !t.ejectedUntil.IsZero() || t.clockAt.IsZero() || t.Service != k.job.Service {
 		return false
 	}
-	if !t.free.fits(k.step.need()) || slices.Contains(k.avoid, t.ID) && s.hasOther(k) {
+	whole := capacity{t.CPU, t.MemoryMB, t.Accelerators}
+	if !whole.fits(k.step.need()) || slices.Contains(k.avoid, t.ID) && s.hasOther(k) {
 		return false
 	}
 	return s.allowed(t, k)
 }
 
+// hasRoom says whether a candidate can start the task now. After an ejection a
+// single task shows whether the target has recovered.
+func (s *Scheduler) hasRoom(t *target, k *task) bool {
+	return t.free.fits(k.step.need()) && (t.badRuns < ejectAfter || len(t.runs) == 0)
+}
+
 // allowed checks the constraints of the step.
 func (s *Scheduler) allowed(t *target, k *task) bool {
 	st := k.step
@@ -172,6 +206,9 @@
 	case !fits:
 		return ReasonNeverFits, false
 	}
+	if j.OnlyNow {
+		return ReasonBusy, s.startsNow(j)
+	}
 	wait := s.backlog(j)
 	end := s.now.Add(wait + j.longest)
 	if wait > 0 && end.After(j.limit()) {
@@ -180,6 +217,39 @@
 	return "", true
 }
 
+// startsNow says whether all tasks that are ready would start at once, on
+// targets on which they are forecast to end in time.
+func (s *Scheduler) startsNow(j *job) bool {
+	if len(s.queue) > 0 {
+		return false
+	}
+	type taken struct {
+		t    *target
+		need capacity
+	}
+	var all []taken
+	fits := true
+	left := j.Arrived.Add(j.objective).Sub(s.now)
+	for _, ts := range j.tasks {
+		for _, k := range ts {
+			if !fits || !k.waiting() {
+				continue
+			}
+			t := s.choose(k)
+			if t == nil || s.expect(k, t) > left {
+				fits = false
+				continue
+			}
+			t.free.add(k.step.need(), -1)
+			all = append(all, taken{t, k.step.need()})
+		}
+	}
+	for _, a := range all {
+		a.t.free.add(a.need, 1)
+	}
+	return fits
+}
+
 // limit is the time after which the answer is of no use to the caller.
 func (j *job) limit() time.Time {
 	return earliest(j.Deadline, j.Arrived.Add(lateFactor*j.objective))
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -58,8 +58,16 @@
 	return time.Time{}
 }
 
+// overdueAt is when the run is taken to hang. What the other tasks of its step
+// took counts where they took longer than forecast.
 func (r *run) overdueAt() time.Time {
-	return r.started.Add(max(r.expected*overdueFactor, r.expected+overdueExtra))
+	d := r.expected
+	if r.task != nil {
+		if n := r.task.job.ended[r.id.Task.Step]; n.count > 0 {
+			d = max(d, n.total/time.Duration(n.count))
+		}
+	}
+	return r.started.Add(max(d*overdueFactor, d+overdueExtra))
 }
 
 // begin starts a task on a target.
@@ -231,7 +239,7 @@
 	k.ran = true
 	switch how {
 	case EndDone:
-		s.model.Learn(k.job.Queue, t.ID, k.step.Estimate, s.now.Sub(r.started))
+		s.learn(k, t, s.now.Sub(r.started))
 		s.taskDone(k)
 	case EndFailed:
 		s.badRun(t, k.job.ID)
@@ -247,6 +255,18 @@
 	}
 }
 
+// learn takes in the run time of a done task.
+func (s *Scheduler) learn(k *task, t *target, took time.Duration) {
+	base := float64(took) / s.model.Slowness(t.ID)
+	if k.step.Rack != "" && !slices.Contains(t.Labels, k.step.Rack) {
+		base /= max(1, s.cfg.FarFactor)
+	}
+	n := &k.job.ended[k.id.Step]
+	n.count++
+	n.total += time.Duration(base)
+	s.model.Learn(k.job.Queue, t.ID, k.step.Estimate, time.Duration(base*s.model.Slowness(t.ID)))
+}
+
 func (s *Scheduler) taskDone(k *task) {
 	j := k.job
 	k.done = true
--- a/pool/desk/desk.go
+++ b/pool/desk/desk.go
@@ -23,8 +23,8 @@
 	// awayCost is what an owner in another availability zone has to gain in
 	// waiting time: two round trips, and the uncertainty of its report.
 	awayCost = 10 * time.Millisecond
-	// maxOwners bounds the owners that are asked in turn.
-	maxOwners = 2
+	// maxOwners bounds the owners that are asked to start a job at once.
+	maxOwners = 3
 )
 
 // Config holds the dependencies of a Desk.
@@ -103,22 +103,34 @@
 }
 
 // run asks the owners in turn, as long as the last one has certainly started
-// nothing.
+// nothing. The first ones are asked to take the job only if it can start at
+// once; where none can, the best one queues it.
 func (d *Desk) run(ctx context.Context, j *scheduler.Job) scheduler.Outcome {
-	var o scheduler.Outcome = scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
-	for i, address := range d.owners(j) {
-		if i >= maxOwners {
-			break
+	all := d.owners(j)
+	all = all[:min(len(all), maxOwners)]
+	now := *j
+	now.OnlyNow = true
+	for _, address := range all {
+		if o := d.ask(ctx, address, &now); final(o) || ctx.Err() != nil {
+			return o
 		}
+	}
+	var o scheduler.Outcome = scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
+	for _, address := range d.owners(j) {
 		o = d.ask(ctx, address, j)
-		r, refused := o.(scheduler.Refused)
-		if !refused || r.Reason == scheduler.ReasonNeverFits || r.Reason == scheduler.ReasonCancelled || ctx.Err() != nil {
-			break
+		if r, ok := o.(scheduler.Refused); !ok || r.Reason == scheduler.ReasonOverloaded || final(o) || ctx.Err() != nil {
+			return o
 		}
 	}
 	return o
 }
 
+// final says whether asking another owner is of no use.
+func final(o scheduler.Outcome) bool {
+	r, ok := o.(scheduler.Refused)
+	return !ok || r.Reason == scheduler.ReasonNeverFits || r.Reason == scheduler.ReasonCancelled
+}
+
 func (d *Desk) ask(ctx context.Context, address string, j *scheduler.Job) scheduler.Outcome {
 	if address != d.cfg.Self {
 		return d.cfg.Relay.Run(ctx, address, d.cfg.Clock(), j)
