core/scheduler: place by the chance of a useful answer

Cause: long tasks were started on slow targets, where they could not end before their deadline: only the latency objective was compared, which for long tasks lies beyond the deadline, and any free target was taken. Ruled out: too little room (the owners had a third of their processors free). Owners are asked in turn to start a job at once.

--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -13,12 +13,21 @@
 	maxSkip = 16
 	// packing is the share of the processors that tasks of odd sizes can use.
 	packing = 0.85
-	// onTimeShare is the share of the time left that a forecast run time may
-	// take up, because forecasts err.
-	onTimeShare = 0.8
-	// speedClass is the width of a class of targets that count as equally
-	// fast, as a logarithm.
-	speedClass = 0.3
+	// waitGain is how much the chance of a task has to grow for it to wait for
+	// a faster target.
+	waitGain = 0.1
+	// slowWeight and restWeight turn the logarithm of a target's slowness and
+	// its unused share into chances.
+	slowWeight = 0.04
+	restWeight = 0.02
+	// shortestWait is assumed for runs that have outlasted their forecast.
+	shortestWait = 20 * time.Millisecond
+	// leastChance is what a task must have on the fastest target for its job
+	// to be accepted.
+	leastChance = 0.04
+	// onTimeChance is what every task of a job must have for another owner not
+	// to be asked.
+	onTimeChance = 0.6
 )
 
 // compareJobs orders the queue: jobs that have started, then by the latest
@@ -69,57 +78,59 @@
 	}
 }
 
-// choose returns the best target for a task, or nil. Of the targets on which
-// the task is forecast to end in time it takes a slow one, because others need
-// the fast ones. Where only targets are free that are too slow, the task waits
-// as long as a faster one would still be in time.
+// choose returns the best target for a task, or nil if none has room or
+// waiting for a faster one is worth more.
 func (s *Scheduler) choose(k *task) *target {
-	left := k.job.Arrived.Add(k.job.objective).Sub(s.now)
-	var best, quickest *target
-	var bestScore float64
-	var quickestTime, anyTime time.Duration
+	var best *target
+	var bestScore, bestChance, waitChance float64
 	for _, t := range s.order {
 		if !s.candidate(t, k) {
 			continue
 		}
-		d := s.expect(k, t)
-		if anyTime == 0 || d < anyTime {
-			anyTime = d
-		}
 		if !s.hasRoom(t, k) {
+			if len(k.avoid) == 0 {
+				waitChance = max(waitChance, s.chance(k, t, t.roomAfter(k.step.need(), s.now)))
+			}
 			continue
 		}
-		if quickest == nil || d < quickestTime {
-			quickest, quickestTime = t, d
-		}
-		if float64(d) > onTimeShare*float64(left) {
-			continue
-		}
-		if score := s.score(k, t); best == nil || score < bestScore {
-			best, bestScore = t, score
+		c := s.chance(k, t, 0)
+		if score := c + s.preference(k, t); best == nil || score > bestScore {
+			best, bestScore, bestChance = t, score, c
 		}
 	}
-	if best != nil || quickest == nil {
-		return best
-	}
-	if quickestTime > left && anyTime <= left && k.job.canWait(s.now, anyTime) {
+	if best != nil && waitChance > bestChance+waitGain {
 		return nil
 	}
-	return quickest
+	return best
 }
 
-// canWait says whether a task that runs for d may still wait.
-func (j *job) canWait(now time.Time, d time.Duration) bool {
-	return now.Add(d).Before(j.Arrived.Add(j.objective))
+// preference ranks targets with about equal chances: slow ones first, because
+// other tasks need the fast ones, then those that are left with little room.
+func (s *Scheduler) preference(k *task, t *target) float64 {
+	slow := math.Log(s.model.Slowness(t.ID))
+	rest := float64(t.free.cpu-k.step.CPU) / float64(max(t.CPU, 1))
+	return slowWeight*min(max(slow, -1), 1) - restWeight*rest
 }
 
-// score rates a target on which the task ends in time; less is better.
-func (s *Scheduler) score(k *task, t *target) float64 {
-	class := math.Round(math.Log(s.model.Slowness(t.ID)) / speedClass)
-	rest := float64(t.free.cpu-k.step.CPU) / float64(max(t.CPU, 1))
-	return rest - class
+// roomAfter forecasts when the runs of a target leave room for need.
+func (t *target) roomAfter(need capacity, now time.Time) time.Duration {
+	runs := make([]*run, 0, len(t.runs))
+	for _, r := range t.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return a.end().Compare(b.end()) })
+	free := t.free
+	for _, r := range runs {
+		free.add(r.need, 1)
+		if free.fits(need) {
+			return max(r.end().Sub(now), shortestWait)
+		}
+	}
+	return time.Minute
 }
 
+func (r *run) end() time.Time { return r.started.Add(r.expected) }
+
 func (s *Scheduler) expect(k *task, t *target) time.Duration {
 	d := float64(k.base(s)) * s.model.Slowness(t.ID)
 	if k.step.Rack != "" && !slices.Contains(t.Labels, k.step.Rack) {
@@ -206,6 +217,9 @@
 	case !fits:
 		return ReasonNeverFits, false
 	}
+	if s.bestChance(j) < leastChance {
+		return ReasonDeadline, false
+	}
 	if j.OnlyNow {
 		return ReasonBusy, s.startsNow(j)
 	}
@@ -229,14 +243,13 @@
 	}
 	var all []taken
 	fits := true
-	left := j.Arrived.Add(j.objective).Sub(s.now)
 	for _, ts := range j.tasks {
 		for _, k := range ts {
 			if !fits || !k.waiting() {
 				continue
 			}
 			t := s.choose(k)
-			if t == nil || s.expect(k, t) > left {
+			if t == nil || s.chance(k, t, 0) < min(onTimeChance, s.bestChance(j)-waitGain) {
 				fits = false
 				continue
 			}
