entry, infra/logging: mend what the soak and a busy test found

(2) A body of unknown length takes 8 MiB of the 128 MiB for bodies, so that 17 slow reads turned the next copy of a known submission away (TestDuplicateSubmissionsStartOnce beside load). (3) Repeated log lines were written 20 times a second, and a slow reader of the log held its writers up. A draining incarnation that refuses holds none of the part and never takes it, also not from a message still on its way. For (2) the limit on waiting submissions, which has its own message. Change: a definite refusal frees the choice of a successor; a later part that is refused ends its sessions, which are answered unknown. A submission waits up to 5 s for room. Lines beyond ten a second are summed, and a ring decouples the writer. Tests: each fails without its change.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -29,6 +29,8 @@
 	maxSubmissions = 8192
 	// maxReceiving bounds the bodies that are received and decoded at once.
 	maxReceiving = 128 << 20
+	// receiveWait bounds the wait of a submission until its body is read.
+	receiveWait = 5 * time.Second
 )
 
 // Config holds the dependencies of a Gateway.
@@ -208,7 +210,7 @@
 	if r.ContentLength >= 0 {
 		size = min(size, r.ContentLength)
 	}
-	if !g.receiving.TryAcquire(size) {
+	if !g.acquire(r.Context(), size) {
 		return nil, home.Reject(http.StatusServiceUnavailable, "instance", "too many submissions are received here")
 	}
 	defer g.receiving.Release(size)
@@ -226,6 +228,14 @@
 	}, nil
 }
 
+// acquire waits for room for a body. On a busy instance bodies are read slowly,
+// and a repeated submission must not be refused for that.
+func (g *Gateway) acquire(ctx context.Context, size int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, receiveWait)
+	defer cancel()
+	return g.receiving.Acquire(ctx, size) == nil
+}
+
 func (g *Gateway) collect(w http.ResponseWriter, r *http.Request) {
 	seq, bad := sequence(r)
 	var wait int64
--- a/entry/handover/mover.go
+++ b/entry/handover/mover.go
@@ -156,7 +156,7 @@
 		return false
 	}
 	for _, part := range parts[1:] {
-		if !m.retry(ctx, func(ctx context.Context) error { return m.send(ctx, part) }) {
+		if !m.retry(ctx, func(ctx context.Context) error { return m.sendRest(ctx, part) }) {
 			return false
 		}
 	}
@@ -190,13 +190,37 @@
 		if refused {
 			m.cfg.Peers.With(func(r *membership.Roster) { r.Fail(time.Now(), m.name, true) })
 		}
-		var twerr twirp.Error
-		drains := errors.As(err, &twerr) && twerr.Code() == twirp.FailedPrecondition
-		chosen = chosen || err != nil && !refused && !drains
+		switch {
+		case drains(err):
+			// It holds none of the sessions and takes nothing any more, so that
+			// an earlier message without a reply had no effect either.
+			chosen = false
+		case err != nil && !refused:
+			chosen = true
+		}
 		return err
 	})
 }
 
+// drains says whether a successor has certainly taken nothing, and never will,
+// because it drains itself.
+func drains(err error) bool {
+	var twerr twirp.Error
+	return errors.As(err, &twerr) && twerr.Code() == twirp.FailedPrecondition
+}
+
+// sendRest sends a later part. A successor that drains meanwhile ends the
+// sessions of the part, since the others have moved there already.
+func (m *Mover) sendRest(ctx context.Context, part []*wire.SessionRecord) error {
+	err := m.send(ctx, part)
+	if drains(err) {
+		m.cfg.Log.Warn("Sessions end because the successor drains.", zap.Int("sessions", len(part)),
+			zap.String("successor", m.address))
+		return nil
+	}
+	return err
+}
+
 func (m *Mover) send(ctx context.Context, part []*wire.SessionRecord) error {
 	req := &wire.HandoverRequest{Incarnation: m.self.Incarnation, From: m.self.Name, Sessions: part}
 	reply, err := m.cfg.Peers.Client(m.address).Handover(ctx, req)
--- a/entry/handover/mover_test.go
+++ b/entry/handover/mover_test.go
@@ -23,18 +23,18 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// successor is a peer whose first hand-over fails in a given way.
+// successor is a peer whose first hand-overs fail in the given ways, one each.
 type successor struct {
 	wire.Peer
-	fail      func() error
+	fails     []func() error
 	calls     atomic.Int64
 	sessions  atomic.Int64
 	delivered chan int
 }
 
 func (s *successor) Handover(_ context.Context, req *wire.HandoverRequest) (*wire.HandoverReply, error) {
-	if s.calls.Add(1) == 1 && s.fail != nil {
-		return nil, s.fail()
+	if n := int(s.calls.Add(1)); n <= len(s.fails) {
+		return nil, s.fails[n-1]()
 	}
 	s.sessions.Add(int64(len(req.GetSessions())))
 	return &wire.HandoverReply{}, nil
@@ -47,15 +47,25 @@
 
 // Guards against a session that gets two homes because its records went to
 // two successors, and against a stop that waits for a successor that stops
-// itself.
+// itself: also where an earlier message got no reply, because a successor that
+// drains and holds none of the sessions never takes them.
 func TestOneSuccessor(t *testing.T) {
+	repeat := func(fail func() error, n int) (out []func() error) {
+		for range n {
+			out = append(out, fail)
+		}
+		return out
+	}
+	drains := func() error { return twirp.NewError(twirp.FailedPrecondition, "drains") }
+	lost := func() error { panic(http.ErrAbortHandler) }
 	cases := map[string]struct {
-		fail    func() error
+		fails   []func() error
 		another bool
 	}{
-		"accepts":    {nil, false},
-		"drains":     {func() error { return twirp.NewError(twirp.FailedPrecondition, "drains") }, true},
-		"reply lost": {func() error { panic(http.ErrAbortHandler) }, false},
+		"accepts":                 {nil, false},
+		"drains":                  {[]func() error{drains}, true},
+		"reply lost":              {[]func() error{lost}, false},
+		"reply lost, then drains": {append([]func() error{lost}, repeat(drains, 100)...), true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -65,7 +75,7 @@
 			defer p.Close()
 			all := map[string]*successor{}
 			for i, name := range []string{"e1", "e2"} {
-				s := &successor{fail: tc.fail, delivered: make(chan int, 1)}
+				s := &successor{fails: tc.fails, delivered: make(chan int, 1)}
 				srv := httptest.NewServer(wire.NewPeerServer(s))
 				defer srv.Close()
 				all[name] = s
@@ -85,15 +95,18 @@
 			mover := New(Config{Log: zap.NewNop(), Metrics: m, Peers: p})
 			mover.HandOver([]dispatch.SessionRecord{{Caller: "c"}, {Caller: "d"}})
 			mover.Deliver([]dispatch.FinalAnswer{{Answer: answer.Complete{}}})
-			ctx, cancel := context.WithCancel(context.Background())
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
 				mover.Run(ctx)
 			}()
 			if tc.another {
-				// The first one's own message says that it drains.
-				other.fail = nil
+				// The first one's own message says later that it drains.
+				other.fails = nil
+				for all[chosen.Name].calls.Load() == 0 {
+					time.Sleep(time.Millisecond)
+				}
 				p.With(func(r *membership.Roster) {
 					r.Hear(time.Now(), membership.Message{From: chosen.Identity, Draining: true})
 				})
--- a/infra/logging/logging.go
+++ b/infra/logging/logging.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,15 +12,16 @@
 )
 
 // Of the lines with the same sentence within a second, the first firstLines
-// and then one of everyLine are written, so that a failure that meets every
+// are written and the rest are counted, so that a failure that meets every
 // request does not slow the instance down further.
 const (
-	firstLines = 20
-	everyLine  = 100
+	firstLines  = 10
+	countPeriod = time.Second
 )
 
 // New returns a logger that writes lines of time, level, prefix, sentence and
 // fields to w. The level is debug, info, warn or error; empty means info.
+// Logging never waits for w: lines for which its ring has no room are counted.
 func New(w io.Writer, level string) (*zap.Logger, error) {
 	lv := zapcore.InfoLevel
 	if level != "" {
@@ -34,8 +36,9 @@
 	enc.EncodeDuration = zapcore.StringDurationEncoder
 	enc.ConsoleSeparator = " "
 	enc.EncodeName = func(name string, out zapcore.PrimitiveArrayEncoder) { out.AppendString(name + ":") }
-	core := zapcore.NewCore(zapcore.NewConsoleEncoder(enc), zapcore.Lock(zapcore.AddSync(w)), lv)
-	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, firstLines, everyLine)), nil
+	core := zapcore.NewCore(zapcore.NewConsoleEncoder(enc), newRing(w), lv)
+	left := &leftOut{core: core, counts: map[string]int{}}
+	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, firstLines, 0, zapcore.SamplerHook(left.hook))), nil
 }
 
 // Part returns the logger of one part of a program, with the part's name as
@@ -43,3 +46,35 @@
 func Part(l *zap.Logger, name string) *zap.Logger {
 	return l.Named(name)
 }
+
+// leftOut counts the lines that the sampler drops, and writes a line with the
+// sum for each sentence once a period.
+type leftOut struct {
+	core   zapcore.Core
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (l *leftOut) hook(e zapcore.Entry, d zapcore.SamplingDecision) {
+	if d&zapcore.LogDropped == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.counts) == 0 {
+		time.AfterFunc(countPeriod, l.write)
+	}
+	l.counts[e.Message]++
+}
+
+func (l *leftOut) write() {
+	l.mu.Lock()
+	counts := l.counts
+	l.counts = map[string]int{}
+	l.mu.Unlock()
+	for sentence, n := range counts {
+		e := zapcore.Entry{Level: zapcore.InfoLevel, Time: time.Now(), LoggerName: "logging", Message: "Lines were left out."}
+		// A writer that fails cannot be told so.
+		_ = l.core.Write(e, []zapcore.Field{zap.String("sentence", sentence), zap.Int("lines", n)})
+	}
+}
