--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core wire infra caller entry ctl standin bench
+MODULES := core wire infra caller entry ctl standin bench pool platform
 TOOL := GOWORK=off go tool -modfile=$(CURDIR)/tools/go.mod
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -132,7 +132,7 @@
 func (r *run) end() time.Time { return r.started.Add(r.expected) }
 
 func (s *Scheduler) expect(k *task, t *target) time.Duration {
-	d := float64(k.base(s)) * s.model.Slowness(t.ID)
+	d := float64(s.base(k)) * s.model.Slowness(t.ID)
 	if k.step.Rack != "" && !slices.Contains(t.Labels, k.step.Rack) {
 		d *= max(1, s.cfg.FarFactor)
 	}
@@ -142,7 +142,7 @@
 // base is the forecast of a task's run time on a target of average speed. The
 // tasks of a step take about equally long, so that the ones that have ended
 // tell more than the estimate.
-func (k *task) base(s *Scheduler) time.Duration {
+func (s *Scheduler) base(k *task) time.Duration {
 	if n := k.job.ended[k.id.Step]; n.count > 0 {
 		return n.total / time.Duration(n.count)
 	}
@@ -197,14 +197,14 @@
 	if s.draining {
 		return ReasonDraining, false
 	}
-	fits, any := true, false
+	fits, listed := true, false
 	for i := range j.Steps {
 		ok := false
 		for _, t := range s.order {
 			if t.Service != j.Service || t.removed {
 				continue
 			}
-			any = true
+			listed = true
 			whole := capacity{t.CPU, t.MemoryMB, t.Accelerators}
 			labelled := j.Steps[i].Label == "" || slices.Contains(t.Labels, j.Steps[i].Label)
 			ok = ok || whole.fits(j.Steps[i].need()) && labelled
@@ -212,11 +212,14 @@
 		fits = fits && ok
 	}
 	switch {
-	case !any:
+	case !listed:
 		return ReasonNoTarget, false
 	case !fits:
 		return ReasonNeverFits, false
 	}
+	if !slices.ContainsFunc(s.order, func(t *target) bool { return t.usable() && t.Service == j.Service }) {
+		return ReasonNoTarget, false
+	}
 	if s.bestChance(j) < leastChance {
 		return ReasonDeadline, false
 	}
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -183,6 +183,9 @@
 		t.fail(s.now)
 	case StartUnhealthy, StartInvalid:
 		s.badRun(t, r.id.Task.Job)
+		if t.ejectedUntil.IsZero() {
+			t.ejectedUntil = s.now.Add(unhealthyPause)
+		}
 	case StartNoRoom:
 		// What the target runs is not what this instance knows.
 		t.synced, t.lookAt = false, s.now
@@ -216,6 +219,8 @@
 	}
 	switch {
 	case ev.Fenced:
+		// If the target comes back to this instance, the run may still be there.
+		r.stopAt = s.now
 		s.lost(t)
 	case ev.Answered:
 		r.settled, r.settledAt = true, s.now
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -43,7 +43,10 @@
 func (b *bench) send(ev Event) { b.out = append(b.out, b.s.Handle(b.now, ev)...) }
 
 func (b *bench) submit(request RequestID, j Job) {
-	j.Arrived, j.Deadline = b.now, b.now.Add(1500*time.Millisecond)
+	j.Arrived = b.now
+	if j.Deadline.IsZero() {
+		j.Deadline = b.now.Add(1500 * time.Millisecond)
+	}
 	b.send(Submit{Request: request, Job: j})
 }
 
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -29,6 +29,9 @@
 	// what it runs gets no work.
 	ejectFirst = 2 * time.Second
 	ejectLast  = 16 * time.Second
+	// unhealthyPause is how long a target gets no start after it refused one
+	// because it is not healthy.
+	unhealthyPause = 250 * time.Millisecond
 	// ejectAfter is the number of failures in a row, of different jobs, that
 	// eject a target.
 	ejectAfter = 2
@@ -137,15 +140,13 @@
 	t.removed = false
 }
 
-// reborn forgets the life of a target: everything it ran is gone.
+// reborn begins a new life of a target. What ran in the old one is gone, but a
+// start may have reached the new one already: the next look tells.
 func (s *Scheduler) reborn(t *target, born int64) {
 	t.Born = born
-	t.seen, t.acknowledged, t.clockAt = 0, 0, time.Time{}
+	t.seen, t.acknowledged, t.told, t.clockAt = 0, 0, 0, time.Time{}
 	t.failures, t.badRuns, t.synced, t.lookAt = 0, 0, false, s.now
 	s.model.Forget(t.ID)
-	for _, r := range t.sortedRuns() {
-		s.gone(r)
-	}
 }
 
 // leaseMS returns the end of a full lease from now on the target's clock.
@@ -261,12 +262,12 @@
 
 // seen takes in an answered look.
 func (s *Scheduler) seen(t *target, ev LookEnded) {
-	t.learnClock(ev.ClockMS, s.now)
-	t.failures = 0
-	t.lookAt = s.now
 	if ev.Born != 0 && t.Born != 0 && ev.Born != t.Born {
 		s.reborn(t, ev.Born)
 	}
+	t.learnClock(ev.ClockMS, s.now)
+	t.failures = 0
+	t.lookAt = s.now
 	if ev.Born != 0 {
 		t.Born = ev.Born
 	}
@@ -284,7 +285,7 @@
 			s.ended(r, e.How)
 		}
 	}
-	s.settleMissing(t, ev, running)
+	s.settle(t, ev, running)
 	s.stopForeign(t, ev.Running)
 	t.synced = !t.hasForeign()
 	s.repeatStops(t)
@@ -293,12 +294,18 @@
 	}
 }
 
-// settleMissing ends the runs that the target neither runs nor lists, although
-// it answered for them before the look was sent.
-func (s *Scheduler) settleMissing(t *target, ev LookEnded, running map[RunID]bool) {
+// settle ends the runs that the target neither runs nor lists, although it
+// answered for them before the look was sent. A run that goes on after its stop
+// was answered has started in a new life of the target and is stopped again.
+func (s *Scheduler) settle(t *target, ev LookEnded, running map[RunID]bool) {
 	for _, r := range t.sortedRuns() {
-		if r.settled && r.settledAt.Before(ev.Sent) && !running[r.id] {
+		switch {
+		case !r.settled || !r.settledAt.Before(ev.Sent):
+		case !running[r.id]:
 			s.gone(r)
+		case r.state == stopping && ev.Sent.Sub(r.settledAt) > stopAgain:
+			r.settled = false
+			s.sendStop(r)
 		}
 	}
 }
