core/ownership: divide large pools, pass shards on one by one

Ruled out: more starts for each owner (its processor share was used up). Change: a pool has as many owners as it needs, chosen by weighted rendezvous hashing and written to the store; a shard is passed on once its targets are idle; shards stay where they are after a restart.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -8,12 +8,9 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"marigoldfront.dev/core/membership"
 )
 
 const (
@@ -23,6 +20,11 @@
 	// awayDelay is how much longer an instance of another availability zone
 	// waits, so that a restarted instance of the zone comes first.
 	awayDelay = 1500 * time.Millisecond
+	// settleTime is how long another instance has to be the better holder of a
+	// shard before it is passed on, so that restarts do not move shards twice.
+	settleTime = 3 * time.Second
+	// muchLarger is the ratio of weights from which a shard is passed on.
+	muchLarger = 2
 	// reclaimDelay leaves a living holder whose key vanished the time to claim
 	// it again, because its tasks run on under the old token.
 	reclaimDelay = 1200 * time.Millisecond
@@ -46,11 +48,14 @@
 	Zone        string
 	Address     string
 	Incarnation uint64
+	// Weight is the instance's share of work, relative to others.
+	Weight float64
 	// Draining is set once the instance prepares to stop: it claims nothing.
 	Draining bool
 }
 
-// Claim is the holder of a shard.
+// Claim is the holder of a shard. One without a name was passed on by its
+// holder and can be claimed at once.
 type Claim struct {
 	Name        string
 	Address     string
@@ -77,8 +82,15 @@
 	claims   map[Shard]Claim
 	// free holds the shards that can be claimed and since when.
 	free map[Shard]vacancy
+	// owners is the number of instances that hold the shards of a pool.
+	owners map[pool]int
+	// misplaced holds own shards that another instance should hold.
+	misplaced map[Shard]time.Time
 }
 
+// pool is the targets of a service in an availability zone.
+type pool struct{ service, zone string }
+
 type vacancy struct {
 	since time.Time
 	// reclaim is set where the last holder still lives.
@@ -91,6 +103,7 @@
 	k := &Keeper{
 		self: self, zones: slices.Clone(zones), shards: max(shards, 1),
 		members: map[string]Member{}, claims: map[Shard]Claim{}, free: map[Shard]vacancy{},
+		owners: map[pool]int{}, misplaced: map[Shard]time.Time{},
 	}
 	slices.Sort(k.zones)
 	return k
@@ -99,6 +112,12 @@
 // SetServices sets the services of the configuration in force.
 func (k *Keeper) SetServices(services []string) { k.services = slices.Clone(services) }
 
+// SetOwners sets how many instances hold the shards of a service in a zone.
+func (k *Keeper) SetOwners(service, zone string, n int) { k.owners[pool{service, zone}] = n }
+
+// Owners is the number set with SetOwners, or 1.
+func (k *Keeper) Owners(service, zone string) int { return max(k.owners[pool{service, zone}], 1) }
+
 // SetMember registers a live instance.
 func (k *Keeper) SetMember(m Member) { k.members[m.Name] = m }
 
@@ -128,6 +147,7 @@
 func (k *Keeper) Reset() {
 	k.members = map[string]Member{}
 	k.claims = map[Shard]Claim{}
+	k.owners = map[pool]int{}
 }
 
 // lives says whether the holder of a claim is registered.
@@ -140,7 +160,7 @@
 func (k *Keeper) Holders(service string) map[Shard]Claim {
 	out := map[Shard]Claim{}
 	for s, c := range k.claims {
-		if s.Service == service {
+		if s.Service == service && c.Name != "" {
 			out[s] = c
 		}
 	}
@@ -174,23 +194,85 @@
 		return nil
 	}
 	var out []Wish
-	for _, service := range k.services {
-		for _, zone := range k.zones {
-			delay, ok := k.delay(service, zone)
+	k.eachPool(func(service, zone string) {
+		p := k.plan(service, zone)
+		for i := range k.shards {
+			s := Shard{Service: service, Zone: zone, Index: i}
+			delay, ok := p.delay(i, k.self.Name)
 			if !ok {
 				continue
 			}
-			for i := range k.shards {
-				s := Shard{Service: service, Zone: zone, Index: i}
-				if w, ok := k.wish(now, s, delay); ok {
-					out = append(out, w)
-				}
+			if w, ok := k.wish(now, s, delay); ok {
+				out = append(out, w)
 			}
 		}
-	}
+	})
 	return out
 }
 
+// Surplus returns the shards of this instance that another one should hold,
+// once that has been so for a while. A shard stays where it is unless that is
+// in another zone, with a much smaller instance or with one that holds too
+// many: passing it on costs its targets' time.
+func (k *Keeper) Surplus(now time.Time) []Shard {
+	var out []Shard
+	k.eachPool(func(service, zone string) {
+		p := k.plan(service, zone)
+		var own []Shard
+		for i := range k.shards {
+			s := Shard{Service: service, Zone: zone, Index: i}
+			if c := k.claims[s]; c.Name == k.self.Name && c.Incarnation == k.self.Incarnation {
+				own = append(own, s)
+			}
+		}
+		share := len(own)
+		if n := p.owners(); n > 0 {
+			share = (k.shards + n - 1) / n
+		}
+		over := len(own) - share
+		for _, s := range own {
+			to := p.preferred(s.Index)
+			if to == k.self.Name || to == "" || over <= 0 && !k.better(to, zone) {
+				delete(k.misplaced, s)
+				continue
+			}
+			over--
+			if k.settled(now, s) {
+				out = append(out, s)
+			}
+		}
+	})
+	return out
+}
+
+// better says whether another instance suits a zone's targets much better than
+// this one.
+func (k *Keeper) better(name, zone string) bool {
+	m := k.members[name]
+	if k.self.Zone != zone {
+		return m.Zone == zone
+	}
+	return m.Zone == zone && m.Weight > muchLarger*k.self.Weight
+}
+
+// settled says whether a shard has been misplaced for long enough.
+func (k *Keeper) settled(now time.Time, s Shard) bool {
+	since, ok := k.misplaced[s]
+	if !ok {
+		k.misplaced[s] = now
+		return false
+	}
+	return now.Sub(since) >= settleTime
+}
+
+func (k *Keeper) eachPool(fn func(service, zone string)) {
+	for _, service := range k.services {
+		for _, zone := range k.zones {
+			fn(service, zone)
+		}
+	}
+}
+
 // Drain makes the instance claim nothing more.
 func (k *Keeper) Drain() { k.self.Draining = true }
 
@@ -217,28 +299,3 @@
 	}
 	return Wish{Shard: s, Expected: c.Revision}, true
 }
-
-// delay returns how long this instance leaves a free shard to better-placed
-// ones. All shards of a service in a zone have the same order, so that one
-// instance holds them and its queue sees all of their room.
-func (k *Keeper) delay(service, zone string) (time.Duration, bool) {
-	var near, far []string
-	for _, m := range k.members {
-		switch {
-		case m.Draining:
-		case m.Zone == zone:
-			near = append(near, m.Name)
-		default:
-			far = append(far, m.Name)
-		}
-	}
-	key := service + "/" + zone + "/" + strconv.Itoa(len(k.zones))
-	if i := slices.Index(membership.Rank(near, key), k.self.Name); i >= 0 {
-		return time.Duration(i) * rankDelay, true
-	}
-	i := slices.Index(membership.Rank(far, key), k.self.Name)
-	if i < 0 {
-		return 0, false
-	}
-	return awayDelay + time.Duration(len(near)+i)*rankDelay, true
-}
--- /dev/null
+++ b/core/ownership/ownership_test.go
@@ -0,0 +1,238 @@
+package ownership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func member(name, zone string, weight float64) Member {
+	return Member{Name: name, Zone: zone, Address: name + ":1", Incarnation: 1, Weight: weight}
+}
+
+// cluster is a set of keepers that see the same store.
+type cluster struct {
+	now     time.Time
+	keepers map[string]*Keeper
+	claims  map[Shard]Claim
+	last    int64
+}
+
+func newCluster(members ...Member) *cluster {
+	c := &cluster{now: start, keepers: map[string]*Keeper{}, claims: map[Shard]Claim{}}
+	for _, m := range members {
+		c.join(m, members)
+	}
+	return c
+}
+
+func (c *cluster) join(m Member, members []Member) {
+	k := New(m, []string{"a", "b"}, 12)
+	k.SetServices([]string{"s"})
+	for _, o := range members {
+		k.SetMember(o)
+	}
+	for s, cl := range c.claims {
+		k.SetClaim(s, cl)
+	}
+	c.keepers[m.Name] = k
+}
+
+func (c *cluster) each(fn func(k *Keeper)) {
+	for _, k := range c.keepers {
+		fn(k)
+	}
+}
+
+func (c *cluster) set(s Shard, cl Claim) {
+	c.last++
+	cl.Revision = c.last
+	c.claims[s] = cl
+	c.each(func(k *Keeper) { k.SetClaim(s, cl) })
+}
+
+// run lets the keepers decide for a while. A wish with an outdated revision
+// loses, as at the store.
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(100 * time.Millisecond) {
+		c.each(func(k *Keeper) {
+			for _, w := range k.Decide(c.now) {
+				if c.claims[w.Shard].Revision == w.Expected {
+					c.set(w.Shard, Claim{Name: k.self.Name, Address: k.self.Address, Incarnation: k.self.Incarnation})
+				}
+			}
+			for _, s := range k.Surplus(c.now) {
+				c.set(s, Claim{})
+			}
+		})
+	}
+}
+
+func (c *cluster) leave(name string) {
+	delete(c.keepers, name)
+	c.each(func(k *Keeper) { k.RemoveMember(name) })
+	for s, cl := range c.claims {
+		if cl.Name == name {
+			delete(c.claims, s)
+			c.last++
+			c.each(func(k *Keeper) { k.RemoveClaim(c.now, s, c.last) })
+		}
+	}
+}
+
+func (c *cluster) holders(zone string) map[string]int {
+	out := map[string]int{}
+	for s, cl := range c.claims {
+		if s.Zone == zone {
+			out[cl.Name]++
+		}
+	}
+	return out
+}
+
+// Guards against pools that are split among queues although one instance can
+// serve them, and against owners far from the targets.
+func TestOneInstanceOfTheZoneHoldsAPool(t *testing.T) {
+	c := newCluster(member("a1", "a", 1), member("a2", "a", 1), member("b1", "b", 1))
+	c.run(time.Second)
+	if h := c.holders("a"); len(h) != 1 || h["b1"] > 0 {
+		t.Errorf("zone a is held by %v", h)
+	}
+	if h := c.holders("b"); h["b1"] != 12 {
+		t.Errorf("zone b is held by %v", h)
+	}
+}
+
+// Guards against targets without an owner after an instance or a whole zone is
+// gone, and against shards that stay away after the zone is back.
+func TestShardsFollowTheLiving(t *testing.T) {
+	a1, a2, b1 := member("a1", "a", 1), member("a2", "a", 1), member("b1", "b", 1)
+	c := newCluster(a1, a2, b1)
+	c.run(time.Second)
+	c.leave("a1")
+	c.run(500 * time.Millisecond)
+	if h := c.holders("a"); h["a2"] != 12 {
+		t.Errorf("without a1 zone a is held by %v", h)
+	}
+	c.leave("a2")
+	c.run(3 * time.Second)
+	if h := c.holders("a"); h["b1"] != 12 {
+		t.Errorf("without its instances zone a is held by %v", h)
+	}
+	c.each(func(k *Keeper) { k.SetMember(a1) })
+	c.join(a1, []Member{a1, b1})
+	c.run(5 * time.Second)
+	if h := c.holders("a"); h["a1"] != 12 {
+		t.Errorf("after its return zone a is held by %v", h)
+	}
+}
+
+// Guards against pools that are larger than one instance can serve, and
+// against owners that are too small.
+func TestLargePoolsAreDivided(t *testing.T) {
+	var all []Member
+	for i := range 12 {
+		weight := 0.02
+		if i < 4 {
+			weight = 1
+		}
+		all = append(all, member(fmt.Sprint("a", i), "a", weight))
+	}
+	c := newCluster(all...)
+	c.each(func(k *Keeper) { k.SetOwners("s", "a", 4) })
+	c.run(8 * time.Second)
+	h := c.holders("a")
+	if len(h) != 4 {
+		t.Fatalf("zone a is held by %v", h)
+	}
+	large := 0
+	for name, n := range h {
+		if n != 3 {
+			t.Errorf("%s holds %d of 12 shards", name, n)
+		}
+		if name < "a4" && len(name) == 2 {
+			large++
+		}
+	}
+	if large < 3 {
+		t.Errorf("only %d of the owners are large ones: %v", large, h)
+	}
+}
+
+// Guards against shards that move each time an instance restarts: in a rolling
+// restart every move costs the targets' time.
+func TestRestartsMoveNothingBack(t *testing.T) {
+	a1, a2 := member("a1", "a", 1), member("a2", "a", 1)
+	c := newCluster(a1, a2)
+	c.run(time.Second)
+	holder := c.claims[Shard{Service: "s", Zone: "a"}].Name
+	first, second := a1, a2
+	if holder == "a2" {
+		first, second = a2, a1
+	}
+	c.leave(first.Name)
+	c.run(time.Second)
+	first.Incarnation++
+	c.each(func(k *Keeper) { k.SetMember(first) })
+	c.join(first, []Member{first, second})
+	before := c.last
+	c.run(10 * time.Second)
+	if c.last != before {
+		t.Errorf("%d claims changed after the restart of %s", c.last-before, first.Name)
+	}
+}
+
+// A claim that vanishes under a living holder is left to it: its tasks run on
+// under the old token.
+func TestLivingHolderReclaims(t *testing.T) {
+	c := newCluster(member("a1", "a", 1), member("a2", "a", 1))
+	c.run(time.Second)
+	s := Shard{Service: "s", Zone: "a", Index: 3}
+	holder := c.claims[s].Name
+	delete(c.claims, s)
+	c.each(func(k *Keeper) { k.RemoveClaim(c.now, s, 0) })
+	c.run(300 * time.Millisecond)
+	if got := c.claims[s].Name; got != holder {
+		t.Errorf("%s holds the shard after %s", got, holder)
+	}
+}
+
+// A restarted instance takes over what its earlier incarnation held at once.
+func TestRestartReclaims(t *testing.T) {
+	c := newCluster(member("a1", "a", 1))
+	c.run(time.Second)
+	again := member("a1", "a", 1)
+	again.Incarnation = 2
+	c.keepers = map[string]*Keeper{}
+	c.join(again, []Member{again})
+	c.run(200 * time.Millisecond)
+	for s, cl := range c.claims {
+		if cl.Incarnation != 2 {
+			t.Fatalf("shard %v is held by %+v", s, cl)
+		}
+	}
+}
+
+// Guards against jobs that are sent to the holder of a shard that nobody holds.
+func TestPassedOnShardHasNoHolder(t *testing.T) {
+	c := newCluster(member("a1", "a", 1))
+	c.run(time.Second)
+	s := Shard{Service: "s", Zone: "a"}
+	c.set(s, Claim{})
+	if h, ok := c.keepers["a1"].Holders("s")[s]; ok {
+		t.Errorf("the shard is held by %+v", h)
+	}
+}
+
+// A draining instance claims nothing.
+func TestDrainingClaimsNothing(t *testing.T) {
+	k := New(member("a1", "a", 1), []string{"a"}, 12)
+	k.SetServices([]string{"s"})
+	k.SetMember(member("a1", "a", 1))
+	k.Drain()
+	if w := k.Decide(start.Add(time.Minute)); len(w) != 0 {
+		t.Errorf("wishes %v", w)
+	}
+}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -143,6 +143,14 @@
 	return n
 }
 
+// Runs is the number of runs that may be on a target.
+func (s *Scheduler) Runs(target string) int {
+	if t := s.targets[target]; t != nil {
+		return len(t.runs)
+	}
+	return 0
+}
+
 // drain refuses the jobs without a start and lets the others end.
 func (s *Scheduler) drain() {
 	s.draining = true
--- a/pool/desk/desk.go
+++ b/pool/desk/desk.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,9 @@
 	// awayCost is what an owner in another availability zone has to gain in
 	// waiting time: two round trips, and the uncertainty of its report.
 	awayCost = 10 * time.Millisecond
+	// costStep is the difference below which owners count as equal, because
+	// their reports are that old.
+	costStep = 4 * time.Millisecond
 	// maxOwners bounds the owners that are asked to start a job at once.
 	maxOwners = 3
 )
@@ -164,7 +168,7 @@
 	if now.Sub(c.load.At) < freshLoad {
 		cost += c.load.Wait
 	}
-	return cost
+	return cost.Round(costStep)
 }
 
 // owners returns the owners for a job, the best one first.
@@ -179,9 +183,9 @@
 		}
 		all[i].near = all[i].near || s.Zone == d.cfg.Zone
 	}
-	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.cost(now), b.cost(now)), cmp.Compare(a.address, b.address))
-	})
+	// Among equals the order is random, so that they share the load.
+	rand.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
+	slices.SortStableFunc(all, func(a, b candidate) int { return cmp.Compare(a.cost(now), b.cost(now)) })
 	out := make([]string, len(all))
 	for i, c := range all {
 		out[i] = c.address
--- a/pool/listing/listing.go
+++ b/pool/listing/listing.go
@@ -39,7 +39,7 @@
 	log     *zap.Logger
 	store   port.Store
 	formats port.Formats
-	owned   func() map[ownership.Shard]ownership.Claim
+	owner   Owner
 	shards  int
 	clock   func() time.Time
 	post    func(scheduler.Event)
@@ -51,6 +51,17 @@
 	mu     sync.Mutex
 	listed map[string]*entry // by key
 	posted []scheduler.Target
+	// wanted belongs to the goroutine of Run: the owners of each pool.
+	wanted map[string]int
+}
+
+// Owner says which shards are the instance's own.
+type Owner interface {
+	Owned() map[ownership.Shard]ownership.Claim
+	// Releasing returns those that are being passed on.
+	Releasing() map[ownership.Shard]bool
+	// WantOwners is told how many instances should hold a pool.
+	WantOwners(service, zone string, n int)
 }
 
 type entry struct {
@@ -60,13 +71,12 @@
 
 // New returns a Listing; Run starts it. A service's targets in a zone are
 // divided into shards.
-func New(log *zap.Logger, store port.Store, formats port.Formats, owned func() map[ownership.Shard]ownership.Claim,
-	shards int, clock func() time.Time, post func(scheduler.Event)) *Listing {
+func New(log *zap.Logger, store port.Store, formats port.Formats, owner Owner, shards int, clock func() time.Time, post func(scheduler.Event)) *Listing {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Listing{
-		log: log, store: store, formats: formats, owned: owned, shards: shards, clock: clock, post: post,
+		log: log, store: store, formats: formats, owner: owner, shards: shards, clock: clock, post: post,
 		ctx: ctx, cancel: cancel, done: make(chan struct{}), kick: make(chan struct{}, 1),
-		listed: map[string]*entry{},
+		listed: map[string]*entry{}, wanted: map[string]int{},
 	}
 }
 
@@ -82,13 +92,13 @@
 func (l *Listing) Run() {
 	defer close(l.done)
 	for l.ctx.Err() == nil {
-		if len(l.owned()) == 0 {
+		if len(l.owner.Owned()) == 0 {
 			l.publish()
 			l.wait(time.Hour)
 			continue
 		}
 		revision, err := l.read()
-		for err == nil && len(l.owned()) > 0 {
+		for err == nil && len(l.owner.Owned()) > 0 {
 			l.wait(gather)
 			revision, err = l.watch(revision)
 		}
@@ -107,7 +117,7 @@
 		select {
 		case <-l.kick:
 			l.publish()
-			if d == time.Hour && len(l.owned()) > 0 {
+			if d == time.Hour && len(l.owner.Owned()) > 0 {
 				return
 			}
 		case <-timer.C:
@@ -164,6 +174,7 @@
 	}
 	l.mu.Unlock()
 	l.publish()
+	l.countOwners()
 }
 
 func (l *Listing) apply(it port.Item) {
@@ -190,16 +201,19 @@
 
 // publish passes the owned targets on where they have changed.
 func (l *Listing) publish() {
-	owned := l.owned()
+	owned, releasing := l.owner.Owned(), l.owner.Releasing()
 	l.mu.Lock()
 	var all []scheduler.Target
 	for _, e := range l.listed {
-		c, ok := owned[ownership.ShardOf(e.Service, e.Zone, e.ID, l.shards)]
+		shard := ownership.ShardOf(e.Service, e.Zone, e.ID, l.shards)
+		c, ok := owned[shard]
 		if !ok {
 			continue
 		}
 		t := e.Target
 		t.Fence = c.Revision
+		// Targets that are passed on get no new work.
+		t.Draining = t.Draining || releasing[shard]
 		all = append(all, t)
 	}
 	sortTargets(all)
@@ -211,6 +225,44 @@
 	}
 }
 
+// targetsPerOwner is how many targets one instance serves. More of them make its
+// queue see more free room, and cost it processor time: a target is about ten
+// starts and looks a second.
+const targetsPerOwner = 40
+
+// countOwners tells how many instances the listed pools need. A pool has to
+// shrink well below the bound before it gets fewer, so that it does not move
+// back and forth.
+func (l *Listing) countOwners() {
+	type pool struct{ service, zone string }
+	l.mu.Lock()
+	counts := map[pool]int{}
+	for _, e := range l.listed {
+		counts[pool{e.Service, e.Zone}]++
+	}
+	l.mu.Unlock()
+	for p, n := range counts {
+		want := (n + targetsPerOwner - 1) / targetsPerOwner
+		if old := l.wanted[p.service+"/"+p.zone]; want < old && n > (old-1)*targetsPerOwner*3/4 {
+			want = old
+		}
+		l.wanted[p.service+"/"+p.zone] = want
+		l.owner.WantOwners(p.service, p.zone, want)
+	}
+}
+
+// Busy says whether a run is on a target of the shard, by the targets' IDs.
+func (l *Listing) Busy(shard ownership.Shard, runs func(target string) int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range l.posted {
+		if ownership.ShardOf(t.Service, t.Zone, t.ID, l.shards) == shard && runs(t.ID) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Close ends Run.
 func (l *Listing) Close() {
 	l.cancel()
--- a/pool/owner/owner.go
+++ b/pool/owner/owner.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +21,7 @@
 const (
 	memberPrefix = "marigoldfront/members/"
 	shardPrefix  = "marigoldfront/shards/"
+	ownersPrefix = "marigoldfront/owners/"
 	rootPrefix   = "marigoldfront/"
 	// leaseTime is how long a registration outlives its instance. Its targets
 	// have dropped their tasks by then.
@@ -36,6 +38,10 @@
 	watchWait = 3 * time.Second
 	// watchSlack is how much longer than its wait a watch may take.
 	watchSlack = 600 * time.Millisecond
+	// idleTimeout bounds the wait for the tasks of a shard that is passed on.
+	// Its next owner stops what is left.
+	idleTimeout = 1800 * time.Millisecond
+	idlePoll    = 15 * time.Millisecond
 	// retryEvery is the pause after a call that failed.
 	retryEvery = 250 * time.Millisecond
 )
@@ -46,7 +52,14 @@
 	Zone        string `json:"zone"`
 	Address     string `json:"address"`
 	Incarnation uint64 `json:"incarnation,string"`
-	Draining    bool   `json:"draining,omitempty"`
+	// Weight is the instance's share of work, relative to others.
+	Weight   float64 `json:"weight,omitempty"`
+	Draining bool    `json:"draining,omitempty"`
+}
+
+// owners is the value of the key that says how many instances hold a pool.
+type owners struct {
+	Owners int `json:"owners"`
 }
 
 // Owner follows and makes claims.
@@ -69,15 +82,19 @@
 	draining bool
 	// synced is set once the claims have been read.
 	synced bool
+	// releasing holds the shards that are being passed on.
+	releasing map[ownership.Shard]bool
+	// busy says whether anything runs on the targets of a shard.
+	busy func(ownership.Shard) bool
 }
 
 // New returns an Owner; Run starts it.
 func New(log *zap.Logger, store port.Store, self ownership.Member, zones []string, shards int,
-	clock func() time.Time, changed func()) *Owner {
+	clock func() time.Time, changed func(), busy func(ownership.Shard) bool) *Owner {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Owner{
 		log: log, store: store, self: self, clock: clock, changed: changed, ctx: ctx, cancel: cancel,
-		keeper: ownership.New(self, zones, shards),
+		keeper: ownership.New(self, zones, shards), releasing: map[ownership.Shard]bool{}, busy: busy,
 	}
 }
 
@@ -195,7 +212,7 @@
 	o.mu.Unlock()
 	b, err := json.Marshal(holder{
 		Name: o.self.Name, Zone: o.self.Zone, Address: o.self.Address, Incarnation: o.self.Incarnation,
-		Draining: draining,
+		Weight: o.self.Weight, Draining: draining,
 	})
 	if err != nil {
 		panic(err)
@@ -261,6 +278,8 @@
 			o.applyMember(it)
 		case strings.HasPrefix(it.Key, shardPrefix):
 			o.applyClaim(it)
+		case strings.HasPrefix(it.Key, ownersPrefix) && !it.Deleted:
+			o.applyOwners(it)
 		}
 	}
 }
@@ -278,10 +297,22 @@
 		return
 	}
 	o.keeper.SetMember(ownership.Member{
-		Name: name, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation, Draining: h.Draining,
+		Name: name, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation, Weight: h.Weight,
+		Draining: h.Draining,
 	})
 }
 
+func (o *Owner) applyOwners(it port.Item) {
+	parts := strings.Split(strings.TrimPrefix(it.Key, ownersPrefix), "/")
+	var v owners
+	if err := json.Unmarshal(it.Value, &v); err != nil || len(parts) != 2 {
+		o.log.Warn("The number of owners cannot be read.", zap.String("key", it.Key), zap.Error(err))
+		return
+	}
+	o.log.Info("The number of owners is known.", zap.String("key", it.Key), zap.Int("owners", v.Owners))
+	o.keeper.SetOwners(parts[0], parts[1], v.Owners)
+}
+
 func (o *Owner) applyClaim(it port.Item) {
 	s, ok := parseShard(it.Key)
 	if !ok {
@@ -341,6 +372,9 @@
 	wishes := o.keeper.Decide(o.clock())
 	lease := o.lease
 	o.claiming = len(wishes) > 0
+	for _, s := range o.keeper.Surplus(o.clock()) {
+		o.release(s)
+	}
 	o.mu.Unlock()
 	if len(wishes) == 0 {
 		return
@@ -381,37 +415,104 @@
 	o.changed()
 }
 
-// Drain tells the others that this instance stops, and claims nothing more.
-func (o *Owner) Drain() {
+// maxReleases bounds the shards that are passed on at a time, because their
+// targets stand idle meanwhile.
+const maxReleases = 2
+
+// release begins to pass a shard on. The caller holds the lock.
+func (o *Owner) release(s ownership.Shard) {
+	if o.releasing[s] || len(o.releasing) >= maxReleases && !o.draining {
+		return
+	}
+	o.releasing[s] = true
+	fence := o.keeper.Owned()[s].Revision
+	o.log.Info("A shard is passed on.", zap.String("shard", shardKey(s)), zap.Int64("fence", fence))
+	o.wg.Go(func() { o.passOn(s, fence) })
+}
+
+// passOn waits until nothing runs on the shard's targets, and then frees it.
+func (o *Owner) passOn(s ownership.Shard, fence int64) {
+	o.changed()
+	limit := time.Now().Add(idleTimeout)
+	for o.ctx.Err() == nil && time.Now().Before(limit) && o.busy(s) {
+		o.pause(idlePoll)
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+	defer cancel()
+	key := shardKey(s)
+	revision, ok, conflicts, err := o.store.Commit(ctx, port.Change{
+		Expect: []port.Expect{{Key: key, Revision: fence}}, Puts: []port.Put{{Key: key, Value: []byte("{}")}},
+	})
 	o.mu.Lock()
-	o.draining = true
-	o.keeper.Drain()
-	lease := o.lease
+	delete(o.releasing, s)
+	switch {
+	case err != nil:
+		o.log.Warn("A shard was not passed on.", zap.String("shard", key), zap.Error(err))
+	case ok:
+		o.keeper.SetClaim(s, ownership.Claim{Revision: revision})
+	default:
+		o.apply(conflicts)
+	}
 	o.mu.Unlock()
-	if lease == 0 {
+	o.changed()
+}
+
+// Releasing returns the shards that are being passed on.
+func (o *Owner) Releasing() map[ownership.Shard]bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.releasing)
+}
+
+// ReleaseAll passes all shards on and waits for it.
+func (o *Owner) ReleaseAll(limit time.Time) {
+	o.mu.Lock()
+	for s := range o.keeper.Owned() {
+		o.release(s)
+	}
+	o.mu.Unlock()
+	for time.Now().Before(limit) && len(o.Releasing()) > 0 {
+		time.Sleep(idlePoll)
+	}
+}
+
+// WantOwners sets how many instances should hold a pool, if this one holds the
+// pool's first shard.
+func (o *Owner) WantOwners(service, zone string, n int) {
+	o.mu.Lock()
+	_, first := o.keeper.Owned()[ownership.Shard{Service: service, Zone: zone}]
+	known := o.keeper.Owners(service, zone)
+	o.mu.Unlock()
+	if !first || n == known {
 		return
 	}
+	value, err := json.Marshal(owners{Owners: n})
+	if err != nil {
+		panic(err)
+	}
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 	defer cancel()
-	put := port.Put{Key: memberPrefix + o.self.Name, Value: o.value(), Lease: lease}
+	put := port.Put{Key: ownersPrefix + service + "/" + zone, Value: value}
 	if _, _, _, err := o.store.Commit(ctx, port.Change{Puts: []port.Put{put}}); err != nil {
-		o.log.Warn("The stop was not announced.", zap.Error(err))
+		o.log.Warn("The number of owners was not written.", zap.String("service", service), zap.Error(err))
 	}
 }
 
-// Release gives up the lease with all claims, so that others claim at once.
-func (o *Owner) Release() {
+// Drain tells the others that this instance stops, and claims nothing more.
+func (o *Owner) Drain() {
 	o.mu.Lock()
+	o.draining = true
+	o.keeper.Drain()
 	lease := o.lease
-	o.lease = 0
 	o.mu.Unlock()
 	if lease == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 	defer cancel()
-	if err := o.store.Revoke(ctx, lease); err != nil {
-		o.log.Warn("The claims were not released.", zap.Error(err))
+	put := port.Put{Key: memberPrefix + o.self.Name, Value: o.value(), Lease: lease}
+	if _, _, _, err := o.store.Commit(ctx, port.Change{Puts: []port.Put{put}}); err != nil {
+		o.log.Warn("The stop was not announced.", zap.Error(err))
 	}
 }
 
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -44,10 +44,8 @@
 	// awayTime is how long callers' new connections may still arrive after
 	// the instance has said that it is not ready: two checks, a second apart.
 	awayTime = 2200 * time.Millisecond
-	// idleTimeout bounds the wait for the own targets' tasks, before the
-	// targets are left to another owner, which stops what is left.
-	idleTimeout = 1800 * time.Millisecond
-	idlePoll    = 20 * time.Millisecond
+	// releaseTimeout bounds passing the own targets on.
+	releaseTimeout = 2200 * time.Millisecond
 	// reportEvery is the time between two lines about the own targets.
 	reportEvery = 2 * time.Second
 	// loadEvery is how long a report of the own load is used.
@@ -101,6 +99,7 @@
 		cfg: cfg, platform: p, log: log,
 		self: ownership.Member{
 			Name: cfg.Name, Zone: cfg.AvailabilityZone, Address: cfg.PeerListen, Incarnation: rand.Uint64(),
+			Weight: cfg.Weight,
 		},
 	}
 	in.compose()
@@ -121,8 +120,8 @@
 	})
 	in.sender = sender.New(in.part("sender"), p.Targets, in.loop.Post)
 	in.owner = owner.New(in.part("owner"), p.Store, in.self, cfg.Zones, cfg.Shards, clock.Now,
-		func() { in.listing.Refresh() })
-	in.listing = listing.New(in.part("listing"), p.Store, p.Formats, in.owner.Owned, cfg.Shards, clock.Now, in.loop.Post)
+		func() { in.listing.Refresh() }, in.busy)
+	in.listing = listing.New(in.part("listing"), p.Store, p.Formats, in.owner, cfg.Shards, clock.Now, in.loop.Post)
 	in.conf = configuration.New(in.part("configuration"), p.Store, p.Formats, func(c *catalog.Catalog) {
 		in.owner.SetServices(c.Services)
 	})
@@ -243,8 +242,8 @@
 	in.draining.Store(true)
 	in.owner.Drain()
 	in.loop.Post(scheduler.Drain{})
-	in.waitIdle(time.Now().Add(idleTimeout))
-	in.owner.Release()
+	in.owner.ReleaseAll(time.Now().Add(releaseTimeout))
+	in.log.Info("The targets are released.")
 	time.Sleep(time.Until(away))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
@@ -278,14 +277,11 @@
 	}
 }
 
-// waitIdle waits until no task runs on the own targets.
-func (in *Instance) waitIdle(limit time.Time) {
-	idle := false
-	for !idle && time.Now().Before(limit) {
-		time.Sleep(idlePoll)
-		in.loop.Inspect(func(s *scheduler.Scheduler) { idle = s.Idle() })
-	}
-	in.log.Info("The targets are released.", zap.Bool("idle", idle))
+// busy says whether anything runs on the targets of a shard.
+func (in *Instance) busy(shard ownership.Shard) bool {
+	busy := false
+	in.loop.Inspect(func(s *scheduler.Scheduler) { busy = in.listing.Busy(shard, s.Runs) })
+	return busy
 }
 
 func (in *Instance) close() {
--- a/pool/settings/settings.go
+++ b/pool/settings/settings.go
@@ -26,6 +26,9 @@
 	Store string `toml:"store"`
 	// MemoryMB bounds the memory of the process.
 	MemoryMB int `toml:"memory_mb"`
+	// Weight is the instance's share of work relative to others, such as its
+	// processors.
+	Weight float64 `toml:"weight"`
 	// LeaseMS is the longest lease that targets grant.
 	LeaseMS int `toml:"lease_ms"`
 	// FarFactor is how many times longer a task runs away from its rack.
@@ -40,7 +43,7 @@
 
 // Default holds the values of keys that a file may leave out.
 func Default() Settings {
-	return Settings{Shards: 4, LogLevel: "info", FarFactor: 1}
+	return Settings{Shards: 12, Weight: 1, LogLevel: "info", FarFactor: 1}
 }
 
 // Load reads and checks the file at path.
@@ -85,6 +88,9 @@
 	if s.Shards < 1 || s.Shards > 16 {
 		add("shards", "must be 1 to 16")
 	}
+	if s.Weight <= 0 {
+		add("weight", "must be above 0")
+	}
 	if s.GraceS < 1 {
 		add("grace_s", "must be at least 1")
 	}
