--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -62,6 +62,9 @@
 	Incarnation uint64
 	// Revision is that of the key in the store.
 	Revision int64
+	// Vanished is set for a claim of this instance whose key is gone. The
+	// instance goes on under its old token until another one fences it off.
+	Vanished bool
 }
 
 // Wish is a claim that the instance wants to make.
@@ -136,17 +139,40 @@
 // RemoveClaim records that the key of a shard is gone as of a revision.
 func (k *Keeper) RemoveClaim(now time.Time, s Shard, revision int64) {
 	old, ok := k.claims[s]
-	if !ok || revision != 0 && old.Revision > revision {
-		return
+	switch {
+	case !ok || revision != 0 && old.Revision > revision:
+	case k.own(old):
+		old.Vanished = true
+		k.claims[s] = old
+	default:
+		k.vacate(now, s, k.lives(old))
 	}
+}
+
+// DropClaim gives up a claim of this instance that another one has fenced off.
+func (k *Keeper) DropClaim(now time.Time, s Shard) { k.vacate(now, s, true) }
+
+func (k *Keeper) vacate(now time.Time, s Shard, reclaim bool) {
 	delete(k.claims, s)
-	k.free[s] = vacancy{since: now, reclaim: k.lives(old) && old.Name != k.self.Name}
+	k.free[s] = vacancy{since: now, reclaim: reclaim}
+}
+
+// own says whether a claim is this instance's.
+func (k *Keeper) own(c Claim) bool {
+	return c.Name == k.self.Name && c.Incarnation == k.self.Incarnation
 }
 
-// Reset drops all members and claims before a new reading of the store.
+// Reset begins a new reading of the store: what is not set again is gone.
 func (k *Keeper) Reset() {
+	claims := map[Shard]Claim{}
+	for s, c := range k.claims {
+		if k.own(c) {
+			c.Vanished = true
+			claims[s] = c
+		}
+	}
 	k.members = map[string]Member{}
-	k.claims = map[Shard]Claim{}
+	k.claims = claims
 	k.owners = map[pool]int{}
 }
 
@@ -181,7 +207,7 @@
 func (k *Keeper) Owned() map[Shard]Claim {
 	out := map[Shard]Claim{}
 	for s, c := range k.claims {
-		if c.Name == k.self.Name && c.Incarnation == k.self.Incarnation {
+		if k.own(c) {
 			out[s] = c
 		}
 	}
@@ -221,7 +247,7 @@
 		var own []Shard
 		for i := range k.shards {
 			s := Shard{Service: service, Zone: zone, Index: i}
-			if c := k.claims[s]; c.Name == k.self.Name && c.Incarnation == k.self.Incarnation {
+			if c := k.claims[s]; k.own(c) && !c.Vanished {
 				own = append(own, s)
 			}
 		}
@@ -278,6 +304,9 @@
 
 func (k *Keeper) wish(now time.Time, s Shard, delay time.Duration) (Wish, bool) {
 	c, held := k.claims[s]
+	if held && c.Vanished {
+		return Wish{Shard: s}, true
+	}
 	stale := held && c.Name == k.self.Name && c.Incarnation != k.self.Incarnation
 	if held && !stale && k.lives(c) {
 		delete(k.free, s)
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -199,6 +199,29 @@
 	}
 }
 
+// Guards against an owner that stops serving because its claims lapsed while
+// the store was away: no other instance can have claimed them.
+func TestVanishedClaimIsUsedUntilFenced(t *testing.T) {
+	c := newCluster(member("a1", "a", 1))
+	c.run(time.Second)
+	k := c.keepers["a1"]
+	s := Shard{Service: "s", Zone: "a"}
+	old := c.claims[s]
+	k.RemoveMember("a1")
+	k.RemoveClaim(c.now, s, 0)
+	if got := k.Owned()[s]; got.Revision != old.Revision {
+		t.Errorf("the shard is owned under %+v, was under %+v", got, old)
+	}
+	k.Reset()
+	if got := k.Owned()[s]; got.Revision != old.Revision {
+		t.Errorf("after a reading the shard is owned under %+v", got)
+	}
+	k.SetClaim(s, Claim{Name: "a2", Incarnation: 1, Revision: old.Revision + 9})
+	if got, ok := k.Owned()[s]; ok {
+		t.Errorf("another one's shard is owned under %+v", got)
+	}
+}
+
 // A restarted instance takes over what its earlier incarnation held at once.
 func TestRestartReclaims(t *testing.T) {
 	c := newCluster(member("a1", "a", 1))
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -53,6 +53,8 @@
 	failures int
 	// refusals counts starts that a target refused.
 	refusals int
+	// hung counts the runs that were stopped because they took too long.
+	hung int
 	// ran is set once a run of the task has ended without success.
 	ran  bool
 	run  *run
--- a/core/scheduler/rules_test.go
+++ b/core/scheduler/rules_test.go
@@ -285,3 +285,31 @@
 		t.Errorf("the answer is %#v", r)
 	}
 }
+
+// Guards against a task that never ends because it is stopped for taking longer
+// than its wrong estimate, each time anew.
+func TestWrongEstimateIsNotStoppedForGood(t *testing.T) {
+	b := newBench(t, testTarget("a"), testTarget("b"))
+	j := testJob("j", 1)
+	j.Deadline = b.now.Add(20 * time.Second)
+	b.submit(1, j)
+	const took = 3 * time.Second
+	for range 4 {
+		st := one[Start](b)
+		b.started(st, StartAccepted)
+		take[Look](b)
+		begun := b.now
+		for len(take[Stop](b)) == 0 {
+			if b.now.Sub(begun) > took {
+				return
+			}
+			b.wait(10 * time.Millisecond)
+			for range take[Look](b) {
+				b.look(st.Target, LookEnded{Running: []RunID{st.Run}})
+			}
+		}
+		b.stopped(Stop{Run: st.Run, Target: st.Target}, true)
+		b.look(st.Target, LookEnded{Ends: []End{{Number: int64(st.Run.Number), Run: st.Run, How: EndStopped}}})
+	}
+	t.Errorf("a task of %v was stopped four times", took)
+}
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -10,6 +10,8 @@
 	// multiple of its forecast, and no sooner than some time beyond it.
 	overdueFactor = 3
 	overdueExtra  = 300 * time.Millisecond
+	// maxPatience bounds the doublings of a forecast.
+	maxPatience = 10
 	// outdatedStep is added to the number of a run that the target takes for
 	// an old one, because an earlier copy of the job got further there.
 	outdatedStep = 100
@@ -59,10 +61,13 @@
 }
 
 // overdueAt is when the run is taken to hang. What the other tasks of its step
-// took counts where they took longer than forecast.
+// took counts where they took longer than forecast. After each run that was
+// stopped for it the forecast counts four times as much, so that a task with a
+// wrong estimate ends in time.
 func (r *run) overdueAt() time.Time {
 	d := r.expected
 	if r.task != nil {
+		d <<= min(2*r.task.hung, maxPatience)
 		if n := r.task.job.ended[r.id.Task.Step]; n.count > 0 {
 			d = max(d, n.total/time.Duration(n.count))
 		}
@@ -337,6 +342,7 @@
 	k := r.task
 	s.badRun(r.target, k.job.ID)
 	k.avoid = append(slices.Clone(k.avoid), r.target.ID)
+	k.hung++
 	r.state, r.settled = stopping, false
 	s.sendStop(r)
 }
--- a/infra/doc.go
+++ b/infra/doc.go
@@ -1,2 +1,2 @@
-// Package platform is the root of its module; see docs/design.md.
-package platform
+// Package infra is the root of its module; see docs/design.md.
+package infra
--- a/pool/owner/owner.go
+++ b/pool/owner/owner.go
@@ -140,7 +140,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if c, ok := o.keeper.Owned()[s]; ok && c.Revision == fence {
-		o.keeper.RemoveClaim(o.clock(), s, fence)
+		o.keeper.DropClaim(o.clock(), s)
 		o.synced = false
 	}
 }
