pool: metrics, and the facts behind each answer in the log

Cause: an operator who is given a job's id could find that it was refused, but not why, and a target's orders left no counts. Change: the owner writes one line for each job without a result, with forecast, objective, backlog, starts and the runs that were open, up to 100 a second; the desk writes who answered. Counters and histograms are served on the metrics address. The registry moves from entry to infra, because both programs use it.

--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -46,6 +46,34 @@
 	Requests []RequestID
 	Job      string
 	Outcome  Outcome
+	Summary  Summary
+}
+
+// Summary tells what an answer rests on, for logs.
+type Summary struct {
+	Queue string
+	// Forecast is that of the longest chain of work, and Objective the latency
+	// objective that follows from it.
+	Forecast, Objective time.Duration
+	// Age is the time since the job arrived, Waited that until its first start,
+	// or Age if there was none. Backlog is the forecast wait at its arrival.
+	Age, Waited, Backlog time.Duration
+	Tasks, Starts        int
+	// Failed, Hung and Lost count runs that failed, were stopped because they
+	// took too long, or ended without a known result. Declined counts starts
+	// that a target refused.
+	Failed, Hung, Lost, Declined int
+	// Open names some of the runs that had no end, with their targets.
+	Open []OpenRun
+}
+
+// OpenRun is a run without an end.
+type OpenRun struct {
+	Run    RunID
+	Target string
+	Age    time.Duration
+	// Forecast is the run's forecast time.
+	Forecast time.Duration
 }
 
 // LostTarget says that another instance holds the target.
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -36,6 +36,8 @@
 	longest, objective time.Duration
 	refuseAt           time.Time
 	queued             bool
+	// summary is filled in as the job goes on.
+	summary Summary
 }
 
 // sum adds up run times, as on a target of average speed.
@@ -89,6 +91,7 @@
 	j.waiters = []RequestID{ev.Request}
 	s.jobs[j.ID] = j
 	s.requests[ev.Request] = j
+	j.summary.Backlog = s.backlog(j)
 	if reason, ok := s.admit(j); !ok {
 		s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter()})
 		return
@@ -182,7 +185,7 @@
 		delete(s.requests, w)
 	}
 	if len(j.waiters) > 0 {
-		s.emit(Reply{Requests: j.waiters, Job: j.ID, Outcome: o})
+		s.emit(Reply{Requests: j.waiters, Job: j.ID, Outcome: o, Summary: s.summarize(j)})
 	}
 	delete(s.jobs, j.ID)
 	s.dequeue(j)
@@ -195,6 +198,31 @@
 	}
 }
 
+// maxOpenRuns bounds the runs that a summary names.
+const maxOpenRuns = 4
+
+func (s *Scheduler) summarize(j *job) Summary {
+	m := j.summary
+	m.Queue, m.Forecast, m.Objective = j.Queue, j.longest, j.objective
+	m.Age = s.now.Sub(j.Arrived)
+	if !j.started {
+		m.Waited = m.Age
+	}
+	for _, ts := range j.tasks {
+		m.Tasks += len(ts)
+		for _, t := range ts {
+			m.Failed += t.failures
+			m.Hung += t.hung
+			if r := t.run; r != nil && len(m.Open) < maxOpenRuns {
+				m.Open = append(m.Open, OpenRun{
+					Run: r.id, Target: r.target.ID, Age: s.now.Sub(r.started), Forecast: r.expected,
+				})
+			}
+		}
+	}
+	return m
+}
+
 func (s *Scheduler) enqueue(j *job) {
 	j.countUnplaced()
 	if j.queued || j.unplaced == 0 {
--- a/core/scheduler/names.go
+++ b/core/scheduler/names.go
@@ -15,3 +15,20 @@
 func (r RunID) String() string {
 	return fmt.Sprintf("%s.%d.%d#%d", r.Task.Job, r.Task.Step, r.Task.Index, r.Number)
 }
+
+// String returns the state of the answer.
+func (Completed) String() string { return "completed" }
+
+// String returns the state of the answer.
+func (Failed) String() string { return "failed" }
+
+// String returns the state and reason of the answer.
+func (o Refused) String() string { return "refused (" + string(o.Reason) + ")" }
+
+// String returns the state and reason of the answer.
+func (o Unknown) String() string { return "unknown (" + string(o.Reason) + ")" }
+
+// String returns the run, its target and its age.
+func (r OpenRun) String() string {
+	return fmt.Sprintf("%s on %s for %v of %v", r.Run, r.Target, r.Age, r.Forecast)
+}
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -83,7 +83,11 @@
 		expected: s.expect(k, t),
 	}
 	k.run = r
+	if !k.job.started {
+		k.job.summary.Waited = s.now.Sub(k.job.Arrived)
+	}
 	k.job.started, k.job.mayHaveRun = true, true
+	k.job.summary.Starts++
 	t.runs[r.id] = r
 	t.free.add(r.need, -1)
 	t.extended, t.lookAt = s.now, s.now
@@ -107,6 +111,7 @@
 	s.remove(r)
 	if k != nil {
 		k.ran = true
+		k.job.summary.Lost++
 		s.enqueue(k.job)
 	}
 }
@@ -120,6 +125,7 @@
 		return
 	}
 	r.task, k.run, k.ran = nil, nil, true
+	k.job.summary.Lost++
 	if r.state != stopping {
 		r.state, r.settled, r.stopAt = stopping, false, s.now
 	}
@@ -203,6 +209,7 @@
 		return
 	}
 	k.refusals++
+	k.job.summary.Declined++
 	if k.refusals >= maxRefusedStarts {
 		s.giveUp(k.job, ReasonNoTarget)
 		return
--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -1,3 +1,4 @@
+// Package metrics holds the counters of an entry instance.
 package metrics
 
 import (
@@ -5,6 +6,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"marigoldfront.dev/infra/registry"
 )
 
 // reportInterval is how often the counters reach the registry. A reading of
@@ -35,7 +38,7 @@
 
 // Metrics are the counters of one entry instance.
 type Metrics struct {
-	Registry *Registry
+	Registry *registry.Registry
 	scope    tally.Scope
 	closer   io.Closer
 
@@ -56,7 +59,7 @@
 
 // New returns the metrics of an instance. Close ends the reporting.
 func New() *Metrics {
-	r := newRegistry()
+	r := registry.New(help)
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "marigold", Separator: "_", CachedReporter: r, OmitCardinalityMetrics: true,
 	}, reportInterval)
--- a/infra/logging/logging.go
+++ b/infra/logging/logging.go
@@ -23,6 +23,12 @@
 // fields to w. The level is debug, info, warn or error; empty means info.
 // Logging never waits for w: lines for which its ring has no room are counted.
 func New(w io.Writer, level string) (*zap.Logger, error) {
+	return NewLimited(w, level, firstLines)
+}
+
+// NewLimited is New with another bound on the lines of a sentence in a second.
+// It is for lines that each tell of a different request.
+func NewLimited(w io.Writer, level string, lines int) (*zap.Logger, error) {
 	lv := zapcore.InfoLevel
 	if level != "" {
 		var err error
@@ -38,7 +44,7 @@
 	enc.EncodeName = func(name string, out zapcore.PrimitiveArrayEncoder) { out.AppendString(name + ":") }
 	core := zapcore.NewCore(zapcore.NewConsoleEncoder(enc), newRing(w), lv)
 	left := &leftOut{core: core, counts: map[string]int{}}
-	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, firstLines, 0, zapcore.SamplerHook(left.hook))), nil
+	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, lines, 0, zapcore.SamplerHook(left.hook))), nil
 }
 
 // Part returns the logger of one part of a program, with the part's name as
--- a/entry/metrics/registry.go
+++ b/infra/registry/registry.go
@@ -1,7 +1,7 @@
-// Package metrics holds the counters of an entry instance and writes them in
-// the Prometheus text format. Every name ends in its unit, or in "total" for
-// counts of events.
-package metrics
+// Package registry keeps the values of a tally scope and writes them in the
+// Prometheus text format. Every name ends in its unit, or in "total" for counts
+// of events.
+package registry
 
 import (
 	"bufio"
@@ -20,6 +20,7 @@
 // Registry keeps the reported values of a tally scope. It implements
 // tally.CachedStatsReporter.
 type Registry struct {
+	help   map[string]string
 	mu     sync.Mutex
 	series map[string]*series
 }
@@ -38,8 +39,9 @@
 	count *atomic.Int64
 }
 
-func newRegistry() *Registry {
-	return &Registry{series: map[string]*series{}}
+// New returns an empty Registry; help says what each metric counts.
+func New(help map[string]string) *Registry {
+	return &Registry{help: help, series: map[string]*series{}}
 }
 
 // WriteTo writes all values, sorted by name.
@@ -57,7 +59,7 @@
 	last := ""
 	for _, s := range all {
 		if s.name != last {
-			fmt.Fprintf(buf, "# HELP %s %s\n# TYPE %s %s\n", s.name, help[s.name], s.name, s.kind)
+			fmt.Fprintf(buf, "# HELP %s %s\n# TYPE %s %s\n", s.name, r.help[s.name], s.name, s.kind)
 			last = s.name
 		}
 		s.write(buf)
@@ -83,7 +85,7 @@
 		}
 		fmt.Fprintf(w, "%s_count%s %d\n", s.name, braces(s.labels), total)
 	default:
-		panic("metrics: unknown kind " + s.kind)
+		panic("registry: unknown kind " + s.kind)
 	}
 }
 
@@ -132,7 +134,7 @@
 // AllocateTimer implements tally.CachedStatsReporter. Timers are not used,
 // because histograms say more.
 func (r *Registry) AllocateTimer(string, map[string]string) tally.CachedTimer {
-	panic("metrics: timers are not used")
+	panic("registry: timers are not used")
 }
 
 // AllocateHistogram implements tally.CachedStatsReporter.
--- a/pool/desk/desk.go
+++ b/pool/desk/desk.go
@@ -15,6 +15,7 @@
 	"marigoldfront.dev/core/catalog"
 	"marigoldfront.dev/core/ownership"
 	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/pool/metrics"
 	"marigoldfront.dev/pool/relay"
 )
 
@@ -34,6 +35,7 @@
 // Config holds the dependencies of a Desk.
 type Config struct {
 	Log     *zap.Logger
+	Metrics *metrics.Metrics
 	Zone    string
 	Clock   func() time.Time
 	Catalog func() *catalog.Catalog
@@ -95,38 +97,38 @@
 	d.mu.Lock()
 	d.jobs[j.ID] = cancel
 	d.mu.Unlock()
-	o := d.run(jobCtx, &j)
+	o, owner := d.run(jobCtx, &j)
 	d.mu.Lock()
 	delete(d.jobs, j.ID)
 	d.mu.Unlock()
 	if jobCtx.Err() != nil && ctx.Err() == nil {
 		o = scheduler.Unknown{Reason: scheduler.ReasonCancelled}
 	}
-	d.log(&j, o)
+	d.log(&j, o, owner)
 	return o
 }
 
 // run asks the owners in turn, as long as the last one has certainly started
 // nothing. The first ones are asked to take the job only if it can start at
 // once; where none can, the best one queues it.
-func (d *Desk) run(ctx context.Context, j *scheduler.Job) scheduler.Outcome {
+func (d *Desk) run(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
 	all := d.owners(j)
 	all = all[:min(len(all), maxOwners)]
 	now := *j
 	now.OnlyNow = true
 	for _, address := range all {
 		if o := d.ask(ctx, address, &now); final(o) || ctx.Err() != nil {
-			return o
+			return o, address
 		}
 	}
-	var o scheduler.Outcome = scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
-	for _, address := range d.owners(j) {
-		o = d.ask(ctx, address, j)
+	o = scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
+	for _, owner = range d.owners(j) {
+		o = d.ask(ctx, owner, j)
 		if r, ok := o.(scheduler.Refused); !ok || r.Reason == scheduler.ReasonOverloaded || final(o) || ctx.Err() != nil {
-			return o
+			break
 		}
 	}
-	return o
+	return o, owner
 }
 
 // final says whether asking another owner is of no use.
@@ -137,9 +139,14 @@
 
 func (d *Desk) ask(ctx context.Context, address string, j *scheduler.Job) scheduler.Outcome {
 	if address != d.cfg.Self {
-		return d.cfg.Relay.Run(ctx, address, d.cfg.Clock(), j)
+		o := d.cfg.Relay.Run(ctx, address, d.cfg.Clock(), j)
+		_, refused := o.(scheduler.Refused)
+		d.cfg.Metrics.Asked("other", !refused)
+		return o
 	}
 	o, err := d.cfg.Submit(ctx, *j)
+	_, refused := o.(scheduler.Refused)
+	d.cfg.Metrics.Asked("self", err == nil && !refused)
 	switch {
 	case err == nil:
 		return o
@@ -200,18 +207,27 @@
 	return d.cfg.Relay.Load(address)
 }
 
-// log writes one line for each answer that is not the job's result.
-func (d *Desk) log(j *scheduler.Job, o scheduler.Outcome) {
+// log counts an answer, and writes a line for it. The owner's line for the same
+// job says what it rests on.
+func (d *Desk) log(j *scheduler.Job, o scheduler.Outcome, owner string) {
+	age := d.cfg.Clock().Sub(j.Arrived)
 	fields := []zap.Field{
-		zap.String("job", j.ID), zap.String("queue", j.Queue), zap.Duration("age", d.cfg.Clock().Sub(j.Arrived)),
+		zap.String("job", j.ID), zap.String("queue", j.Queue), zap.Duration("age", age), zap.String("owner", owner),
+		zap.Duration("left", j.Deadline.Sub(d.cfg.Clock())),
 	}
 	switch o := o.(type) {
+	case scheduler.Completed:
+		d.cfg.Metrics.Answer("completed", "", age)
+		d.cfg.Log.Debug("A job is answered as completed.", fields...)
 	case scheduler.Refused:
-		d.cfg.Log.Info("A job was refused.", append(fields, zap.String("reason", string(o.Reason)),
+		d.cfg.Metrics.Answer("refused", string(o.Reason), age)
+		d.cfg.Log.Info("A job is refused.", append(fields, zap.String("reason", string(o.Reason)),
 			zap.Duration("retry_after", o.RetryAfter))...)
 	case scheduler.Unknown:
+		d.cfg.Metrics.Answer("unknown", string(o.Reason), age)
 		d.cfg.Log.Info("The fate of a job is unknown.", append(fields, zap.String("reason", string(o.Reason)))...)
 	case scheduler.Failed:
-		d.cfg.Log.Info("A job failed.", append(fields, zap.String("reason", o.Reason))...)
+		d.cfg.Metrics.Answer("failed", "", age)
+		d.cfg.Log.Info("A job has failed.", append(fields, zap.String("reason", o.Reason))...)
 	}
 }
--- /dev/null
+++ b/pool/metrics/metrics.go
@@ -0,0 +1,134 @@
+// Package metrics holds the counters of an instance for leased targets.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/infra/registry"
+)
+
+// reportInterval is how often the counters reach the registry. A reading of
+// the metrics is at most this old.
+const reportInterval = time.Second
+
+// help says what each metric counts.
+var help = map[string]string{
+	"marigold_pool_answers_total":         "Answers to callers by state and reason.",
+	"marigold_pool_answer_seconds":        "Time from a submission to its answer, in seconds, by state.",
+	"marigold_pool_asked_owners_total":    "Owners that were asked to run a job, by where they are and whether they took it.",
+	"marigold_pool_starts_total":          "Starts sent to targets, by result.",
+	"marigold_pool_stops_total":           "Stops sent to targets, by result.",
+	"marigold_pool_looks_total":           "Looks at targets, by result.",
+	"marigold_pool_store_calls_total":     "Calls to the store, by kind and result.",
+	"marigold_pool_store_call_seconds":    "Time of a call to the store that does not wait for changes, in seconds.",
+	"marigold_pool_owned_shards":          "Shards of targets that this instance holds.",
+	"marigold_pool_targets":               "Targets that this instance owns.",
+	"marigold_pool_usable_targets":        "Owned targets that take work.",
+	"marigold_pool_free_cores":            "Free processor cores of the usable targets.",
+	"marigold_pool_queued_jobs":           "Jobs with tasks that wait for a target.",
+	"marigold_pool_running_tasks":         "Tasks on owned targets.",
+	"marigold_pool_forecast_wait_seconds": "Forecast time until a new task starts, in seconds.",
+	"marigold_pool_configuration_version": "Version of the configuration in force.",
+}
+
+// Metrics are the counters of one instance.
+type Metrics struct {
+	registry *registry.Registry
+	scope    tally.Scope
+	closer   io.Closer
+	buckets  tally.DurationBuckets
+}
+
+// New returns the metrics of an instance. Close ends the reporting.
+func New() *Metrics {
+	r := registry.New(help)
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "marigold_pool", Separator: "_", CachedReporter: r, OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{
+		registry: r, scope: scope, closer: closer,
+		buckets: tally.DurationBuckets{
+			time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond,
+			20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+			500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 30 * time.Second,
+		},
+	}
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		// A reader that is gone cannot be told.
+		_, _ = m.registry.WriteTo(w)
+	})
+}
+
+func (m *Metrics) count(name string, tags map[string]string) {
+	m.scope.Tagged(tags).Counter(name).Inc(1)
+}
+
+// Answer counts an answer to a caller.
+func (m *Metrics) Answer(state, reason string, took time.Duration) {
+	m.count("answers_total", map[string]string{"state": state, "reason": reason})
+	m.scope.Tagged(map[string]string{"state": state}).Histogram("answer_seconds", m.buckets).RecordDuration(took)
+}
+
+// Asked counts an owner that was asked to run a job.
+func (m *Metrics) Asked(where string, took bool) {
+	result := "declined"
+	if took {
+		result = "took"
+	}
+	m.count("asked_owners_total", map[string]string{"where": where, "result": result})
+}
+
+// Start counts a start by its result.
+func (m *Metrics) Start(r scheduler.StartResult) {
+	m.count("starts_total", map[string]string{"result": r.String()})
+}
+
+// Stop counts a stop.
+func (m *Metrics) Stop(answered bool) {
+	m.count("stops_total", map[string]string{"result": result(answered)})
+}
+
+// Look counts a look.
+func (m *Metrics) Look(answered bool) {
+	m.count("looks_total", map[string]string{"result": result(answered)})
+}
+
+// StoreCall counts a call to the store. The time of a watch is not recorded,
+// because it waits for changes.
+func (m *Metrics) StoreCall(kind string, ok bool, took time.Duration) {
+	m.count("store_calls_total", map[string]string{"kind": kind, "result": result(ok)})
+	if kind != "watch" {
+		m.scope.Histogram("store_call_seconds", m.buckets).RecordDuration(took)
+	}
+}
+
+func result(ok bool) string {
+	if ok {
+		return "ok"
+	}
+	return "error"
+}
+
+// State sets the gauges.
+func (m *Metrics) State(st scheduler.Stats, shards int, version int64) {
+	for name, v := range map[string]float64{
+		"owned_shards": float64(shards), "targets": float64(st.Targets), "usable_targets": float64(st.Usable),
+		"free_cores": float64(st.FreeCPU) / 1000, "queued_jobs": float64(st.Queued), "running_tasks": float64(st.Running),
+		"forecast_wait_seconds": st.Wait.Seconds(), "configuration_version": float64(version),
+	} {
+		m.scope.Gauge(name).Update(v)
+	}
+}
+
+// Close reports the last values and ends the reporting.
+func (m *Metrics) Close() error { return m.closer.Close() }
--- a/pool/owner/owner.go
+++ b/pool/owner/owner.go
@@ -80,6 +80,8 @@
 	// claiming is set while a claim is on its way.
 	claiming bool
 	draining bool
+	// left is set once the registration has been ended.
+	left bool
 	// synced is set once the claims have been read.
 	synced bool
 	// releasing holds the shards that are being passed on.
@@ -176,8 +178,11 @@
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 	defer cancel()
 	o.mu.Lock()
-	lease := o.lease
+	lease, left := o.lease, o.left
 	o.mu.Unlock()
+	if left {
+		return nil
+	}
 	if lease != 0 {
 		err := o.store.KeepAlive(ctx, lease)
 		if err == nil || !errors.Is(err, port.ErrLeaseEnded) {
@@ -476,6 +481,22 @@
 	}
 }
 
+// Leave ends the registration, so that the others need not wait for its lease.
+func (o *Owner) Leave() {
+	o.mu.Lock()
+	lease := o.lease
+	o.left = true
+	o.mu.Unlock()
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+	defer cancel()
+	if err := o.store.Revoke(ctx, lease); err != nil {
+		o.log.Warn("The registration was not ended.", zap.Error(err))
+	}
+}
+
 // WantOwners sets how many instances should hold a pool, if this one holds the
 // pool's first shard.
 func (o *Owner) WantOwners(service, zone string, n int) {
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -24,6 +24,8 @@
 	"marigoldfront.dev/pool/desk"
 	"marigoldfront.dev/pool/listing"
 	"marigoldfront.dev/pool/loop"
+	"marigoldfront.dev/pool/meter"
+	"marigoldfront.dev/pool/metrics"
 	"marigoldfront.dev/pool/owner"
 	"marigoldfront.dev/pool/port"
 	"marigoldfront.dev/pool/relay"
@@ -48,6 +50,8 @@
 	releaseTimeout = 2200 * time.Millisecond
 	// reportEvery is the time between two lines about the own targets.
 	reportEvery = 2 * time.Second
+	// decisionLines bounds the lines a second about jobs without a result.
+	decisionLines = 100
 	// loadEvery is how long a report of the own load is used.
 	loadEvery = 20 * time.Millisecond
 	// fetchTimeout bounds reading the configuration from another instance.
@@ -70,6 +74,7 @@
 	cfg      settings.Settings
 	platform Platform
 	log      *zap.Logger
+	metrics  *metrics.Metrics
 	self     ownership.Member
 
 	loop    *loop.Loop
@@ -80,10 +85,15 @@
 	relay   *relay.Relay
 	server  *relay.Server
 	desk    *desk.Desk
+	// decisions logs what becomes of jobs. Its lines are left out later than
+	// those of log, because each tells of another job.
+	decisions *zap.Logger
 
 	callers *http.Server
 	ready   *http.Server
-	wg      sync.WaitGroup
+	// measures serves the metrics, if it has an address.
+	measures *http.Server
+	wg       sync.WaitGroup
 
 	draining atomic.Bool
 	load     atomic.Pointer[relay.Load]
@@ -95,8 +105,13 @@
 	if err != nil {
 		return nil, err
 	}
+	decisions, err := logging.NewLimited(os.Stdout, cfg.LogLevel, decisionLines)
+	if err != nil {
+		return nil, err
+	}
 	in := &Instance{
-		cfg: cfg, platform: p, log: log,
+		decisions: decisions,
+		cfg:       cfg, platform: p, log: log, metrics: metrics.New(),
 		self: ownership.Member{
 			Name: cfg.Name, Zone: cfg.AvailabilityZone, Address: cfg.PeerListen, Incarnation: rand.Uint64(),
 			Weight: cfg.Weight,
@@ -110,19 +125,21 @@
 
 func (in *Instance) compose() {
 	cfg, p := in.cfg, in.platform
+	store := meter.New(p.Store, in.metrics)
+	decisions := func(name string) *zap.Logger { return logging.Part(in.decisions, name) }
 	sched := scheduler.New(scheduler.Config{Lease: cfg.Lease(), ClockError: clockError, FarFactor: cfg.FarFactor})
 	in.loop = loop.New(sched, clock.Now, loop.Outputs{
 		Start:    func(a scheduler.Start) { in.sender.Start(a) },
 		Stop:     func(a scheduler.Stop) { in.sender.Stop(a) },
 		Look:     func(a scheduler.Look) { in.sender.Look(a) },
 		Lost:     in.lost,
-		Answered: func(scheduler.Reply) {},
+		Answered: in.answered,
 	})
-	in.sender = sender.New(in.part("sender"), p.Targets, in.loop.Post)
-	in.owner = owner.New(in.part("owner"), p.Store, in.self, cfg.Zones, cfg.Shards, clock.Now,
+	in.sender = sender.New(in.part("sender"), p.Targets, in.metrics, in.loop.Post)
+	in.owner = owner.New(in.part("owner"), store, in.self, cfg.Zones, cfg.Shards, clock.Now,
 		func() { in.listing.Refresh() }, in.busy)
-	in.listing = listing.New(in.part("listing"), p.Store, p.Formats, in.owner, cfg.Shards, clock.Now, in.loop.Post)
-	in.conf = configuration.New(in.part("configuration"), p.Store, p.Formats, func(c *catalog.Catalog) {
+	in.listing = listing.New(in.part("listing"), store, p.Formats, in.owner, cfg.Shards, clock.Now, in.loop.Post)
+	in.conf = configuration.New(in.part("configuration"), store, p.Formats, func(c *catalog.Catalog) {
 		in.owner.SetServices(c.Services)
 	})
 	in.relay = relay.NewRelay(in.part("relay"), cfg.Name, in.self.Incarnation, in.conf.Version, in.fetch)
@@ -131,7 +148,7 @@
 		Configuration: in.conf.Value, Incarnation: in.self.Incarnation,
 	})
 	in.desk = desk.New(desk.Config{
-		Log: in.part("desk"), Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.conf.Catalog,
+		Log: decisions("desk"), Metrics: in.metrics, Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.conf.Catalog,
 		Holders: in.owner.Holders, Relay: in.relay, Self: cfg.PeerListen, Submit: in.loop.Submit, Load: in.ownLoad,
 		Waiting: in.waiting, Closing: in.draining.Load,
 	})
@@ -139,9 +156,35 @@
 		Handler:           p.Handler(in.desk, clock.Now, in.part("callers")),
 		ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
 	}
+	in.measures = &http.Server{Handler: in.metrics.Handler(), ReadHeaderTimeout: headerTime}
 	in.ready = &http.Server{Handler: p.Ready(in.isReady), ReadHeaderTimeout: headerTime}
 }
 
+// answered writes what an answer rests on. Those that went well are lines of
+// the level debug, because there are hundreds a second.
+func (in *Instance) answered(a scheduler.Reply) {
+	m := a.Summary
+	level := zap.InfoLevel
+	switch o := a.Outcome.(type) {
+	case scheduler.Completed:
+		level = zap.DebugLevel
+	case scheduler.Refused:
+		if o.Reason == scheduler.ReasonBusy {
+			// Another owner is asked next.
+			level = zap.DebugLevel
+		}
+	}
+	line := logging.Part(in.decisions, "scheduler").Check(level, fmt.Sprintf("A job ends as %v.", a.Outcome))
+	if line == nil {
+		return
+	}
+	line.Write(zap.String("job", a.Job), zap.String("queue", m.Queue), zap.Duration("age", m.Age),
+		zap.Duration("waited", m.Waited), zap.Duration("backlog", m.Backlog), zap.Duration("forecast", m.Forecast),
+		zap.Duration("objective", m.Objective), zap.Int("tasks", m.Tasks), zap.Int("starts", m.Starts),
+		zap.Int("failed", m.Failed), zap.Int("hung", m.Hung), zap.Int("lost", m.Lost),
+		zap.Int("declined", m.Declined), zap.Stringers("open", m.Open))
+}
+
 // lost drops the claim of a target that has another owner.
 func (in *Instance) lost(a scheduler.LostTarget) {
 	in.log.Warn("A target has another owner.", zap.String("target", a.Target), zap.Int64("fence", a.Fence))
@@ -201,6 +244,9 @@
 	addresses := map[string]func(net.Listener) error{
 		in.cfg.PeerListen: in.server.Serve, in.cfg.Listen: in.callers.Serve, in.cfg.ReadyListen: in.ready.Serve,
 	}
+	if in.cfg.MetricsListen != "" {
+		addresses[in.cfg.MetricsListen] = in.measures.Serve
+	}
 	failed := make(chan error, len(addresses))
 	for address, serve := range addresses {
 		l, err := net.Listen("tcp", address)
@@ -243,6 +289,7 @@
 	in.owner.Drain()
 	in.loop.Post(scheduler.Drain{})
 	in.owner.ReleaseAll(time.Now().Add(releaseTimeout))
+	in.owner.Leave()
 	in.log.Info("The targets are released.")
 	time.Sleep(time.Until(away))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
@@ -269,6 +316,7 @@
 		if !in.loop.Inspect(func(s *scheduler.Scheduler) { st = s.Stats() }) {
 			return
 		}
+		in.metrics.State(st, len(in.owner.Owned()), in.conf.Version())
 		if st.Targets > 0 || st.Jobs > 0 {
 			in.log.Info("Own targets.", zap.Int("targets", st.Targets), zap.Int("usable", st.Usable),
 				zap.Int64("cpu", st.CPU), zap.Int64("free_cpu", st.FreeCPU), zap.Int("jobs", st.Jobs),
@@ -287,6 +335,8 @@
 func (in *Instance) close() {
 	_ = in.callers.Close()
 	_ = in.ready.Close()
+	_ = in.measures.Close()
+	_ = in.metrics.Close()
 	in.relay.Close()
 	in.conf.Close()
 	in.listing.Close()
--- a/pool/sender/sender.go
+++ b/pool/sender/sender.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/pool/metrics"
 	"marigoldfront.dev/pool/port"
 )
 
@@ -25,6 +26,7 @@
 type Sender struct {
 	log     *zap.Logger
 	targets port.Targets
+	metrics *metrics.Metrics
 	post    func(scheduler.Event)
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -32,9 +34,9 @@
 }
 
 // New returns a Sender that reports what became of the orders to post.
-func New(log *zap.Logger, targets port.Targets, post func(scheduler.Event)) *Sender {
+func New(log *zap.Logger, targets port.Targets, m *metrics.Metrics, post func(scheduler.Event)) *Sender {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Sender{log: log, targets: targets, post: post, ctx: ctx, cancel: cancel}
+	return &Sender{log: log, targets: targets, metrics: m, post: post, ctx: ctx, cancel: cancel}
 }
 
 // Start sends a start.
@@ -43,9 +45,9 @@
 		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 		defer cancel()
 		ev := s.targets.Start(ctx, o)
+		s.metrics.Start(ev.Result)
 		if ev.Result != scheduler.StartAccepted {
-			s.log.Info("A start was not accepted.", zap.String("job", o.Run.Task.Job), zap.Int("task", o.Run.Task.Index),
-				zap.Int("run", o.Run.Number), zap.String("target", o.Target), zap.Int64("fence", o.Fence),
+			s.log.Info("A start was not accepted.", zap.String("job", o.Run.Task.Job), zap.Stringer("run", o.Run), zap.String("target", o.Target), zap.Int64("fence", o.Fence),
 				zap.Stringer("result", ev.Result))
 		}
 		s.post(ev)
@@ -57,7 +59,13 @@
 	s.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 		defer cancel()
-		s.post(s.targets.Stop(ctx, o))
+		ev := s.targets.Stop(ctx, o)
+		s.metrics.Stop(ev.Answered)
+		if !ev.Answered {
+			s.log.Info("A stop failed.", zap.Stringer("run", o.Run), zap.String("target", o.Target),
+				zap.Int64("fence", o.Fence), zap.Bool("fenced", ev.Fenced))
+		}
+		s.post(ev)
 	})
 }
 
@@ -67,6 +75,7 @@
 		ctx, cancel := context.WithTimeout(s.ctx, o.Wait+lookSlack)
 		defer cancel()
 		ev := s.targets.Look(ctx, o)
+		s.metrics.Look(ev.Answered)
 		if !ev.Answered || ev.Fenced || ev.Moved {
 			s.log.Info("A look failed.", zap.String("target", o.Target), zap.Int64("fence", o.Fence),
 				zap.Bool("answered", ev.Answered), zap.Bool("fenced", ev.Fenced), zap.Bool("moved", ev.Moved))
