--- a/pool/sender/sender.go
+++ b/pool/sender/sender.go
@@ -16,7 +16,7 @@
 const (
 	// orderTimeout bounds a start or stop. A target answers within
 	// milliseconds; the rest is for a lost packet that is sent again.
-	orderTimeout = 400 * time.Millisecond
+	orderTimeout = 250 * time.Millisecond
 	// lookSlack is how much longer than its wait a look may take. Wait and
 	// slack together leave time for a second look within the lease.
 	lookSlack = 250 * time.Millisecond
