--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -126,4 +126,6 @@
 	ReasonCancelled Reason = "cancelled"
 	ReasonDraining  Reason = "draining"
 	ReasonWithdrawn Reason = "withdrawn"
+	// ReasonOwnerLost ends a job whose owner does not answer any more.
+	ReasonOwnerLost Reason = "owner_lost"
 )
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -148,7 +148,10 @@
 	}
 	r.log.Info("An owner did not answer for a job.", zap.String("job", j.ID), zap.String("owner", address),
 		zap.Error(err), zap.NamedError("cause", context.Cause(ctx)))
-	return scheduler.Unknown{Reason: scheduler.ReasonDeadline}
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return scheduler.Unknown{Reason: scheduler.ReasonDeadline}
+	}
+	return scheduler.Unknown{Reason: scheduler.ReasonOwnerLost}
 }
 
 // begin records a job on its way, and sees to it that the owner hears of this
