core/scheduler: ask another owner where a task's chance is below the best

Cause: an owner took a job at once if each task had a chance of 0.6, also on slow targets, while another zone had fast ones free; the largest jobs then missed their deadline. Change: an owner that is asked to start at once declines where a chance is 0.05 below the best of its targets.

--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -25,9 +25,9 @@
 	// leastChance is what a task must have on the fastest target for its job
 	// to be accepted.
 	leastChance = 0.04
-	// onTimeChance is what every task of a job must have for another owner not
-	// to be asked.
-	onTimeChance = 0.6
+	// declineLoss is how much less than its best chance a task may have for
+	// another owner not to be asked.
+	declineLoss = 0.05
 )
 
 // compareJobs orders the queue: jobs that have started, then by the latest
@@ -252,7 +252,7 @@
 				continue
 			}
 			t := s.choose(k)
-			if t == nil || s.chance(k, t, 0) < min(onTimeChance, s.bestChance(j)-waitGain) {
+			if t == nil || s.chance(k, t, 0) < s.bestChance(j)-declineLoss {
 				fits = false
 				continue
 			}
