--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -6,7 +6,6 @@
 package ownership
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -193,16 +192,6 @@
 	return out
 }
 
-// Members returns the live instances, by name.
-func (k *Keeper) Members() []Member {
-	all := make([]Member, 0, len(k.members))
-	for _, m := range k.members {
-		all = append(all, m)
-	}
-	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	return all
-}
-
 // Owned returns the claims of this instance.
 func (k *Keeper) Owned() map[Shard]Claim {
 	out := map[Shard]Claim{}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -160,6 +160,3 @@
 		}
 	}
 }
-
-// Idle says whether no job is left.
-func (s *Scheduler) Idle() bool { return len(s.jobs) == 0 }
--- a/pool/listing/listing.go
+++ b/pool/listing/listing.go
@@ -64,8 +64,10 @@
 	WantOwners(service, zone string, n int)
 }
 
+// entry is a listed target.
 type entry struct {
-	port.Listed
+	scheduler.Target
+	// goneAt is when the entry vanished, or zero.
 	goneAt time.Time
 }
 
@@ -196,7 +198,7 @@
 		l.log.Info("A target is listed.", zap.String("target", t.ID), zap.String("service", t.Service),
 			zap.Bool("draining", t.Draining), zap.Int64("born", t.Born), zap.Int64("revision", it.Revision))
 	}
-	l.listed[it.Key] = &entry{Listed: t}
+	l.listed[it.Key] = &entry{Target: t}
 }
 
 // publish passes the owned targets on where they have changed.
--- a/pool/port/port.go
+++ b/pool/port/port.go
@@ -66,11 +66,6 @@
 	Revoke(ctx context.Context, lease int64) error
 }
 
-// Listed is a target as the platform lists it.
-type Listed struct {
-	scheduler.Target
-}
-
 // Formats decodes what the platform keeps in the store.
 type Formats interface {
 	// ConfigurationKey is the key of the configuration.
@@ -79,8 +74,8 @@
 	Configuration(value []byte) (*catalog.Catalog, error)
 	// TargetPrefix begins the keys of the targets.
 	TargetPrefix() string
-	// Target decodes one target.
-	Target(key string, value []byte) (Listed, error)
+	// Target decodes one target. It has no fencing token.
+	Target(key string, value []byte) (scheduler.Target, error)
 }
 
 // Targets sends orders to targets. A call returns by the end of ctx.
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -38,12 +38,6 @@
 	maxIdle    = 16
 )
 
-// Peer is another instance.
-type Peer struct {
-	Address     string
-	Incarnation uint64
-}
-
 // Load describes an owner's targets, as of At.
 type Load struct {
 	Wait     time.Duration
