pool/desk: copies of a job join it; a fenced target drops its own shard only

Causes, found by reading: two copies of a job at one instance could reach different owners and run at once; a target with another owner dropped every shard of the same claim; SIGHUP left no line. Change: a flight for each job on its way, with its waiters; the lost target names its shard; changed settings are read and logged. Tests: TestCopyJoinsTheJob, TestNextOwnerIsAskedOnlyAfterARefusal, TestCancel.

--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -78,8 +78,10 @@
 
 // LostTarget says that another instance holds the target.
 type LostTarget struct {
-	Target string
-	Fence  int64
+	Target  string
+	Service string
+	Zone    string
+	Fence   int64
 }
 
 func (Start) action()      {}
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -277,7 +277,7 @@
 		return
 	}
 	t.fenced, t.synced = true, false
-	s.emit(LostTarget{Target: t.ID, Fence: t.Fence})
+	s.emit(LostTarget{Target: t.ID, Service: t.Service, Zone: t.Zone, Fence: t.Fence})
 }
 
 // seen takes in an answered look.
--- a/pool/desk/desk.go
+++ b/pool/desk/desk.go
@@ -54,13 +54,13 @@
 type Desk struct {
 	cfg Config
 
-	mu   sync.Mutex
-	jobs map[string]context.CancelFunc
+	mu      sync.Mutex
+	flights map[string]*flight // by job
 }
 
 // New returns a Desk.
 func New(cfg Config) *Desk {
-	return &Desk{cfg: cfg, jobs: map[string]context.CancelFunc{}}
+	return &Desk{cfg: cfg, flights: map[string]*flight{}}
 }
 
 // Find implements port.Desk.
@@ -83,29 +83,77 @@
 func (d *Desk) Cancel(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	cancel, ok := d.jobs[id]
-	if ok {
-		cancel()
+	f := d.flights[id]
+	if f == nil {
+		return false
 	}
-	return ok
+	f.cancelled = true
+	f.cancel()
+	return true
 }
 
-// Submit implements port.Desk.
+// flight is a job that this instance has passed on.
+type flight struct {
+	cancel  context.CancelFunc
+	waiters int
+	// cancelled is set once the job was cancelled by name.
+	cancelled bool
+	// done is closed when outcome is set.
+	done    chan struct{}
+	outcome scheduler.Outcome
+}
+
+// Submit implements port.Desk. A job that is already on its way is joined: a
+// second copy could reach another owner and run beside the first.
 func (d *Desk) Submit(ctx context.Context, j scheduler.Job) scheduler.Outcome {
-	jobCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	f := d.join(j)
+	select {
+	case <-f.done:
+		return f.outcome
+	case <-ctx.Done():
+		d.leave(f)
+		// The caller is gone; the answer reaches nobody.
+		return scheduler.Unknown{Reason: scheduler.ReasonWithdrawn}
+	}
+}
+
+// join returns the flight of a job, which it begins if there is none.
+func (d *Desk) join(j scheduler.Job) *flight {
 	d.mu.Lock()
-	d.jobs[j.ID] = cancel
-	d.mu.Unlock()
-	o, owner := d.run(jobCtx, &j)
+	defer d.mu.Unlock()
+	if f := d.flights[j.ID]; f != nil {
+		f.waiters++
+		return f
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &flight{cancel: cancel, waiters: 1, done: make(chan struct{})}
+	d.flights[j.ID] = f
+	go d.fly(ctx, f, j)
+	return f
+}
+
+// leave drops one waiter. A job without any is withdrawn.
+func (d *Desk) leave(f *flight) {
 	d.mu.Lock()
-	delete(d.jobs, j.ID)
-	d.mu.Unlock()
-	if jobCtx.Err() != nil && ctx.Err() == nil {
+	defer d.mu.Unlock()
+	if f.waiters--; f.waiters == 0 {
+		f.cancel()
+	}
+}
+
+// fly runs the job to its answer.
+func (d *Desk) fly(ctx context.Context, f *flight, j scheduler.Job) {
+	defer f.cancel()
+	o, owner := d.run(ctx, &j)
+	d.mu.Lock()
+	delete(d.flights, j.ID)
+	if f.cancelled {
 		o = scheduler.Unknown{Reason: scheduler.ReasonCancelled}
 	}
+	f.outcome = o
+	d.mu.Unlock()
+	close(f.done)
 	d.log(&j, o, owner)
-	return o
 }
 
 // run asks the owners in turn, as long as the last one has certainly started
--- /dev/null
+++ b/pool/desk/desk_test.go
@@ -0,0 +1,120 @@
+package desk
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/ownership"
+	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/pool/metrics"
+	"marigoldfront.dev/pool/relay"
+)
+
+// newDesk returns a desk whose instance owns the targets itself.
+func newDesk(t *testing.T, submit func(ctx context.Context, j scheduler.Job) (scheduler.Outcome, error)) *Desk {
+	m := metrics.New()
+	t.Cleanup(func() { _ = m.Close() })
+	return New(Config{
+		Log: zap.NewNop(), Metrics: m, Zone: "a", Clock: time.Now, Self: "self:1", Submit: submit,
+		Holders: func(string) map[ownership.Shard]ownership.Claim {
+			return map[ownership.Shard]ownership.Claim{{Service: "s", Zone: "a"}: {Name: "self", Address: "self:1"}}
+		},
+		Load: func() relay.Load { return relay.Load{} },
+	})
+}
+
+// Guards against two runs of a job of which a copy arrives while it runs, and
+// against its end when only one of the callers leaves.
+func TestCopyJoinsTheJob(t *testing.T) {
+	var asked atomic.Int64
+	release := make(chan struct{})
+	d := newDesk(t, func(ctx context.Context, _ scheduler.Job) (scheduler.Outcome, error) {
+		asked.Add(1)
+		select {
+		case <-release:
+			return scheduler.Completed{}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	})
+	impatient, leave := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { d.Submit(impatient, scheduler.Job{ID: "j", Service: "s"}) })
+	answers := make(chan scheduler.Outcome, 2)
+	for range 2 {
+		wg.Go(func() { answers <- d.Submit(context.Background(), scheduler.Job{ID: "j", Service: "s"}) })
+	}
+	for d.waiters("j") < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	leave()
+	for d.waiters("j") > 2 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	wg.Wait()
+	for range 2 {
+		if o := <-answers; o != (scheduler.Completed{}) {
+			t.Errorf("the answer is %#v", o)
+		}
+	}
+	if n := asked.Load(); n != 1 {
+		t.Errorf("the owner was asked %d times", n)
+	}
+}
+
+func (d *Desk) waiters(id string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if f := d.flights[id]; f != nil {
+		return f.waiters
+	}
+	return 0
+}
+
+// Guards against a job that another owner runs although the first one may have
+// started it, and against a refusal while another owner could be asked.
+func TestNextOwnerIsAskedOnlyAfterARefusal(t *testing.T) {
+	for _, tc := range []struct {
+		answer scheduler.Outcome
+		asked  int64
+	}{
+		{scheduler.Unknown{Reason: scheduler.ReasonDeadline}, 1},
+		{scheduler.Failed{Reason: "x"}, 1},
+		{scheduler.Refused{Reason: scheduler.ReasonNeverFits}, 1},
+		// Once to start at once, and once more to queue it.
+		{scheduler.Refused{Reason: scheduler.ReasonBusy}, 2},
+		{scheduler.Refused{Reason: scheduler.ReasonNoTarget}, 2},
+	} {
+		var asked atomic.Int64
+		d := newDesk(t, func(context.Context, scheduler.Job) (scheduler.Outcome, error) {
+			asked.Add(1)
+			return tc.answer, nil
+		})
+		o := d.Submit(context.Background(), scheduler.Job{ID: "j", Service: "s"})
+		if o != tc.answer || asked.Load() != tc.asked {
+			t.Errorf("%#v after %d questions, want %#v after %d", o, asked.Load(), tc.answer, tc.asked)
+		}
+	}
+}
+
+// Cancel ends a job by its name.
+func TestCancel(t *testing.T) {
+	d := newDesk(t, func(ctx context.Context, _ scheduler.Job) (scheduler.Outcome, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	if d.Cancel("j") {
+		t.Error("an unknown job was cancelled")
+	}
+	time.AfterFunc(20*time.Millisecond, func() { d.Cancel("j") })
+	want := scheduler.Unknown{Reason: scheduler.ReasonCancelled}
+	if o := d.Submit(context.Background(), scheduler.Job{ID: "j", Service: "s"}); o != want {
+		t.Errorf("the answer is %#v", o)
+	}
+}
--- a/pool/run/main.go
+++ b/pool/run/main.go
@@ -67,7 +67,13 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	signal.Ignore(syscall.SIGHUP)
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	go func() {
+		for range changed {
+			in.Reload(settings.Load(opts.Config))
+		}
+	}()
 	if err := in.Serve(signals); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitFailed
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/catalog"
+	"marigoldfront.dev/core/finding"
 	"marigoldfront.dev/core/ownership"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/clock"
@@ -174,6 +176,9 @@
 			level = zap.DebugLevel
 		}
 	}
+	if !in.decisions.Core().Enabled(level) {
+		return
+	}
 	line := logging.Part(in.decisions, "scheduler").Check(level, fmt.Sprintf("A job ends as %v.", a.Outcome))
 	if line == nil {
 		return
@@ -185,17 +190,25 @@
 		zap.Int("declined", m.Declined), zap.Stringers("open", m.Open))
 }
 
-// lost drops the claim of a target that has another owner.
+// lost drops the claim of a target that has another owner. The claim's lock may
+// be held for a call of the store, so that the loop does not wait for it.
 func (in *Instance) lost(a scheduler.LostTarget) {
 	in.log.Warn("A target has another owner.", zap.String("target", a.Target), zap.Int64("fence", a.Fence))
-	go func() {
-		for s, c := range in.owner.Owned() {
-			if c.Revision == a.Fence {
-				in.owner.Lost(s, a.Fence)
-			}
-		}
+	shard := ownership.ShardOf(a.Service, a.Zone, a.Target, in.cfg.Shards)
+	in.wg.Go(func() {
+		in.owner.Lost(shard, a.Fence)
 		in.listing.Refresh()
-	}()
+	})
+}
+
+// Reload takes note of changed settings. They describe addresses and limits of
+// the process, which stay as they are until its next start.
+func (in *Instance) Reload(cfg settings.Settings, found finding.List) {
+	if err := found.Err(); err != nil {
+		in.log.Error("The changed settings are not valid.", zap.Error(err))
+		return
+	}
+	in.log.Info("The settings were read again.", zap.Bool("changed", !reflect.DeepEqual(cfg, in.cfg)))
 }
 
 func (in *Instance) isReady() bool { return !in.draining.Load() && in.conf.Catalog() != nil }
