pool/desk: ask the next owner also where a job fits no target of the first

Cause: found by reading; the targets with a step's label or room may all belong to another owner, and the first owner's never_fits was taken for the answer. Test: TestNextOwnerIsAskedOnlyAfterARefusal, whose row asked once before.

--- a/pool/desk/desk.go
+++ b/pool/desk/desk.go
@@ -179,10 +179,11 @@
 	return o, owner
 }
 
-// final says whether asking another owner is of no use.
+// final says whether asking another owner is of no use. A job that fits no
+// target of one owner may fit one of another.
 func final(o scheduler.Outcome) bool {
 	r, ok := o.(scheduler.Refused)
-	return !ok || r.Reason == scheduler.ReasonNeverFits || r.Reason == scheduler.ReasonCancelled
+	return !ok || r.Reason == scheduler.ReasonCancelled
 }
 
 func (d *Desk) ask(ctx context.Context, address string, j *scheduler.Job) scheduler.Outcome {
--- a/pool/desk/desk_test.go
+++ b/pool/desk/desk_test.go
@@ -86,10 +86,12 @@
 	}{
 		{scheduler.Unknown{Reason: scheduler.ReasonDeadline}, 1},
 		{scheduler.Failed{Reason: "x"}, 1},
-		{scheduler.Refused{Reason: scheduler.ReasonNeverFits}, 1},
+		{scheduler.Refused{Reason: scheduler.ReasonCancelled}, 1},
 		// Once to start at once, and once more to queue it.
 		{scheduler.Refused{Reason: scheduler.ReasonBusy}, 2},
 		{scheduler.Refused{Reason: scheduler.ReasonNoTarget}, 2},
+		// A target with the label or the room may be another owner's.
+		{scheduler.Refused{Reason: scheduler.ReasonNeverFits}, 2},
 	} {
 		var asked atomic.Int64
 		d := newDesk(t, func(context.Context, scheduler.Job) (scheduler.Outcome, error) {
