pool/loop: a withdrawal that overtakes its request drops it

Cause: found by reading; requests and withdrawals wait in two rings, so that the loop could take the withdrawal first, ignore it as unknown, and run the job with no caller until its deadline, beside a copy that the caller sends elsewhere. Ruled out: one ring for both, which would let events wait behind requests. Change: a request whose context has ended is dropped when its turn comes. Test: TestWithdrawalMayOvertakeItsRequest fails without the change.

--- a/pool/loop/loop.go
+++ b/pool/loop/loop.go
@@ -54,6 +54,8 @@
 	event   scheduler.Event
 	request scheduler.RequestID
 	reply   chan<- scheduler.Outcome
+	// ctx ends when nobody waits for the reply any more.
+	ctx     context.Context
 	inspect func(*scheduler.Scheduler)
 }
 
@@ -74,7 +76,7 @@
 func (l *Loop) Submit(ctx context.Context, j scheduler.Job) (scheduler.Outcome, error) {
 	id := scheduler.RequestID(l.lastID.Add(1))
 	reply := make(chan scheduler.Outcome, 1)
-	it := item{event: scheduler.Submit{Request: id, Job: j}, request: id, reply: reply}
+	it := item{event: scheduler.Submit{Request: id, Job: j}, request: id, reply: reply, ctx: ctx}
 	select {
 	case l.requests <- it:
 	default:
@@ -171,6 +173,10 @@
 		return
 	}
 	if it.reply != nil {
+		if it.ctx.Err() != nil {
+			// The withdrawal waits in another ring and may have come before.
+			return
+		}
 		l.waiting[it.request] = it.reply
 	}
 	if w, ok := it.event.(scheduler.Withdraw); ok {
