pool/relay, core/ledger: compare awaited jobs with each beat

Beats use other connections and kept the owner alive. Ruled out: a shorter timeout for the job's call, which cannot tell a long job from a lost reply; TCP user timeouts, which see unacknowledged bytes only. Change: beats list the awaited jobs. The owner returns replies that did not arrive, names overdue jobs that it never received and refuses them from then on, and stops jobs that nobody awaits. An epoch tells 'never arrived' from 'forgotten'. New setting peer_address, for instances behind another address.

--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -35,7 +35,10 @@
 	dialTimeout = 300 * time.Millisecond
 	// replySlack is how long after a job's deadline its reply is awaited.
 	replySlack = 100 * time.Millisecond
-	maxIdle    = 16
+	// overdueAfter is how long after it was sent an owner must have received a
+	// job; messages between instances take milliseconds.
+	overdueAfter = 200 * time.Millisecond
+	maxIdle      = 16
 )
 
 // Load describes an owner's targets, as of At.
@@ -69,13 +72,32 @@
 type owner struct {
 	client wire.Pool
 	load   Load
-	// flights are the jobs on their way there, with what gives them up.
-	flights map[uint64]context.CancelCauseFunc
+	// flights are the jobs on their way there, by id.
+	flights map[uint64]*flight
 	beating bool
 	heard   time.Time
+	// epoch is that of the owner's record of this instance's jobs, or 0.
+	epoch uint64
+	// beats counts the beats sent.
+	beats uint64
 }
 
-var errSilent = errors.New("the owner does not answer")
+// flight is a job whose reply is awaited.
+type flight struct {
+	// end ends the wait, with the cause.
+	end    context.CancelCauseFunc
+	sent   time.Time
+	epoch  uint64
+	answer *wire.RunReply // guarded by the Relay's mutex
+}
+
+var (
+	errSilent = errors.New("the owner does not answer")
+	// errAnswered: the reply came with a beat.
+	errAnswered = errors.New("the connection of the job is silent, its reply came with a beat")
+	// errMissing: the owner has not received the job and will not run it.
+	errMissing = errors.New("the job has not reached the owner")
+)
 
 // NewRelay returns a Relay. The version in force goes with every beat; newer
 // is called with an owner that has a newer configuration.
@@ -98,7 +120,7 @@
 	if o == nil {
 		o = &owner{
 			client:  wire.NewPoolProtobufClient("http://"+address, r.http),
-			flights: map[uint64]context.CancelCauseFunc{},
+			flights: map[uint64]*flight{},
 		}
 		r.owners[address] = o
 	}
@@ -122,15 +144,23 @@
 	defer cancelTimeout()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	o, id := r.begin(address, cancel)
-	defer r.end(o, id)
+	o, f, id := r.begin(address, cancel)
 	in := toWire(now, j)
-	in.Sender, in.Incarnation = r.name, r.incarnation
+	in.Sender, in.Incarnation, in.Id = r.name, r.incarnation, id
 	out, err := o.client.Run(ctx, in)
+	r.end(o, id)
 	if err == nil {
-		r.learn(o, out.Load)
+		r.learn(o, out.Load, out.Epoch)
 		return fromWire(out)
 	}
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errAnswered):
+		r.log.Info("The connection of a job was silent.", zap.String("job", j.ID), zap.String("owner", address))
+		return fromWire(f.answer)
+	case errors.Is(cause, errMissing):
+		r.log.Info("A job did not reach its owner.", zap.String("job", j.ID), zap.String("owner", address))
+		return scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		r.forget(o)
@@ -150,17 +180,18 @@
 
 // begin records a job on its way, and sees to it that the owner hears of this
 // instance as long as one is.
-func (r *Relay) begin(address string, cancel context.CancelCauseFunc) (*owner, uint64) {
+func (r *Relay) begin(address string, end context.CancelCauseFunc) (*owner, *flight, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o := r.owner(address)
 	r.last++
-	o.flights[r.last] = cancel
+	f := &flight{end: end, sent: time.Now(), epoch: o.epoch}
+	o.flights[r.last] = f
 	if !o.beating {
 		o.beating, o.heard = true, time.Now()
 		r.wg.Go(func() { r.beatAlways(o) })
 	}
-	return o, r.last
+	return o, f, r.last
 }
 
 func (r *Relay) end(o *owner, id uint64) {
@@ -169,13 +200,13 @@
 	delete(o.flights, id)
 }
 
-func (r *Relay) learn(o *owner, l *wire.PoolLoad) {
+func (r *Relay) learn(o *owner, l *wire.PoolLoad, epoch uint64) {
 	if l == nil {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	o.heard = time.Now()
+	o.heard, o.epoch = time.Now(), epoch
 	o.load = Load{
 		Wait: time.Duration(l.WaitMs) * time.Millisecond, FreeCPU: l.FreeCpu, CPU: l.Cpu,
 		Queued: int(l.Queued), Draining: l.Draining, At: time.Now(),
@@ -188,7 +219,8 @@
 	o.load = Load{}
 }
 
-// beatAlways sends beats as long as jobs are on their way.
+// beatAlways sends beats as long as jobs are on their way, and one after the
+// last, which tells the owner that no reply is awaited any more.
 func (r *Relay) beatAlways(o *owner) {
 	tick := time.NewTicker(beatEvery)
 	defer tick.Stop()
@@ -198,23 +230,47 @@
 		case <-r.ctx.Done():
 			return
 		}
-		r.mu.Lock()
-		if len(o.flights) == 0 {
-			o.beating = false
-			r.mu.Unlock()
+		in := r.nextBeat(o)
+		r.beat(o, in)
+		if len(in.Jobs) == 0 && r.rest(o) {
 			return
 		}
-		r.mu.Unlock()
-		r.beat(o)
 	}
 }
 
-func (r *Relay) beat(o *owner) {
+// rest ends the beats to an owner unless a job is on its way to it again.
+func (r *Relay) rest(o *owner) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o.beating = len(o.flights) > 0
+	return !o.beating
+}
+
+// nextBeat tells an owner which of its replies are awaited.
+func (r *Relay) nextBeat(o *owner) *wire.BeatRequest {
+	version := r.version()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o.beats++
+	in := &wire.BeatRequest{
+		Sender: r.name, Incarnation: r.incarnation, Configuration: version, Number: o.beats, Last: r.last,
+	}
+	for id, f := range o.flights {
+		in.Jobs = append(in.Jobs, id)
+		if time.Since(f.sent) >= overdueAfter {
+			in.Overdue = append(in.Overdue, id)
+		}
+	}
+	return in
+}
+
+func (r *Relay) beat(o *owner, in *wire.BeatRequest) {
 	ctx, cancel := context.WithTimeout(r.ctx, beatTimeout)
 	defer cancel()
-	out, err := o.client.Beat(ctx, &wire.BeatRequest{Sender: r.name, Incarnation: r.incarnation, Configuration: r.version()})
+	out, err := o.client.Beat(ctx, in)
 	if err == nil {
-		r.learn(o, out.Load)
+		r.learn(o, out.Load, out.Epoch)
+		r.compare(o, out)
 		if out.Configuration > r.version() {
 			r.newer(o.client)
 		}
@@ -228,8 +284,31 @@
 	r.log.Warn("An owner is silent; its jobs are given up.", zap.Int("jobs", len(o.flights)), zap.Error(err),
 		zap.Duration("silent", time.Since(o.heard)))
 	o.load = Load{}
-	for _, cancel := range o.flights {
-		cancel(errSilent)
+	for _, f := range o.flights {
+		f.end(errSilent)
+	}
+}
+
+// compare ends the wait for jobs that have ended at the owner, or that it does
+// not know.
+func (r *Relay) compare(o *owner, out *wire.BeatReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range out.Ended {
+		if f := o.flights[e.Id]; f != nil && e.Reply != nil {
+			f.answer = e.Reply
+			f.end(errAnswered)
+		}
+	}
+	for _, id := range out.Missing {
+		f := o.flights[id]
+		switch {
+		case f == nil:
+		case f.epoch != 0 && f.epoch == out.Epoch:
+			f.end(errMissing)
+		default:
+			f.end(errSilent)
+		}
 	}
 }
 
--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"marigoldfront.dev/core/ledger"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/wire"
 )
@@ -48,14 +50,15 @@
 
 	mu      sync.Mutex
 	senders map[string]*sender
-	last    uint64
 }
 
 // sender is an instance for which jobs run here.
 type sender struct {
 	incarnation uint64
 	heard       time.Time
-	jobs        map[uint64]context.CancelFunc
+	// jobs holds what stops each running job, and ledger what became of them.
+	jobs   map[uint64]context.CancelFunc
+	ledger *ledger.Ledger[*wire.RunReply]
 }
 
 // NewServer returns a Server.
@@ -88,29 +91,47 @@
 func (s *Server) Run(ctx context.Context, in *wire.RunRequest) (*wire.RunReply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	id := s.begin(in.Sender, in.Incarnation, cancel)
-	defer s.end(in.Sender, id)
+	p := s.begin(in, cancel)
+	if p == nil {
+		return replyToWire(scheduler.Refused{Reason: scheduler.ReasonWithdrawn, RetryAfter: time.Second}), nil
+	}
 	o, err := s.cfg.Submit(ctx, jobFromWire(s.cfg.Clock(), in))
-	if err != nil {
-		if ctx.Err() != nil {
-			return nil, twirp.NewError(twirp.Canceled, "the job was withdrawn")
-		}
-		return nil, twirp.NewError(twirp.ResourceExhausted, err.Error())
+	out, err := s.replyTo(ctx, o, err)
+	s.end(p, in.Id, out)
+	return out, err
+}
+
+// replyTo turns what became of a job into the reply and the error for its own
+// connection.
+func (s *Server) replyTo(ctx context.Context, o scheduler.Outcome, err error) (*wire.RunReply, error) {
+	switch {
+	case err == nil:
+	case ctx.Err() != nil:
+		// The sender has withdrawn the job, or its connection was lost.
+		return replyToWire(scheduler.Unknown{Reason: scheduler.ReasonWithdrawn}),
+			twirp.NewError(twirp.Canceled, "the job was withdrawn")
+	default:
+		return replyToWire(scheduler.Refused{Reason: scheduler.ReasonOverloaded, RetryAfter: time.Second}),
+			twirp.NewError(twirp.ResourceExhausted, err.Error())
 	}
 	out := replyToWire(o)
 	out.Load = s.cfg.Load()
 	return out, nil
 }
 
-// begin records a job of a sender. The clock counts suspensions, so that a
-// machine that slept takes its senders for silent until they are heard again.
-func (s *Server) begin(name string, incarnation uint64, cancel context.CancelFunc) uint64 {
+// begin records a job of a sender. It returns nil if the sender does not await
+// it any more. The clock counts suspensions, so that a machine that slept takes
+// its senders for silent until they are heard again.
+func (s *Server) begin(in *wire.RunRequest, cancel context.CancelFunc) *sender {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.heard(name, incarnation)
-	s.last++
-	p.jobs[s.last] = cancel
-	return s.last
+	p := s.heard(in.Sender, in.Incarnation)
+	if !p.ledger.Begin(in.Id) {
+		s.cfg.Log.Info("A job came too late.", zap.String("job", in.Job), zap.String("sender", in.Sender))
+		return nil
+	}
+	p.jobs[in.Id] = cancel
+	return p
 }
 
 func (s *Server) heard(name string, incarnation uint64) *sender {
@@ -119,7 +140,10 @@
 		if p != nil {
 			p.stopAll()
 		}
-		p = &sender{incarnation: incarnation, jobs: map[uint64]context.CancelFunc{}}
+		p = &sender{
+			incarnation: incarnation, jobs: map[uint64]context.CancelFunc{},
+			ledger: ledger.New[*wire.RunReply](rand.Uint64()),
+		}
 		s.senders[name] = p
 	}
 	p.heard = s.cfg.Clock()
@@ -132,21 +156,35 @@
 	}
 }
 
-func (s *Server) end(name string, id uint64) {
+func (s *Server) end(p *sender, id uint64, out *wire.RunReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p := s.senders[name]; p != nil {
-		delete(p.jobs, id)
-	}
+	delete(p.jobs, id)
+	out.Epoch = p.ledger.Epoch()
+	p.ledger.End(s.cfg.Clock(), id, out)
 }
 
 // Beat implements wire.Pool.
 func (s *Server) Beat(_ context.Context, in *wire.BeatRequest) (*wire.BeatReply, error) {
-	s.mu.Lock()
-	s.heard(in.Sender, in.Incarnation)
-	s.mu.Unlock()
 	version, _ := s.cfg.Configuration()
-	return &wire.BeatReply{Incarnation: s.cfg.Incarnation, Configuration: version, Load: s.cfg.Load()}, nil
+	out := &wire.BeatReply{Incarnation: s.cfg.Incarnation, Configuration: version, Load: s.cfg.Load()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.heard(in.Sender, in.Incarnation)
+	r := p.ledger.Compare(s.cfg.Clock(), ledger.Comparison{
+		Number: in.Number, Last: in.Last, Awaited: in.Jobs, Overdue: in.Overdue,
+	})
+	for id, reply := range r.Ended {
+		out.Ended = append(out.Ended, &wire.EndedJob{Id: id, Reply: reply})
+	}
+	for _, id := range r.Orphans {
+		p.jobs[id]()
+	}
+	if len(r.Orphans) > 0 {
+		s.cfg.Log.Info("Jobs that nobody awaits are stopped.", zap.String("sender", in.Sender), zap.Int("jobs", len(r.Orphans)))
+	}
+	out.Missing, out.Epoch = r.Missing, p.ledger.Epoch()
+	return out, nil
 }
 
 // FetchConfiguration implements wire.Pool.
@@ -174,6 +212,7 @@
 	defer s.mu.Unlock()
 	now := s.cfg.Clock()
 	for name, p := range s.senders {
+		p.ledger.Expire(now)
 		if len(p.jobs) == 0 || now.Sub(p.heard) < senderTimeout {
 			continue
 		}
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -115,7 +115,7 @@
 		decisions: decisions,
 		cfg:       cfg, platform: p, log: log, metrics: metrics.New(),
 		self: ownership.Member{
-			Name: cfg.Name, Zone: cfg.AvailabilityZone, Address: cfg.PeerListen, Incarnation: rand.Uint64(),
+			Name: cfg.Name, Zone: cfg.AvailabilityZone, Address: cfg.PeerAddress, Incarnation: rand.Uint64(),
 			Weight: cfg.Weight,
 		},
 	}
@@ -151,7 +151,7 @@
 	})
 	in.desk = desk.New(desk.Config{
 		Log: decisions("desk"), Metrics: in.metrics, Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.conf.Catalog,
-		Holders: in.owner.Holders, Relay: in.relay, Self: cfg.PeerListen, Submit: in.loop.Submit, Load: in.ownLoad,
+		Holders: in.owner.Holders, Relay: in.relay, Self: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
 		Waiting: in.waiting, Closing: in.draining.Load,
 	})
 	in.callers = &http.Server{
--- a/pool/settings/settings.go
+++ b/pool/settings/settings.go
@@ -18,9 +18,11 @@
 	Zones            []string `toml:"availability_zones"`
 	// Listen takes callers, ReadyListen the load balancer's checks, and
 	// PeerListen other instances. MetricsListen may be empty.
-	Listen        string `toml:"listen"`
-	ReadyListen   string `toml:"ready_listen"`
-	PeerListen    string `toml:"peer_listen"`
+	Listen      string `toml:"listen"`
+	ReadyListen string `toml:"ready_listen"`
+	PeerListen  string `toml:"peer_listen"`
+	// PeerAddress is where other instances reach PeerListen, if that differs.
+	PeerAddress   string `toml:"peer_address"`
 	MetricsListen string `toml:"metrics_listen"`
 	// Store is the address of the platform's store.
 	Store string `toml:"store"`
@@ -53,6 +55,9 @@
 	if len(found) > 0 {
 		return s, found
 	}
+	if s.PeerAddress == "" {
+		s.PeerAddress = s.PeerListen
+	}
 	return s, s.check(file)
 }
 
@@ -65,7 +70,8 @@
 		}
 	}
 	for key, v := range map[string]string{
-		"listen": s.Listen, "ready_listen": s.ReadyListen, "peer_listen": s.PeerListen, "store": s.Store,
+		"listen": s.Listen, "ready_listen": s.ReadyListen, "peer_listen": s.PeerListen, "peer_address": s.PeerAddress,
+		"store": s.Store,
 	} {
 		if _, err := netip.ParseAddrPort(v); err != nil {
 			add(key, "must be an IP:port")
