core/scheduler: refuse late jobs after the placement, not before

Cause: a job that had lost time on its way (an owner fell silent, a request was lost) was refused as overloaded although targets were free, because the check of its latest start ran before the placement. Change: the check runs after the placement.

--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -156,29 +156,38 @@
 	s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter()})
 }
 
-// expire answers the jobs whose deadline has passed, and refuses those that
-// can no longer start in time.
+// expire answers the jobs whose deadline has passed.
 func (s *Scheduler) expire() {
-	var due []*job
-	for _, j := range s.jobs {
-		late := !j.started && !s.now.Before(j.refuseAt) && s.hopeless(j)
-		if !s.now.Before(j.Deadline) || late {
-			due = append(due, j)
-		}
-	}
-	slices.SortFunc(due, func(a, b *job) int { return cmp.Compare(a.ID, b.ID) })
-	for _, j := range due {
-		if !s.now.Before(j.Deadline) {
-			s.giveUp(j, ReasonDeadline)
-		} else {
-			s.giveUp(j, ReasonOverloaded)
-		}
+	for _, j := range s.jobsThat(func(j *job) bool { return !s.now.Before(j.Deadline) }) {
+		s.giveUp(j, ReasonDeadline)
 	}
 	for _, t := range s.order {
 		s.expireRuns(t)
 	}
 }
 
+// refuseHopeless refuses the jobs that can no longer start in time. It comes
+// after the placement, so that a job that arrives late still uses free room.
+func (s *Scheduler) refuseHopeless() {
+	for _, j := range s.jobsThat(func(j *job) bool {
+		return !j.started && !s.now.Before(j.refuseAt) && s.hopeless(j)
+	}) {
+		s.giveUp(j, ReasonOverloaded)
+	}
+}
+
+// jobsThat returns the jobs that meet a condition, by ID.
+func (s *Scheduler) jobsThat(ok func(*job) bool) []*job {
+	var out []*job
+	for _, j := range s.jobs {
+		if ok(j) {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // finish answers a job and stops what it still runs.
 func (s *Scheduler) finish(j *job, o Outcome) {
 	for _, w := range j.waiters {
--- a/core/scheduler/rules_test.go
+++ b/core/scheduler/rules_test.go
@@ -326,3 +326,15 @@
 		t.Errorf("started %v", next.Run)
 	}
 }
+
+// Guards against refusing a job for the time that it lost on its way, for
+// example with an owner that fell silent, although a target is free.
+func TestLateJobStartsWhereATargetIsFree(t *testing.T) {
+	b := newBench(t, testTarget("a"))
+	j := testJob("j", 1)
+	j.Arrived, j.Deadline = b.now.Add(-250*time.Millisecond), b.now.Add(1200*time.Millisecond)
+	b.send(Submit{Request: 1, Job: j})
+	if len(take[Start](b)) != 1 {
+		t.Errorf("the job is not started: %+v", b.out)
+	}
+}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -52,6 +52,7 @@
 	s.apply(ev)
 	s.expire()
 	s.place()
+	s.refuseHopeless()
 	s.lookAll()
 	return s.out
 }
