infra/hangup, pool: start nothing for callers and senders that are gone

Connections were reset while some instances were short of processor time; those read the requests 20 to 80 ms after the reset and passed them on, while the callers had sent the same jobs to other instances already. net/http notices the end of a connection in the background only. Change: the connection is looked at once the request is read, at the caller's instance and at the owner.

--- /dev/null
+++ b/infra/hangup/hangup_test.go
@@ -0,0 +1,55 @@
+package hangup
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// Guards against serving requests whose sender has closed or reset its
+// connection, and against dropping those of senders that wait.
+func TestClosed(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn) error{
+		"open":      func(*net.TCPConn) error { return nil },
+		"closed":    func(c *net.TCPConn) error { return c.Close() },
+		"half":      func(c *net.TCPConn) error { return c.CloseWrite() },
+		"reset":     func(c *net.TCPConn) error { _ = c.SetLinger(0); return c.Close() },
+		"next sent": func(c *net.TCPConn) error { _, err := io.WriteString(c, "GET / HTTP/1.1\r\n"); return err },
+	} {
+		t.Run(name, func(t *testing.T) {
+			arrived, ended, got := make(chan struct{}), make(chan struct{}), make(chan bool, 1)
+			s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				close(arrived)
+				<-ended
+				got <- Closed(r.Context())
+			}))
+			s.Config.ConnContext = Context
+			s.Start()
+			defer s.Close()
+			c, err := net.Dial("tcp", s.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab")
+			<-arrived
+			if err := end(c.(*net.TCPConn)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Millisecond)
+			close(ended)
+			if want := name != "open" && name != "next sent"; <-got != want {
+				t.Errorf("closed: %v, want %v", !want, want)
+			}
+		})
+	}
+	if Closed(context.Background()) {
+		t.Error("a context without a connection counts as closed")
+	}
+}
--- a/pool/desk/desk.go
+++ b/pool/desk/desk.go
@@ -15,6 +15,7 @@
 	"marigoldfront.dev/core/catalog"
 	"marigoldfront.dev/core/ownership"
 	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/infra/hangup"
 	"marigoldfront.dev/pool/metrics"
 	"marigoldfront.dev/pool/relay"
 )
@@ -104,8 +105,13 @@
 }
 
 // Submit implements port.Desk. A job that is already on its way is joined: a
-// second copy could reach another owner and run beside the first.
+// second copy could reach another owner and run beside the first. A caller that
+// is gone may have sent its job to another instance, where it runs by now.
 func (d *Desk) Submit(ctx context.Context, j scheduler.Job) scheduler.Outcome {
+	if hangup.Closed(ctx) {
+		d.cfg.Log.Info("The caller of a job is gone.", zap.String("job", j.ID), zap.String("queue", j.Queue))
+		return scheduler.Refused{Reason: scheduler.ReasonWithdrawn, RetryAfter: time.Second}
+	}
 	f := d.join(j)
 	select {
 	case <-f.done:
--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -14,6 +14,7 @@
 
 	"marigoldfront.dev/core/ledger"
 	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/infra/hangup"
 	"marigoldfront.dev/wire"
 )
 
@@ -68,6 +69,7 @@
 		Handler:           http.MaxBytesHandler(wire.NewPoolServer(s), maxMessageBytes),
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
+		ConnContext:       hangup.Context,
 	}
 	return s
 }
@@ -91,6 +93,11 @@
 func (s *Server) Run(ctx context.Context, in *wire.RunRequest) (*wire.RunReply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if hangup.Closed(ctx) {
+		// The sender has given the job up, and its caller may have sent it again.
+		s.cfg.Log.Info("The sender of a job is gone.", zap.String("job", in.Job), zap.String("sender", in.Sender))
+		return nil, twirp.NewError(twirp.Canceled, "the job was withdrawn")
+	}
 	p := s.begin(in, cancel)
 	if p == nil {
 		return replyToWire(scheduler.Refused{Reason: scheduler.ReasonWithdrawn, RetryAfter: time.Second}), nil
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -21,6 +21,7 @@
 	"marigoldfront.dev/core/ownership"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/clock"
+	"marigoldfront.dev/infra/hangup"
 	"marigoldfront.dev/infra/logging"
 	"marigoldfront.dev/pool/configuration"
 	"marigoldfront.dev/pool/desk"
@@ -156,7 +157,7 @@
 	})
 	in.callers = &http.Server{
 		Handler:           p.Handler(in.desk, clock.Now, in.part("callers")),
-		ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+		ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ConnContext: hangup.Context,
 	}
 	in.measures = &http.Server{Handler: in.metrics.Handler(), ReadHeaderTimeout: headerTime}
 	in.ready = &http.Server{Handler: p.Ready(in.isReady), ReadHeaderTimeout: headerTime}
