core/scheduler: end started jobs while their targets are passed on

Jobs that waited at an instance without any targets were refused as overloaded, which ends the search for another owner. Ruled out: load (the log shows one start of three, free targets elsewhere and a release at that time). Change: targets that are passed on still take tasks of jobs that have started. Once an instance has no target of a service, its jobs are answered at once: those without a start as no_target, so that another owner is asked.

--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -75,6 +75,9 @@
 	MemoryMB     int64
 	Accelerators int64
 	Draining     bool
+	// Releasing is set while the target is passed on to another instance: it
+	// takes tasks only of jobs that have started.
+	Releasing bool
 	// Fence is the fencing token of this instance's ownership.
 	Fence int64
 }
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -166,9 +166,13 @@
 	}
 }
 
-// refuseHopeless refuses the jobs that can no longer start in time. It comes
-// after the placement, so that a job that arrives late still uses free room.
+// refuseHopeless answers the jobs that can no longer start in time, or for
+// which this instance has no targets any more. It comes after the placement, so
+// that a job that arrives late still uses free room.
 func (s *Scheduler) refuseHopeless() {
+	for _, j := range s.jobsThat(s.stranded) {
+		s.giveUp(j, ReasonNoTarget)
+	}
 	for _, j := range s.jobsThat(func(j *job) bool {
 		return !j.started && !s.now.Before(j.refuseAt) && s.hopeless(j)
 	}) {
@@ -176,6 +180,14 @@
 	}
 }
 
+// stranded says whether tasks of a job wait although all targets of its service
+// are other instances' by now.
+func (s *Scheduler) stranded(j *job) bool {
+	return j.unplaced > 0 && !slices.ContainsFunc(s.order, func(t *target) bool {
+		return t.Service == j.Service && !t.removed
+	})
+}
+
 // jobsThat returns the jobs that meet a condition, by ID.
 func (s *Scheduler) jobsThat(ok func(*job) bool) []*job {
 	var out []*job
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -151,7 +151,7 @@
 
 // candidate says whether the task may start on the target once that has room.
 func (s *Scheduler) candidate(t *target, k *task) bool {
-	if !t.usable() || !t.ejectedUntil.IsZero() || t.clockAt.IsZero() || t.Service != k.job.Service {
+	if !t.takesWork() || t.Releasing && !k.job.started || !t.ejectedUntil.IsZero() || t.clockAt.IsZero() || t.Service != k.job.Service {
 		return false
 	}
 	whole := capacity{t.CPU, t.MemoryMB, t.Accelerators}
--- a/core/scheduler/rules_test.go
+++ b/core/scheduler/rules_test.go
@@ -338,3 +338,48 @@
 		t.Errorf("the job is not started: %+v", b.out)
 	}
 }
+
+// Guards against a job of which a part has run that waits until its deadline
+// because its targets are passed on to another instance: the rest of its tasks
+// still starts there, and no other job's do.
+func TestReleasedTargetEndsWhatHasStarted(t *testing.T) {
+	b := newBench(t, testTarget("a"))
+	b.submit(1, testJob("j", 3))
+	starts := take[Start](b)
+	if len(starts) != 2 {
+		t.Fatalf("%d starts", len(starts))
+	}
+	releasing := testTarget("a")
+	releasing.Releasing = true
+	b.send(TargetsChanged{Targets: []Target{releasing}})
+	b.submit(2, testJob("k", 1))
+	for _, s := range starts {
+		b.started(s, StartAccepted)
+	}
+	b.wait(20 * time.Millisecond)
+	b.look("a", LookEnded{Ends: []End{{Number: 1, Run: starts[0].Run, How: EndDone}}, Running: []RunID{starts[1].Run}})
+	if next := take[Start](b); len(next) != 1 || next[0].Run.Task.Job != "j" {
+		t.Errorf("started on the target that is passed on: %+v, want the rest of j", next)
+	}
+}
+
+// Guards against jobs that wait for targets which this instance has no more.
+func TestJobsWithoutTargetsAreAnsweredAtOnce(t *testing.T) {
+	b := newBench(t, testTarget("a"))
+	b.submit(1, testJob("started", 3))
+	b.submit(2, testJob("waiting", 1))
+	for _, s := range take[Start](b) {
+		b.started(s, StartAccepted)
+	}
+	b.send(TargetsChanged{})
+	got := map[string]Outcome{}
+	for _, r := range take[Reply](b) {
+		got[r.Job] = r.Outcome
+	}
+	if o, ok := got["started"].(Unknown); !ok || o.Reason != ReasonNoTarget {
+		t.Errorf("the job that has started is answered %v", got["started"])
+	}
+	if o, ok := got["waiting"].(Refused); !ok || o.Reason != ReasonNoTarget {
+		t.Errorf("the job that waits is answered %v", got["waiting"])
+	}
+}
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -95,8 +95,11 @@
 	ejectedUntil time.Time
 }
 
-// usable says whether tasks may be placed there, if they fit.
-func (t *target) usable() bool {
+// usable says whether tasks of new jobs may be placed there, if they fit.
+func (t *target) usable() bool { return t.takesWork() && !t.Releasing }
+
+// takesWork says whether tasks of jobs that have started may be placed there.
+func (t *target) takesWork() bool {
 	return t.synced && !t.removed && !t.Draining && !t.fenced && t.failures == 0
 }
 
--- a/pool/listing/listing.go
+++ b/pool/listing/listing.go
@@ -214,8 +214,7 @@
 		}
 		t := e.Target
 		t.Fence = c.Revision
-		// Targets that are passed on get no new work.
-		t.Draining = t.Draining || releasing[shard]
+		t.Releasing = releasing[shard]
 		all = append(all, t)
 	}
 	sortTargets(all)
