--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -12,6 +12,7 @@
 	Target  string
 	Address string
 	Payload string
+	TraceID string
 	Fence   int64
 	// LeaseMS is the end of the lease on the target's clock, in milliseconds.
 	LeaseMS int64
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -38,6 +38,8 @@
 	// OnlyNow refuses the job unless all of its tasks can start at once and end
 	// in time, so that another owner can be asked.
 	OnlyNow bool
+	// TraceID is the job's trace in hex digits, or empty. The starts carry it.
+	TraceID string
 	// Payload is passed to every task.
 	Payload string
 	Steps   []Step
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -92,7 +92,8 @@
 	t.free.add(r.need, -1)
 	t.extended, t.lookAt = s.now, s.now
 	s.emit(Start{
-		Run: r.id, Target: t.ID, Address: t.Address, Payload: k.job.Payload, Fence: t.Fence, LeaseMS: s.leaseMS(t),
+		Run: r.id, Target: t.ID, Address: t.Address, Payload: k.job.Payload, TraceID: k.job.TraceID,
+		Fence: t.Fence, LeaseMS: s.leaseMS(t),
 	})
 }
 
--- a/pool/desk/desk.go
+++ b/pool/desk/desk.go
@@ -16,6 +16,7 @@
 	"marigoldfront.dev/core/ownership"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/hangup"
+	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/pool/metrics"
 	"marigoldfront.dev/pool/relay"
 )
@@ -37,6 +38,7 @@
 type Config struct {
 	Log     *zap.Logger
 	Metrics *metrics.Metrics
+	Tracer  *tracing.Tracer
 	Zone    string
 	Clock   func() time.Time
 	Catalog func() *catalog.Catalog
@@ -112,6 +114,9 @@
 		d.cfg.Log.Info("The caller of a job is gone.", zap.String("job", j.ID), zap.String("queue", j.Queue))
 		return scheduler.Refused{Reason: scheduler.ReasonWithdrawn, RetryAfter: time.Second}
 	}
+	ctx, span := d.cfg.Tracer.Start(ctx, "job")
+	defer span.End()
+	j.TraceID = tracing.ID(ctx)
 	f := d.join(j)
 	select {
 	case <-f.done:
@@ -131,7 +136,8 @@
 		f.waiters++
 		return f
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	// The job outlives its first caller, whose span the others join.
+	ctx, cancel := context.WithCancel(tracing.FromID(context.Background(), j.TraceID))
 	f := &flight{cancel: cancel, waiters: 1, done: make(chan struct{})}
 	d.flights[j.ID] = f
 	go d.fly(ctx, f, j)
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
 
@@ -54,6 +55,7 @@
 // Relay is the client side.
 type Relay struct {
 	log         *zap.Logger
+	tracer      *tracing.Tracer
 	name        string
 	incarnation uint64
 	version     func() int64
@@ -101,10 +103,10 @@
 
 // NewRelay returns a Relay. The version in force goes with every beat; newer
 // is called with an owner that has a newer configuration.
-func NewRelay(log *zap.Logger, name string, incarnation uint64, version func() int64, newer func(wire.Pool)) *Relay {
+func NewRelay(log *zap.Logger, tracer *tracing.Tracer, name string, incarnation uint64, version func() int64, newer func(wire.Pool)) *Relay {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Relay{
-		log: log, name: name, incarnation: incarnation, version: version, newer: newer, ctx: ctx, cancel: cancel,
+		log: log, tracer: tracer, name: name, incarnation: incarnation, version: version, newer: newer, ctx: ctx, cancel: cancel,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
 			MaxIdleConnsPerHost: maxIdle,
@@ -145,8 +147,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	o, f, id := r.begin(address, cancel)
+	ctx, span := r.tracer.Start(ctx, "ask owner")
+	defer span.End()
 	in := toWire(now, j)
-	in.Sender, in.Incarnation, in.Id = r.name, r.incarnation, id
+	in.Sender, in.Incarnation, in.Id, in.Traceparent = r.name, r.incarnation, id, tracing.Inject(ctx)
 	out, err := o.client.Run(ctx, in)
 	r.end(o, id)
 	if err == nil {
--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -15,6 +15,7 @@
 	"marigoldfront.dev/core/ledger"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/hangup"
+	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
 
@@ -30,7 +31,8 @@
 
 // ServerConfig holds the dependencies of a Server.
 type ServerConfig struct {
-	Log *zap.Logger
+	Log    *zap.Logger
+	Tracer *tracing.Tracer
 	// Submit runs a job on the targets of this instance.
 	Submit func(ctx context.Context, j scheduler.Job) (scheduler.Outcome, error)
 	// Clock counts suspensions of the machine.
@@ -102,7 +104,11 @@
 	if p == nil {
 		return replyToWire(scheduler.Refused{Reason: scheduler.ReasonWithdrawn, RetryAfter: time.Second}), nil
 	}
-	o, err := s.cfg.Submit(ctx, jobFromWire(s.cfg.Clock(), in))
+	ctx, span := s.cfg.Tracer.Start(tracing.Extract(ctx, in.Traceparent), "run at owner")
+	defer span.End()
+	j := jobFromWire(s.cfg.Clock(), in)
+	j.TraceID = tracing.ID(ctx)
+	o, err := s.cfg.Submit(ctx, j)
 	out, err := s.replyTo(ctx, o, err)
 	s.end(p, in.Id, out)
 	return out, err
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -23,6 +23,7 @@
 	"marigoldfront.dev/infra/clock"
 	"marigoldfront.dev/infra/hangup"
 	"marigoldfront.dev/infra/logging"
+	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/pool/configuration"
 	"marigoldfront.dev/pool/desk"
 	"marigoldfront.dev/pool/listing"
@@ -78,6 +79,7 @@
 	platform Platform
 	log      *zap.Logger
 	metrics  *metrics.Metrics
+	tracer   *tracing.Tracer
 	self     ownership.Member
 
 	loop    *loop.Loop
@@ -112,9 +114,12 @@
 	if err != nil {
 		return nil, err
 	}
+	tracer, err := tracing.New(cfg.Traces, cfg.Name)
+	if err != nil {
+		return nil, err
+	}
 	in := &Instance{
-		decisions: decisions,
-		cfg:       cfg, platform: p, log: log, metrics: metrics.New(),
+		cfg: cfg, platform: p, log: log, decisions: decisions, tracer: tracer, metrics: metrics.New(),
 		self: ownership.Member{
 			Name: cfg.Name, Zone: cfg.AvailabilityZone, Address: cfg.PeerAddress, Incarnation: rand.Uint64(),
 			Weight: cfg.Weight,
@@ -138,31 +143,41 @@
 		Lost:     in.lost,
 		Answered: in.answered,
 	})
-	in.sender = sender.New(in.part("sender"), p.Targets, in.metrics, in.loop.Post)
+	in.sender = sender.New(in.part("sender"), in.tracer, p.Targets, in.metrics, in.loop.Post)
 	in.owner = owner.New(in.part("owner"), store, in.self, cfg.Zones, cfg.Shards, clock.Now,
 		func() { in.listing.Refresh() }, in.busy)
 	in.listing = listing.New(in.part("listing"), store, p.Formats, in.owner, cfg.Shards, clock.Now, in.loop.Post)
 	in.conf = configuration.New(in.part("configuration"), store, p.Formats, func(c *catalog.Catalog) {
 		in.owner.SetServices(c.Services)
 	})
-	in.relay = relay.NewRelay(in.part("relay"), cfg.Name, in.self.Incarnation, in.conf.Version, in.fetch)
+	in.relay = relay.NewRelay(in.part("relay"), in.tracer, cfg.Name, in.self.Incarnation, in.conf.Version, in.fetch)
 	in.server = relay.NewServer(relay.ServerConfig{
-		Log: in.part("relay"), Submit: in.loop.Submit, Clock: clock.Now, Load: in.wireLoad,
+		Log: in.part("relay"), Tracer: in.tracer, Submit: in.loop.Submit, Clock: clock.Now, Load: in.wireLoad,
 		Configuration: in.conf.Value, Incarnation: in.self.Incarnation,
 	})
 	in.desk = desk.New(desk.Config{
-		Log: decisions("desk"), Metrics: in.metrics, Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.conf.Catalog,
+		Log: decisions("desk"), Metrics: in.metrics, Tracer: in.tracer, Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.conf.Catalog,
 		Holders: in.owner.Holders, Relay: in.relay, Self: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
 		Waiting: in.waiting, Closing: in.draining.Load,
 	})
 	in.callers = &http.Server{
-		Handler:           p.Handler(in.desk, clock.Now, in.part("callers")),
+		Handler:           in.traced(p.Handler(in.desk, clock.Now, in.part("callers"))),
 		ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ConnContext: hangup.Context,
 	}
 	in.measures = &http.Server{Handler: in.metrics.Handler(), ReadHeaderTimeout: headerTime}
 	in.ready = &http.Server{Handler: p.Ready(in.isReady), ReadHeaderTimeout: headerTime}
 }
 
+// traced joins the traces that callers send along.
+func (in *Instance) traced(h http.Handler) http.Handler {
+	if !in.tracer.On() {
+		return h
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(w, r.WithContext(tracing.Extract(r.Context(), r.Header.Get(tracing.Header))))
+	})
+}
+
 // answered writes what an answer rests on. Those that went well are lines of
 // the level debug, because there are hundreds a second.
 func (in *Instance) answered(a scheduler.Reply) {
@@ -351,6 +366,9 @@
 	_ = in.ready.Close()
 	_ = in.measures.Close()
 	_ = in.metrics.Close()
+	if err := in.tracer.Close(context.Background()); err != nil {
+		in.log.Warn("The last spans were not written.", zap.Error(err))
+	}
 	in.relay.Close()
 	in.conf.Close()
 	in.listing.Close()
--- a/pool/sender/sender.go
+++ b/pool/sender/sender.go
@@ -6,9 +6,11 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/pool/metrics"
 	"marigoldfront.dev/pool/port"
 )
@@ -25,6 +27,7 @@
 // Sender sends orders, each in its own goroutine.
 type Sender struct {
 	log     *zap.Logger
+	tracer  *tracing.Tracer
 	targets port.Targets
 	metrics *metrics.Metrics
 	post    func(scheduler.Event)
@@ -34,9 +37,9 @@
 }
 
 // New returns a Sender that reports what became of the orders to post.
-func New(log *zap.Logger, targets port.Targets, m *metrics.Metrics, post func(scheduler.Event)) *Sender {
+func New(log *zap.Logger, tracer *tracing.Tracer, targets port.Targets, m *metrics.Metrics, post func(scheduler.Event)) *Sender {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Sender{log: log, targets: targets, metrics: m, post: post, ctx: ctx, cancel: cancel}
+	return &Sender{log: log, tracer: tracer, targets: targets, metrics: m, post: post, ctx: ctx, cancel: cancel}
 }
 
 // Start sends a start.
@@ -44,6 +47,12 @@
 	s.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 		defer cancel()
+		if s.tracer.On() {
+			traced, span := s.tracer.Start(tracing.FromID(ctx, o.TraceID), "start on target",
+				attribute.String("target", o.Target), attribute.Stringer("run", o.Run))
+			defer span.End()
+			ctx = traced
+		}
 		ev := s.targets.Start(ctx, o)
 		s.metrics.Start(ev.Result)
 		if ev.Result != scheduler.StartAccepted {
--- a/pool/settings/settings.go
+++ b/pool/settings/settings.go
@@ -41,11 +41,13 @@
 	// availability zone are divided. It must be the same at all instances.
 	Shards   int    `toml:"shards"`
 	LogLevel string `toml:"log_level"`
+	// Traces is "off", "stdout" or the file to which trace spans are appended.
+	Traces string `toml:"traces"`
 }
 
 // Default holds the values of keys that a file may leave out.
 func Default() Settings {
-	return Settings{Shards: 12, Weight: 1, LogLevel: "info", FarFactor: 1}
+	return Settings{Shards: 12, Weight: 1, LogLevel: "info", FarFactor: 1, Traces: "off"}
 }
 
 // Load reads and checks the file at path.
