ctl, pool: show owners, targets and jobs of instances for leased targets

Change: GET /status beside the metrics, and marigoldctl pool status, targets and jobs, which ask any number of instances and name those that are silent.

--- /dev/null
+++ b/core/poolstatus/poolstatus.go
@@ -0,0 +1,70 @@
+// Package poolstatus holds what an instance for leased targets tells operators
+// about itself, as JSON.
+package poolstatus
+
+// Status is the state of one instance.
+type Status struct {
+	Instance         string `json:"instance"`
+	AvailabilityZone string `json:"availability_zone"`
+	PeerAddress      string `json:"peer_address"`
+	// State is "serving", "draining" or "unconfigured".
+	State         string   `json:"state"`
+	Configuration int64    `json:"configuration"`
+	Claims        []Claim  `json:"claims"`
+	Targets       []Target `json:"targets"`
+	Jobs          []Job    `json:"jobs"`
+}
+
+// Claim is a shard of targets and its holder, as the instance knows it.
+type Claim struct {
+	Service          string `json:"service"`
+	AvailabilityZone string `json:"availability_zone"`
+	Shard            int    `json:"shard"`
+	Holder           string `json:"holder"`
+	Fence            int64  `json:"fence"`
+	// Vanished is set for an own claim whose key is gone from the store.
+	Vanished bool `json:"vanished,omitempty"`
+}
+
+// Target is a target that the instance owns.
+type Target struct {
+	ID               string `json:"id"`
+	Service          string `json:"service"`
+	AvailabilityZone string `json:"availability_zone"`
+	Fence            int64  `json:"fence"`
+	// State is "usable", or why the target gets no new work: "draining",
+	// "releasing", "removed", "fenced", "silent", "unknown" or "ejected".
+	State string `json:"state"`
+	// CPU and FreeCPU are in thousandths of a core.
+	CPU     int64 `json:"cpu"`
+	FreeCPU int64 `json:"free_cpu"`
+	Running int   `json:"running"`
+	// LeaseLeftMS is what is left of the lease on what runs there, or 0.
+	LeaseLeftMS int64 `json:"lease_left_ms"`
+	// Slowness is the learned run time relative to a target of average speed.
+	Slowness float64 `json:"slowness"`
+}
+
+// Job is a job without an answer at its owner.
+type Job struct {
+	ID    string `json:"id"`
+	Queue string `json:"queue"`
+	// AgeMS is the time since the job arrived, LeftMS that until its deadline.
+	AgeMS   int64 `json:"age_ms"`
+	LeftMS  int64 `json:"left_ms"`
+	Tasks   int   `json:"tasks"`
+	Done    int   `json:"done"`
+	Running int   `json:"running"`
+	Waiting int   `json:"waiting"`
+}
+
+// Held is the number of shards that the instance itself holds.
+func (s *Status) Held() int {
+	n := 0
+	for _, c := range s.Claims {
+		if c.Holder == s.Instance {
+			n++
+		}
+	}
+	return n
+}
--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -183,7 +183,7 @@
 func TestHelp(t *testing.T) {
 	t.Setenv("MARIGOLD_TOKEN", "secret-in-the-environment")
 	r := &recorder{}
-	for _, args := range []string{"--help", "ticket apply --help", "job submit --help", "job submit"} {
+	for _, args := range []string{"--help", "ticket apply --help", "job submit --help", "job submit", "pool targets --help"} {
 		r.run(strings.Fields(args)...)
 	}
 	if strings.Contains(r.log.String(), "secret-in-the-environment") {
--- a/ctl/command/help.go
+++ b/ctl/command/help.go
@@ -58,3 +58,15 @@
 const instancesHelp = `Shows the platform's list of entry instances and targets. The list lags behind the actual state.
 
 Example: marigoldctl --instance-list http://127.0.0.1:7300 --region gh-south instances`
+
+const poolStatusHelp = `Asks instances for leased targets for their state, the configuration in force, the shards that they hold, and their load. Instances that do not answer are named on the error output.
+
+Example: marigoldctl pool status --instance http://127.0.0.1:7420 --instance http://127.0.0.1:7421`
+
+const poolTargetsHelp = `Shows the targets that the instances own, or one of them: owner, fencing token, whether it gets new work or why not, free and all cores, what is left of its lease, and its learned run time relative to the others.
+
+Example: marigoldctl pool targets --instance http://127.0.0.1:7420 i-874bba2381`
+
+const poolJobsHelp = `Shows the jobs that the instances run or hold back, with the number of tasks done, running and waiting. A job that is not there has its answer or is at another owner; its id in the logs tells.
+
+Example: marigoldctl pool jobs --instance http://127.0.0.1:7420`
--- /dev/null
+++ b/ctl/command/pool.go
@@ -0,0 +1,181 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/samber/oops"
+
+	"marigoldfront.dev/core/poolstatus"
+	"marigoldfront.dev/ctl/exit"
+	"marigoldfront.dev/ctl/output"
+)
+
+// poolInstances are the options of the commands that ask instances for leased
+// targets.
+type poolInstances struct {
+	Instance []string `long:"instance" env:"MARIGOLD_POOL" env-delim:"," value-name:"URL" required:"yes" description:"Base URL of the metrics address of an instance; may be repeated"`
+}
+
+// ask returns the status of each instance that answers. An instance that does
+// not is reported, and fails the command only if none does.
+func (p *poolInstances) ask(r *Root) ([]poolstatus.Status, error) {
+	ctx, cancel := interruptible()
+	defer cancel()
+	var out []poolstatus.Status
+	var failed error
+	for _, base := range p.Instance {
+		s, err := fetchPoolStatus(ctx, base)
+		if err != nil {
+			r.printer.Progress("%s: %v", base, err)
+			failed = err
+			continue
+		}
+		out = append(out, s)
+	}
+	if len(out) == 0 {
+		return nil, oops.Code(exit.Unreachable).Hint("Compare --instance with metrics_listen in the instances' settings.").
+			Wrapf(failed, "no instance answers")
+	}
+	return out, nil
+}
+
+func fetchPoolStatus(ctx context.Context, base string) (s poolstatus.Status, err error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(base, "/")+"/status", nil)
+	if err != nil {
+		return s, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return s, errors.New("status " + resp.Status)
+	}
+	return s, json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&s)
+}
+
+type poolStatus struct {
+	poolInstances
+	root *Root
+}
+
+// Execute implements flags.Commander.
+func (c *poolStatus) Execute([]string) error {
+	all, err := c.ask(c.root)
+	if err != nil {
+		return err
+	}
+	return c.root.printer.Print(all, func(w io.Writer) {
+		var rows [][]string
+		for _, s := range all {
+			usable, running := 0, 0
+			for _, t := range s.Targets {
+				running += t.Running
+				if t.State == "usable" {
+					usable++
+				}
+			}
+			rows = append(rows, []string{
+				s.Instance, s.AvailabilityZone, s.State, strconv.FormatInt(s.Configuration, 10), strconv.Itoa(s.Held()),
+				strconv.Itoa(len(s.Targets)), strconv.Itoa(usable), strconv.Itoa(len(s.Jobs)), strconv.Itoa(running),
+			})
+		}
+		output.Table(w, "INSTANCE AVAILABILITY_ZONE STATE CONFIGURATION SHARDS TARGETS USABLE JOBS RUNNING", rows)
+	})
+}
+
+type poolTargets struct {
+	poolInstances
+	Args struct {
+		ID string `positional-arg-name:"ID"`
+	} `positional-args:"yes"`
+	root *Root
+}
+
+// ownedTarget is a target with its owner.
+type ownedTarget struct {
+	Owner string `json:"owner"`
+	poolstatus.Target
+}
+
+// Execute implements flags.Commander.
+func (c *poolTargets) Execute([]string) error {
+	all, err := c.ask(c.root)
+	if err != nil {
+		return err
+	}
+	found := []ownedTarget{}
+	for _, s := range all {
+		for _, t := range s.Targets {
+			if c.Args.ID == "" || c.Args.ID == t.ID {
+				found = append(found, ownedTarget{s.Instance, t})
+			}
+		}
+	}
+	if len(found) == 0 && c.Args.ID != "" {
+		return oops.Code(exit.NotFound).Hint("Name all instances of the target's availability zone with --instance.").
+			Errorf("none of %d instances owns the target %q", len(all), c.Args.ID)
+	}
+	slices.SortFunc(found, func(a, b ownedTarget) int { return strings.Compare(a.ID, b.ID) })
+	return c.root.printer.Print(found, func(w io.Writer) {
+		var rows [][]string
+		for _, t := range found {
+			rows = append(rows, []string{
+				t.ID, t.Service, t.AvailabilityZone, t.Owner, strconv.FormatInt(t.Fence, 10), t.State,
+				cores(t.FreeCPU) + "/" + cores(t.CPU), strconv.Itoa(t.Running), strconv.FormatInt(t.LeaseLeftMS, 10),
+				fmt.Sprintf("%.2f", t.Slowness),
+			})
+		}
+		output.Table(w, "TARGET SERVICE AVAILABILITY_ZONE OWNER FENCE STATE FREE_CORES RUNNING LEASE_LEFT_MS SLOWNESS", rows)
+	})
+}
+
+func cores(thousandths int64) string {
+	return strconv.FormatFloat(float64(thousandths)/1000, 'f', 1, 64)
+}
+
+type poolJobs struct {
+	poolInstances
+	root *Root
+}
+
+// ownedJob is a job with the instance that runs it.
+type ownedJob struct {
+	Owner string `json:"owner"`
+	poolstatus.Job
+}
+
+// Execute implements flags.Commander.
+func (c *poolJobs) Execute([]string) error {
+	all, err := c.ask(c.root)
+	if err != nil {
+		return err
+	}
+	found := []ownedJob{}
+	for _, s := range all {
+		for _, j := range s.Jobs {
+			found = append(found, ownedJob{s.Instance, j})
+		}
+	}
+	return c.root.printer.Print(found, func(w io.Writer) {
+		var rows [][]string
+		for _, j := range found {
+			rows = append(rows, []string{
+				j.ID, j.Queue, j.Owner, strconv.FormatInt(j.AgeMS, 10), strconv.FormatInt(j.LeftMS, 10),
+				strconv.Itoa(j.Tasks), strconv.Itoa(j.Done), strconv.Itoa(j.Running), strconv.Itoa(j.Waiting),
+			})
+		}
+		output.Table(w, "JOB QUEUE OWNER AGE_MS LEFT_MS TASKS DONE RUNNING WAITING", rows)
+	})
+}
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -96,7 +96,7 @@
 
 	callers *http.Server
 	ready   *http.Server
-	// measures serves the metrics, if it has an address.
+	// measures serves the metrics and the status, if it has an address.
 	measures *http.Server
 	wg       sync.WaitGroup
 
@@ -164,7 +164,7 @@
 		Handler:           in.traced(p.Handler(in.desk, clock.Now, in.part("callers"))),
 		ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ConnContext: hangup.Context,
 	}
-	in.measures = &http.Server{Handler: in.metrics.Handler(), ReadHeaderTimeout: headerTime}
+	in.measures = &http.Server{Handler: in.operators(), ReadHeaderTimeout: headerTime}
 	in.ready = &http.Server{Handler: p.Ready(in.isReady), ReadHeaderTimeout: headerTime}
 }
 
