--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -181,10 +181,10 @@
 }
 
 // stranded says whether tasks of a job wait although all targets of its service
-// are other instances' by now.
+// are leaving or other instances' by now.
 func (s *Scheduler) stranded(j *job) bool {
 	return j.unplaced > 0 && !slices.ContainsFunc(s.order, func(t *target) bool {
-		return t.Service == j.Service && !t.removed
+		return t.Service == j.Service && !t.removed && !t.Draining
 	})
 }
 
--- a/core/scheduler/rules_test.go
+++ b/core/scheduler/rules_test.go
@@ -363,15 +363,23 @@
 	}
 }
 
-// Guards against jobs that wait for targets which this instance has no more.
+// Guards against jobs that wait for targets which leave, or which this instance
+// has no more.
 func TestJobsWithoutTargetsAreAnsweredAtOnce(t *testing.T) {
+	leaving := testTarget("a")
+	leaving.Draining = true
+	t.Run("another instance's", func(t *testing.T) { testStranded(t, nil) })
+	t.Run("leaving", func(t *testing.T) { testStranded(t, []Target{leaving}) })
+}
+
+func testStranded(t *testing.T, left []Target) {
 	b := newBench(t, testTarget("a"))
 	b.submit(1, testJob("started", 3))
 	b.submit(2, testJob("waiting", 1))
 	for _, s := range take[Start](b) {
 		b.started(s, StartAccepted)
 	}
-	b.send(TargetsChanged{})
+	b.send(TargetsChanged{Targets: left})
 	got := map[string]Outcome{}
 	for _, r := range take[Reply](b) {
 		got[r.Job] = r.Outcome
