--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The tests listed in KNOWN-RED.txt are printed and passed over by make test.
 KNOWN_RED := $(shell grep -o '^Test[A-Za-z0-9_]*' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 
-.PHONY: build test check demo generate fmt soak measure slopes
+.PHONY: build test check demo generate fmt soak soak-pool measure slopes
 
 build:
 	go build -o bin/ $(PACKAGES)
@@ -32,6 +32,13 @@
 soak: build
 	bin/marigold-bench soak
 
+# soak-pool plays faults against the program of the users' platform.
+SEED ?= 1
+SEEDS ?= 5
+soak-pool:
+	go test -count=1 -timeout 4h ./platform/integration -run 'TestSoak$$' -v \
+		-soak.seed $(SEED) -soak.seeds $(SEEDS) -soak.duration 60s
+
 measure: build
 	bin/marigold-bench measure
 
--- a/pool/desk/desk.go
+++ b/pool/desk/desk.go
@@ -30,6 +30,9 @@
 	// costStep is the difference below which owners count as equal, because
 	// their reports are that old.
 	costStep = 4 * time.Millisecond
+	// shortageCost is added for an owner in the share of the job for which it
+	// has no free processors: the job waits there, or is declined.
+	shortageCost = 40 * time.Millisecond
 	// maxOwners bounds the owners that are asked to start a job at once.
 	maxOwners = 3
 )
@@ -224,8 +227,9 @@
 	load    relay.Load
 }
 
-// cost is the forecast wait at the owner.
-func (c candidate) cost(now time.Time) time.Duration {
+// cost is the forecast wait at the owner for a job that needs a number of
+// processors at once, in thousandths of a core.
+func (c candidate) cost(now time.Time, need int64) time.Duration {
 	cost := time.Duration(0)
 	if !c.near {
 		cost += awayCost
@@ -235,13 +239,16 @@
 	}
 	if now.Sub(c.load.At) < freshLoad {
 		cost += c.load.Wait
+		if short := need - c.load.FreeCPU; short > 0 {
+			cost += time.Duration(float64(shortageCost) * float64(short) / float64(need))
+		}
 	}
 	return cost.Round(costStep)
 }
 
 // owners returns the owners for a job, the best one first.
 func (d *Desk) owners(j *scheduler.Job) []string {
-	now := time.Now()
+	now, need := time.Now(), needAtOnce(j)
 	var all []candidate
 	for s, c := range d.cfg.Holders(j.Service) {
 		i := slices.IndexFunc(all, func(o candidate) bool { return o.address == c.Address })
@@ -253,7 +260,7 @@
 	}
 	// Among equals the order is random, so that they share the load.
 	rand.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
-	slices.SortStableFunc(all, func(a, b candidate) int { return cmp.Compare(a.cost(now), b.cost(now)) })
+	slices.SortStableFunc(all, func(a, b candidate) int { return cmp.Compare(a.cost(now, need), b.cost(now, need)) })
 	out := make([]string, len(all))
 	for i, c := range all {
 		out[i] = c.address
@@ -261,6 +268,18 @@
 	return out
 }
 
+// needAtOnce is the sum of what the tasks need that can start first, in
+// thousandths of a core.
+func needAtOnce(j *scheduler.Job) int64 {
+	need := int64(0)
+	for _, s := range j.Steps {
+		if len(s.After) == 0 {
+			need += int64(s.Count) * s.CPU
+		}
+	}
+	return need
+}
+
 func (d *Desk) load(address string) relay.Load {
 	if address == d.cfg.Self {
 		return d.cfg.Load()
--- a/pool/desk/desk_test.go
+++ b/pool/desk/desk_test.go
@@ -120,3 +120,26 @@
 		t.Errorf("the answer is %#v", o)
 	}
 }
+
+// Guards against a job that goes to an owner without room for it while another
+// one has room.
+func TestOwnerWithRoomIsAskedFirst(t *testing.T) {
+	now := time.Now()
+	load := func(wait time.Duration, free int64) relay.Load { return relay.Load{At: now, Wait: wait, FreeCPU: free} }
+	j := &scheduler.Job{Steps: []scheduler.Step{{Count: 4, CPU: 27_000}, {Count: 9, CPU: 27_000, After: []int{0}}}}
+	need := needAtOnce(j)
+	if need != 108_000 {
+		t.Fatalf("the job needs %d at once", need)
+	}
+	for name, tc := range map[string]struct{ better, worse candidate }{
+		"no room":        {candidate{near: true, load: load(0, 200_000)}, candidate{near: true, load: load(0, 50_000)}},
+		"room far away":  {candidate{load: load(0, 200_000)}, candidate{near: true, load: load(0, 0)}},
+		"a little short": {candidate{near: true, load: load(0, 100_000)}, candidate{load: load(0, 200_000)}},
+		"longer queue":   {candidate{near: true, load: load(0, 50_000)}, candidate{near: true, load: load(90*time.Millisecond, 200_000)}},
+		"old report":     {candidate{near: true, load: relay.Load{At: now.Add(-time.Minute)}}, candidate{near: true, load: load(0, 0)}},
+	} {
+		if b, w := tc.better.cost(now, need), tc.worse.cost(now, need); b >= w {
+			t.Errorf("%s: cost %v of the better owner, %v of the other", name, b, w)
+		}
+	}
+}
--- a/pool/sender/sender.go
+++ b/pool/sender/sender.go
@@ -17,8 +17,9 @@
 
 const (
 	// orderTimeout bounds a start or stop. A target answers within
-	// milliseconds; the rest is for a lost packet that is sent again.
-	orderTimeout = 250 * time.Millisecond
+	// milliseconds; an instance whose share of the processor is used up stands
+	// still for up to 100 ms, which must not count as a lost answer.
+	orderTimeout = 125 * time.Millisecond
 	// lookSlack is how much longer than its wait a look may take. Wait and
 	// slack together leave time for a second look within the lease.
 	lookSlack = 250 * time.Millisecond
