core/scheduler: no wakes in the past; a tool that compares policies

Cause: a job without a start that had outlasted its hold and was not yet hopeless asked for its next decision at a time in the past, so that the loop woke 4,000 times a second as long as one waited, that is, under overload. Change: the next check is the job's latest start; events bring all others. Test: TestWakesLieAhead fails without the change.

The tool: marigold-bench policies EXPERIMENT runs the schedulers of several owners against drawn jobs, targets with leases and faults in simulated time, prints a table and writes CSV and a plot. The figures that trade one caller's time against another's are a scheduler.Policy now. The queue of simulated time is a package of its own (bench/eventclock), used by both models.

--- a/bench/cmd/marigold-bench/commands.go
+++ b/bench/cmd/marigold-bench/commands.go
@@ -5,6 +5,7 @@
 
 	"marigoldfront.dev/bench/demo"
 	"marigoldfront.dev/bench/measure"
+	"marigoldfront.dev/bench/policies"
 	"marigoldfront.dev/bench/slopes"
 	"marigoldfront.dev/bench/soak"
 )
@@ -16,6 +17,7 @@
 }{
 	{"demo", "Run jobs of both users through a small system", &demo.Command{}},
 	{"measure", "Compare the policies on real processes", &measure.Command{}},
+	{"policies", "Compare policies for leased targets in simulated time", &policies.Command{}},
 	{"soak", "Run a load under failures and verify every answer", &soak.Command{}},
 	{"slopes", "Measure the cost of an entry process at several sizes", &slopes.Command{}},
 }
--- /dev/null
+++ b/bench/policies/command.go
@@ -0,0 +1,142 @@
+// Package policies compares policies of the scheduler on the same drawn loads,
+// targets and faults, in simulated time.
+package policies
+
+import (
+	"encoding/csv"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"marigoldfront.dev/bench/poolrun"
+)
+
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+	barWidth   = 0.5 * vg.Centimeter
+)
+
+// Command is the policies subcommand.
+type Command struct {
+	Seeds     int    `long:"seeds" default:"5" description:"Seeds to run each policy with"`
+	FirstSeed uint64 `long:"first-seed" default:"1" description:"First seed"`
+	Parallel  int    `long:"parallel" default:"3" description:"Runs at a time"`
+	Out       string `long:"out" description:"Directory for policies.csv and policies.png; none are written by default"`
+	Args      struct {
+		File string `positional-arg-name:"EXPERIMENT" description:"TOML file with load, targets, faults and policies"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *Command) Execute([]string) error {
+	x, found := poolrun.Load(c.Args.File)
+	if err := found.Err(); err != nil {
+		return err
+	}
+	rows := c.run(x)
+	fmt.Printf(rowFormat, columns...)
+	means := make([]poolrun.Result, len(x.Policies))
+	for i, p := range x.Policies {
+		means[i] = poolrun.Mean(p.Name, rows[i*c.Seeds:(i+1)*c.Seeds])
+		fmt.Printf(rowFormat, fields(means[i], "mean")...)
+	}
+	if c.Out == "" {
+		return nil
+	}
+	if err := writeCSV(filepath.Join(c.Out, "policies.csv"), rows); err != nil {
+		return err
+	}
+	return draw(filepath.Join(c.Out, "policies.png"), means)
+}
+
+// run returns the results by policy and seed.
+func (c *Command) run(x poolrun.Experiment) []poolrun.Result {
+	rows := make([]poolrun.Result, len(x.Policies)*c.Seeds)
+	limit := make(chan struct{}, max(1, c.Parallel))
+	var wg sync.WaitGroup
+	for i := range rows {
+		limit <- struct{}{}
+		wg.Go(func() {
+			rows[i] = poolrun.Run(x, x.Policies[i/c.Seeds], c.FirstSeed+uint64(i%c.Seeds))
+			<-limit
+		})
+	}
+	wg.Wait()
+	return rows
+}
+
+const rowFormat = "%-20s %5s %6s %6s %7s %7s %7s %6s %7s %6s %7s %7s %7s %7s %7s %7s %8s\n"
+
+var columns = []any{
+	"policy", "seed", "jobs", "worth", "windows", "kind", "in_time", "late", "refused", "failed", "unknown",
+	"p50_ms", "p99_ms", "starts", "looks", "wakes", "wasted_s",
+}
+
+func fields(r poolrun.Result, seed string) []any {
+	f := func(v float64, digits int) string { return strconv.FormatFloat(v, 'f', digits, 64) }
+	return []any{
+		r.Policy, seed, strconv.Itoa(r.Jobs), f(r.Worth, 3), f(r.WorstWindows, 3), f(r.WorstKind, 3), f(r.InTime, 3),
+		f(r.Late, 3), f(r.Refused, 3), f(r.Failed, 3), f(r.Unknown, 3), f(r.P50, 0), f(r.P99, 0),
+		strconv.Itoa(r.Starts), strconv.Itoa(r.Looks), strconv.Itoa(r.Wakes), f(r.Wasted, 0),
+	}
+}
+
+func writeCSV(path string, rows []poolrun.Result) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	w := csv.NewWriter(file)
+	write := func(values []any) {
+		line := make([]string, len(values))
+		for i, v := range values {
+			line[i] = fmt.Sprint(v)
+		}
+		// The writer keeps the first error for Error.
+		_ = w.Write(line)
+	}
+	write(columns)
+	for _, r := range rows {
+		write(fields(r, strconv.FormatUint(r.Seed, 10)))
+	}
+	w.Flush()
+	return w.Error()
+}
+
+// draw draws what each policy earns: overall, in the worst windows and of the
+// worst kind.
+func draw(path string, rows []poolrun.Result) error {
+	p := plot.New()
+	p.Title.Text = "Share of the worth that is earned, mean over seeds"
+	p.Y.Min, p.Y.Max = 0, 1
+	var names []string
+	bars := make([]plotter.Values, 3)
+	for _, r := range rows {
+		names = append(names, r.Policy)
+		for i, v := range []float64{r.Worth, r.WorstWindows, r.WorstKind} {
+			bars[i] = append(bars[i], v)
+		}
+	}
+	for i, label := range []string{"whole run", "worst windows", "worst kind"} {
+		b, err := plotter.NewBarChart(bars[i], barWidth)
+		if err != nil {
+			return err
+		}
+		b.Color = plotutil.Color(i)
+		b.Offset = vg.Length(i-1) * barWidth
+		p.Add(b)
+		p.Legend.Add(label, b)
+	}
+	p.Legend.Top = true
+	p.NominalX(names...)
+	return p.Save(plotWidth, plotHeight, path)
+}
--- a/bench/policyrun/load.go
+++ b/bench/policyrun/load.go
@@ -31,7 +31,7 @@
 // arrive submits one job of a team and schedules its next one. rate returns
 // the load of the team at a time, relative to the capacity.
 func (w *world) arrive(team string, rate func(time.Duration) float64) {
-	since := w.now.Sub(w.begin)
+	since := w.Now.Sub(w.begin)
 	if since > w.sc.Length {
 		return
 	}
@@ -39,10 +39,10 @@
 	if load := rate(since); load > 0 {
 		w.submit(team)
 		perSecond := load * w.capacity() / jobWork
-		w.after(time.Duration(w.draw.ExpFloat64()/perSecond*float64(time.Second)), func() { w.arrive(team, rate) })
+		w.After(time.Duration(w.draw.ExpFloat64()/perSecond*float64(time.Second)), func() { w.arrive(team, rate) })
 		return
 	}
-	w.after(10*time.Millisecond, func() { w.arrive(team, rate) })
+	w.After(10*time.Millisecond, func() { w.arrive(team, rate) })
 }
 
 func (w *world) submit(team string) {
@@ -51,7 +51,7 @@
 	s.seq++
 	s.open[s.seq] = true
 	j := &job{
-		id: dispatch.JobID{Session: s.id, Seq: s.seq}, entry: e, team: team, arrived: w.now,
+		id: dispatch.JobID{Session: s.id, Seq: s.seq}, entry: e, team: team, arrived: w.Now,
 		poison: w.draw.Float64() < w.sc.Poison, tooLarge: w.draw.Float64() < w.sc.TooLarge,
 	}
 	sub := w.submission(j)
@@ -119,7 +119,7 @@
 	if j == nil || j.answer != nil {
 		return
 	}
-	j.answer, j.ended = a.Answer, w.now
+	j.answer, j.ended = a.Answer, w.Now
 	delete(j.entry.sessions[j.team].open, j.id.Seq)
 }
 
@@ -127,7 +127,7 @@
 func (w *world) ran(t *target, r *run) {
 	j := w.jobs[r.start.Attempt.Job]
 	if j.answer == nil {
-		j.runs = append(j.runs, span{from: r.begun, to: w.now, speed: t.speed})
+		j.runs = append(j.runs, span{from: r.begun, to: w.Now, speed: t.speed})
 	}
 }
 
--- a/bench/policyrun/row.go
+++ b/bench/policyrun/row.go
@@ -45,9 +45,9 @@
 func Run(sc Scenario, policy dispatch.PolicyName, seed uint64) Row {
 	w := newWorld(sc, policy, seed)
 	w.prepare()
-	w.runUntil(w.begin.Add(warmUp))
+	w.RunUntil(w.begin.Add(warmUp))
 	before := w.stats()
-	w.runUntil(w.begin.Add(sc.Length + time.Minute))
+	w.RunUntil(w.begin.Add(sc.Length + time.Minute))
 	row := Row{Scenario: sc.Name, Policy: string(policy), Seeds: strconv.FormatUint(seed, 10), Load: sc.Load}
 	w.fill(&row, w.stats().minus(before))
 	return row
--- a/bench/policyrun/scenario.go
+++ b/bench/policyrun/scenario.go
@@ -93,12 +93,12 @@
 		}
 		return 0
 	})
-	w.after(faultAt, w.breakTargets)
+	w.After(faultAt, w.breakTargets)
 	if sc.Repaired > 0 {
-		w.after(sc.Repaired, w.repairTargets)
+		w.After(sc.Repaired, w.repairTargets)
 	}
 	if sc.Cancel {
-		w.after(faultAt, w.cancelWave)
+		w.After(faultAt, w.cancelWave)
 	}
 	w.window = [2]time.Time{w.begin.Add(warmUp), w.begin.Add(sc.Length)}
 	switch {
@@ -125,7 +125,7 @@
 		t.mode = w.sc.Fault
 	}
 	if w.sc.Fault == dead {
-		w.after(listLag, func() {
+		w.After(listLag, func() {
 			for _, e := range w.entries {
 				w.list(e)
 			}
--- a/bench/policyrun/target.go
+++ b/bench/policyrun/target.go
@@ -48,7 +48,7 @@
 	case t.mode == dead:
 		w.reply(t, r, dispatch.NotSent{Message: "connection refused"}, false)
 		return
-	case w.now.After(r.start.StartBy):
+	case w.Now.After(r.start.StartBy):
 		w.reply(t, r, dispatch.Refused{Cause: dispatch.LeaseLapsed}, true)
 		return
 	case len(t.running) >= t.slots:
@@ -56,18 +56,18 @@
 		return
 	}
 	t.running[r.start.Attempt] = r
-	r.begun = w.now
+	r.begun = w.Now
 	if t.mode == hanging {
 		w.hang(t, r)
 		return
 	}
 	took, fails := w.runTime(t, r)
-	w.after(took, func() { w.end(t, r, fails) })
+	w.After(took, func() { w.end(t, r, fails) })
 }
 
 // hang ends an attempt at the end of its lease without a reply.
 func (w *world) hang(t *target, r *run) {
-	w.at(r.start.LeaseUntil, func() {
+	w.At(r.start.LeaseUntil, func() {
 		if t.running[r.start.Attempt] == r {
 			w.jobs[r.start.Attempt.Job].touched = true
 			delete(t.running, r.start.Attempt)
@@ -110,8 +110,8 @@
 	if load {
 		ev.Load = dispatch.Load{Known: true, Running: len(t.running), Slots: t.slots}
 	}
-	w.after(w.delay(r.entry.zone, t.zone), func() {
-		took := w.now.Sub(r.sent)
+	w.After(w.delay(r.entry.zone, t.zone), func() {
+		took := w.Now.Sub(r.sent)
 		switch o := ev.Outcome.(type) {
 		case dispatch.Done:
 			o.Took = took
--- a/bench/policyrun/world.go
+++ b/bench/policyrun/world.go
@@ -1,3 +1,5 @@
+// Package policyrun runs Dispatchers against drawn loads and targets in
+// simulated time, to compare policies without I/O.
 package policyrun
 
 import (
@@ -8,6 +10,7 @@
 	"slices"
 	"time"
 
+	"marigoldfront.dev/bench/eventclock"
 	"marigoldfront.dev/core/answer"
 	"marigoldfront.dev/core/directory"
 	"marigoldfront.dev/core/dispatch"
@@ -27,7 +30,7 @@
 
 // world is one run.
 type world struct {
-	clock
+	eventclock.Clock
 	sc Scenario
 	// rng draws what happens to attempts, draw what is submitted, so that all
 	// policies meet the same jobs.
@@ -94,7 +97,7 @@
 		byReq:  map[dispatch.RequestID]*job{},
 		begin:  time.Unix(1_700_000_000, 0),
 	}
-	w.now = w.begin
+	w.Now = w.begin
 	w.addTargets()
 	for i := range entries {
 		w.addEntry(i, policy, seed)
@@ -187,15 +190,15 @@
 
 // handle passes an event to a Dispatcher and carries out its actions.
 func (w *world) handle(e *entry, ev dispatch.Event) {
-	for _, a := range e.d.Handle(w.now, ev) {
+	for _, a := range e.d.Handle(w.Now, ev) {
 		w.act(e, a)
 	}
 	if next := e.d.NextWake(); !next.IsZero() && (e.tick.IsZero() || next.Before(e.tick)) {
-		if next.Before(w.now) {
-			next = w.now
+		if next.Before(w.Now) {
+			next = w.Now
 		}
 		e.tick = next
-		w.at(next, func() { w.tick(e, next) })
+		w.At(next, func() { w.tick(e, next) })
 	}
 }
 
@@ -210,11 +213,11 @@
 	switch a := a.(type) {
 	case dispatch.StartAttempt:
 		t := w.byName[a.Target]
-		r := &run{start: a, entry: e, sent: w.now}
-		w.after(w.delay(e.zone, t.zone), func() { w.receive(t, r) })
+		r := &run{start: a, entry: e, sent: w.Now}
+		w.After(w.delay(e.zone, t.zone), func() { w.receive(t, r) })
 	case dispatch.StopAttempt:
 		t := w.byName[a.Target]
-		w.after(w.delay(e.zone, t.zone), func() { w.stop(t, a.Attempt) })
+		w.After(w.delay(e.zone, t.zone), func() { w.stop(t, a.Attempt) })
 	case dispatch.ReplyAnswer:
 		w.answered(a)
 	case dispatch.ReplySession:
--- a/core/scheduler/chance.go
+++ b/core/scheduler/chance.go
@@ -29,7 +29,7 @@
 	start := s.now.Add(wait)
 	deadline := ends(d, j.Deadline.Sub(start), spread)
 	objective := ends(d, j.Arrived.Add(j.objective).Sub(start), taskError)
-	late := ends(d, j.Arrived.Add(lateFactor*j.objective).Sub(start), taskError)
+	late := ends(d, s.worthless(j).Sub(start), taskError)
 	return deadline * ((1-lateValue)*objective + lateValue*late)
 }
 
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -11,12 +11,6 @@
 	// retrySoon is the time to come back after a refusal that has nothing to
 	// do with the load: another instance takes over within about a second.
 	retrySoon = time.Second
-	// lateFactor bounds the time of a job as a multiple of its latency
-	// objective: later answers are worthless to the callers.
-	lateFactor = 3
-	// holdShare is the share of the latency objective after which a job
-	// without a start is refused if it cannot start at once.
-	holdShare = 0.25
 )
 
 // job is a job without an answer.
@@ -115,7 +109,7 @@
 		j.longest = max(j.longest, ends[i])
 	}
 	j.objective = time.Duration(float64(j.longest)*max(1, in.Stretch)) + in.Slack
-	j.refuseAt = in.Arrived.Add(time.Duration(float64(j.objective) * holdShare))
+	j.refuseAt = in.Arrived.Add(time.Duration(float64(j.objective) * s.policy.HoldShare))
 	j.countUnplaced()
 	return j
 }
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -13,21 +13,8 @@
 	maxSkip = 16
 	// packing is the share of the processors that tasks of odd sizes can use.
 	packing = 0.85
-	// waitGain is how much the chance of a task has to grow for it to wait for
-	// a faster target.
-	waitGain = 0.1
-	// slowWeight and restWeight turn the logarithm of a target's slowness and
-	// its unused share into chances.
-	slowWeight = 0.04
-	restWeight = 0.02
 	// shortestWait is assumed for runs that have outlasted their forecast.
 	shortestWait = 20 * time.Millisecond
-	// leastChance is what a task must have on the fastest target for its job
-	// to be accepted.
-	leastChance = 0.04
-	// declineLoss is how much less than its best chance a task may have for
-	// another owner not to be asked.
-	declineLoss = 0.05
 )
 
 // compareJobs orders the queue: jobs that have started, then by the latest
@@ -98,7 +85,7 @@
 			best, bestScore, bestChance = t, score, c
 		}
 	}
-	if best != nil && waitChance > bestChance+waitGain {
+	if best != nil && waitChance > bestChance+s.policy.WaitGain {
 		return nil
 	}
 	return best
@@ -109,7 +96,7 @@
 func (s *Scheduler) preference(k *task, t *target) float64 {
 	slow := math.Log(s.model.Slowness(t.ID))
 	rest := float64(t.free.cpu-k.step.CPU) / float64(max(t.CPU, 1))
-	return slowWeight*min(max(slow, -1), 1) - restWeight*rest
+	return s.policy.SlowWeight*min(max(slow, -1), 1) - s.policy.RestWeight*rest
 }
 
 // roomAfter forecasts when the runs of a target leave room for need.
@@ -164,7 +151,7 @@
 // hasRoom says whether a candidate can start the task now. After an ejection a
 // single task shows whether the target has recovered.
 func (s *Scheduler) hasRoom(t *target, k *task) bool {
-	return t.free.fits(k.step.need()) && (t.badRuns < ejectAfter || len(t.runs) == 0)
+	return t.free.fits(k.step.need()) && (t.badRuns < s.policy.EjectAfter || len(t.runs) == 0)
 }
 
 // allowed checks the constraints of the step.
@@ -220,7 +207,7 @@
 	if !slices.ContainsFunc(s.order, func(t *target) bool { return t.usable() && t.Service == j.Service }) {
 		return ReasonNoTarget, false
 	}
-	if s.bestChance(j) < leastChance {
+	if s.bestChance(j) < s.policy.LeastChance {
 		return ReasonDeadline, false
 	}
 	if j.OnlyNow {
@@ -228,7 +215,7 @@
 	}
 	wait := s.backlog(j)
 	end := s.now.Add(wait + j.longest)
-	if wait > 0 && end.After(j.limit()) {
+	if wait > 0 && end.After(s.limit(j)) {
 		return ReasonOverloaded, false
 	}
 	return "", true
@@ -252,7 +239,7 @@
 				continue
 			}
 			t := s.choose(k)
-			if t == nil || s.chance(k, t, 0) < s.bestChance(j)-declineLoss {
+			if t == nil || s.chance(k, t, 0) < s.bestChance(j)-s.policy.DeclineLoss {
 				fits = false
 				continue
 			}
@@ -267,8 +254,12 @@
 }
 
 // limit is the time after which the answer is of no use to the caller.
-func (j *job) limit() time.Time {
-	return earliest(j.Deadline, j.Arrived.Add(lateFactor*j.objective))
+func (s *Scheduler) limit(j *job) time.Time { return earliest(j.Deadline, s.worthless(j)) }
+
+// worthless is when the latency objective is missed by so much that an answer
+// has no value left.
+func (s *Scheduler) worthless(j *job) time.Time {
+	return j.Arrived.Add(time.Duration(s.policy.LateFactor * float64(j.objective)))
 }
 
 // hopeless says whether a job that has not started cannot meet its objective.
--- a/core/scheduler/rules_test.go
+++ b/core/scheduler/rules_test.go
@@ -391,3 +391,23 @@
 		t.Errorf("the job that waits is answered %v", got["waiting"])
 	}
 }
+
+// Guards against an instance that decides over and over without an event: that
+// takes the processor from the jobs that wait.
+func TestWakesLieAhead(t *testing.T) {
+	b := newBench(t, testTarget("a"))
+	b.submit(1, testJob("running", 2))
+	for _, s := range take[Start](b) {
+		b.started(s, StartAccepted)
+	}
+	waiting := testJob("waiting", 1)
+	waiting.Stretch = 4
+	b.submit(2, waiting)
+	for range 200 {
+		b.now = b.now.Add(5 * time.Millisecond)
+		b.send(Tick{})
+		if next := b.s.NextWake(); !next.IsZero() && !next.After(b.now) {
+			t.Fatalf("%v after its arrival the job asks for a decision at %v", b.now.Sub(time.Unix(1000, 0)), next.Sub(b.now))
+		}
+	}
+}
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -6,10 +6,6 @@
 )
 
 const (
-	// overdueFactor and overdueExtra say when a run is taken to hang: after a
-	// multiple of its forecast, and no sooner than some time beyond it.
-	overdueFactor = 3
-	overdueExtra  = 300 * time.Millisecond
 	// maxPatience bounds the doublings of a forecast.
 	maxPatience = 10
 	// outdatedStep is added to the number of a run that the target takes for
@@ -50,12 +46,12 @@
 	stopAt time.Time
 }
 
-func (r *run) wake(t *target) time.Time {
+func (s *Scheduler) wakeRun(r *run) time.Time {
 	switch {
-	case r.state == stopping && t.failures == 0:
+	case r.state == stopping && r.target.failures == 0:
 		return r.stopAt
 	case r.state == running:
-		return r.overdueAt()
+		return s.overdueAt(r)
 	}
 	return time.Time{}
 }
@@ -64,7 +60,7 @@
 // took counts where they took longer than forecast. After each run that was
 // stopped for it the forecast counts four times as much, so that a task with a
 // wrong estimate ends in time.
-func (r *run) overdueAt() time.Time {
+func (s *Scheduler) overdueAt(r *run) time.Time {
 	d := r.expected
 	if r.task != nil {
 		d <<= min(2*r.task.hung, maxPatience)
@@ -72,7 +68,7 @@
 			d = max(d, n.total/time.Duration(n.count))
 		}
 	}
-	return r.started.Add(max(d*overdueFactor, d+overdueExtra))
+	return r.started.Add(s.policy.overdue(d))
 }
 
 // begin starts a task on a target.
@@ -323,7 +319,7 @@
 		t.badRuns++
 	}
 	t.badJob = job
-	if t.badRuns >= ejectAfter {
+	if t.badRuns >= s.policy.EjectAfter {
 		t.ejectedUntil = s.now.Add(min(ejectFirst<<min(t.ejections, 3), ejectLast))
 		t.ejections++
 	}
@@ -342,7 +338,7 @@
 			if t.fenced || t.removed && s.now.After(t.extended.Add(lateStart)) {
 				s.remove(r)
 			}
-		case r.state == running && r.task != nil && !s.now.Before(r.overdueAt()):
+		case r.state == running && r.task != nil && !s.now.Before(s.overdueAt(r)):
 			s.hung(r)
 		case r.state == stopping && t.failures == 0 && !r.stopAt.IsZero() && !s.now.Before(r.stopAt):
 			s.sendStop(r)
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -15,12 +15,15 @@
 	ClockError float64
 	// FarFactor is how many times longer a task runs away from its rack.
 	FarFactor float64
+	// Policy is that of DefaultPolicy if it is zero.
+	Policy Policy
 }
 
 // Scheduler owns the jobs and targets of one instance. It is used by one
 // goroutine.
 type Scheduler struct {
 	cfg      Config
+	policy   Policy
 	now      time.Time
 	model    *forecast.Model
 	targets  map[string]*target
@@ -34,8 +37,12 @@
 
 // New returns a Scheduler without targets.
 func New(cfg Config) *Scheduler {
+	if cfg.Policy == (Policy{}) {
+		cfg.Policy = DefaultPolicy()
+	}
 	return &Scheduler{
 		cfg:      cfg,
+		policy:   cfg.Policy,
 		model:    forecast.New(),
 		targets:  map[string]*target{},
 		jobs:     map[string]*job{},
@@ -91,7 +98,7 @@
 	for _, j := range s.jobs {
 		next = earliest(next, j.Deadline)
 		if !j.started {
-			next = earliest(next, j.refuseAt)
+			next = earliest(next, s.refusalCheck(j))
 		}
 	}
 	for _, t := range s.order {
@@ -100,6 +107,19 @@
 	return next
 }
 
+// refusalCheck is when a job without a start may have to be refused. Between the
+// end of its hold and its latest start only events change that.
+func (s *Scheduler) refusalCheck(j *job) time.Time {
+	if s.now.Before(j.refuseAt) {
+		return j.refuseAt
+	}
+	return j.latestStart().Add(wakeStep)
+}
+
+// wakeStep is the least time from one decision to the next that no event
+// causes.
+const wakeStep = time.Millisecond
+
 // earliest returns the earlier of two times, where zero means never.
 func earliest(a, b time.Time) time.Time {
 	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -35,9 +35,6 @@
 	// unhealthyPause is how long a target gets no start after it refused one
 	// because it is not healthy.
 	unhealthyPause = 250 * time.Millisecond
-	// ejectAfter is the number of failures in a row, of different jobs, that
-	// eject a target.
-	ejectAfter = 2
 )
 
 // capacity is room on a target.
@@ -208,7 +205,7 @@
 		next = t.lookAt
 	}
 	for _, r := range t.runs {
-		next = earliest(next, r.wake(t))
+		next = earliest(next, s.wakeRun(r))
 	}
 	if t.lost() && t.hasWanted() {
 		next = earliest(next, s.leaseEnd(t))
