--- a/bench/poolrun/target.go
+++ b/bench/poolrun/target.go
@@ -187,6 +187,9 @@
 		}
 		t.extend(a.LeaseMS)
 		show := func() {
+			if answered {
+				return
+			}
 			t.waiting = nil
 			if t.down {
 				return
--- a/core/scheduler/chance.go
+++ b/core/scheduler/chance.go
@@ -17,11 +17,11 @@
 	lateValue = 0.2
 )
 
-// chance forecasts the value of the answer, between 0 and 1, if the task
-// starts on the target after a wait and all others are in time.
-func (s *Scheduler) chance(k *task, t *target, wait time.Duration) float64 {
+// chance forecasts the value of the answer, between 0 and 1, if the task with
+// the given base starts on the target after a wait and all others are in time.
+func (s *Scheduler) chance(k *task, base time.Duration, t *target, wait time.Duration) float64 {
 	j := k.job
-	d := s.expect(k, t)
+	d := s.expect(k, base, t)
 	spread := jobError
 	if j.ended[k.id.Step].count > 0 {
 		spread = taskError
@@ -39,10 +39,21 @@
 	if left <= 0 {
 		return 0
 	}
-	z := math.Log(float64(left)/float64(max(d, time.Millisecond))) / spread
-	return 0.5 * math.Erfc(-z/math.Sqrt2)
+	ratio := float64(left) / float64(max(d, time.Millisecond))
+	switch {
+	case ratio > certain:
+		return 1
+	case ratio < 1/certain:
+		return 0
+	}
+	return 0.5 * math.Erfc(-math.Log(ratio)/spread/math.Sqrt2)
 }
 
+// certain is the ratio of the time that is left to the forecast beyond which
+// the result is taken for certain: four standard deviations of a whole job's
+// error, which spares most of the logarithms.
+const certain = 3.3
+
 // bestChance is the chance of the job's worst task on the target that suits it
 // best, whether that has room or not.
 func (s *Scheduler) bestChance(j *job) float64 {
@@ -51,10 +62,10 @@
 		if !j.ready(i) {
 			continue
 		}
-		best := 0.0
+		best, base := 0.0, s.base(ts[0])
 		for _, t := range s.order {
 			if s.candidate(t, ts[0]) {
-				best = max(best, s.chance(ts[0], t, 0))
+				best = max(best, s.chance(ts[0], base, t, 0))
 			}
 		}
 		worst = min(worst, best)
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -35,12 +35,14 @@
 		return
 	}
 	slices.SortStableFunc(s.queue, compareJobs)
-	skipped := 0
+	skipped, roomiest := 0, s.roomiest()
 	for _, j := range slices.Clone(s.queue) {
 		if skipped >= maxSkip {
 			return
 		}
-		s.placeJob(j)
+		if s.placeJob(j, roomiest) {
+			roomiest = s.roomiest()
+		}
 		if j.unplaced > 0 {
 			skipped++
 		} else {
@@ -49,48 +51,74 @@
 	}
 }
 
-func (s *Scheduler) placeJob(j *job) {
+// roomiest is the most free processors of a target that takes work, in
+// thousandths of a core. It spares the search for tasks that need more.
+func (s *Scheduler) roomiest() int64 {
+	most := int64(-1)
+	for _, t := range s.order {
+		if t.takesWork() {
+			most = max(most, t.free.cpu)
+		}
+	}
+	return most
+}
+
+// placeJob starts those tasks of a job that fit, and says whether any did.
+func (s *Scheduler) placeJob(j *job, roomiest int64) (placed bool) {
 	for _, ts := range j.tasks {
 		for _, k := range ts {
 			if !k.waiting() {
 				continue
 			}
+			if k.step.CPU > roomiest {
+				break
+			}
 			t := s.choose(k)
 			if t == nil {
 				break
 			}
 			s.begin(k, t)
 			j.unplaced--
+			placed = true
 		}
 	}
+	return placed
 }
 
 // choose returns the best target for a task, or nil if none has room or
 // waiting for a faster one is worth more.
 func (s *Scheduler) choose(k *task) *target {
 	var best *target
-	var bestScore, bestChance, waitChance float64
+	var bestScore, bestChance float64
+	base := s.base(k)
 	for _, t := range s.order {
-		if !s.candidate(t, k) {
+		if !s.hasRoom(t, k) || !s.candidate(t, k) {
 			continue
 		}
-		if !s.hasRoom(t, k) {
-			if len(k.avoid) == 0 {
-				waitChance = max(waitChance, s.chance(k, t, t.roomAfter(k.step.need(), s.now)))
-			}
-			continue
-		}
-		c := s.chance(k, t, 0)
+		c := s.chance(k, base, t, 0)
 		if score := c + s.preference(k, t); best == nil || score > bestScore {
 			best, bestScore, bestChance = t, score, c
 		}
 	}
-	if best != nil && waitChance > bestChance+s.policy.WaitGain {
+	if best != nil && s.worthWaiting(k, base, bestChance+s.policy.WaitGain) {
 		return nil
 	}
 	return best
 }
 
+// worthWaiting says whether the task has more than a chance on a target that
+// has no room yet.
+func (s *Scheduler) worthWaiting(k *task, base time.Duration, chance float64) bool {
+	if chance >= 1 || len(k.avoid) > 0 {
+		return false
+	}
+	return slices.ContainsFunc(s.order, func(t *target) bool {
+		// The forecast of when there is room costs more than the chance.
+		return !s.hasRoom(t, k) && s.candidate(t, k) && s.chance(k, base, t, 0) > chance &&
+			s.chance(k, base, t, t.roomAfter(k.step.need(), s.now)) > chance
+	})
+}
+
 // preference ranks targets with about equal chances: slow ones first, because
 // other tasks need the fast ones, then those that are left with little room.
 func (s *Scheduler) preference(k *task, t *target) float64 {
@@ -118,8 +146,9 @@
 
 func (r *run) end() time.Time { return r.started.Add(r.expected) }
 
-func (s *Scheduler) expect(k *task, t *target) time.Duration {
-	d := float64(s.base(k)) * s.model.Slowness(t.ID)
+// expect forecasts the run time of a task on a target from its base.
+func (s *Scheduler) expect(k *task, base time.Duration, t *target) time.Duration {
+	d := float64(base) * s.model.Slowness(t.ID)
 	if k.step.Rack != "" && !slices.Contains(t.Labels, k.step.Rack) {
 		d *= max(1, s.cfg.FarFactor)
 	}
@@ -232,14 +261,14 @@
 		need capacity
 	}
 	var all []taken
-	fits := true
+	fits, least := true, s.bestChance(j)-s.policy.DeclineLoss
 	for _, ts := range j.tasks {
 		for _, k := range ts {
 			if !fits || !k.waiting() {
 				continue
 			}
 			t := s.choose(k)
-			if t == nil || s.chance(k, t, 0) < s.bestChance(j)-s.policy.DeclineLoss {
+			if t == nil || s.chance(k, s.base(k), t, 0) < least {
 				fits = false
 				continue
 			}
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -76,7 +76,7 @@
 	k.number++
 	r := &run{
 		id: RunID{Task: k.id, Number: k.number}, task: k, target: t, need: k.step.need(), started: s.now,
-		expected: s.expect(k, t),
+		expected: s.expect(k, s.base(k), t),
 	}
 	k.run = r
 	if !k.job.started {
@@ -331,6 +331,9 @@
 	if !t.ejectedUntil.IsZero() && !s.now.Before(t.ejectedUntil) {
 		t.ejectedUntil = time.Time{}
 	}
+	if !s.expires(t) {
+		return
+	}
 	for _, r := range t.sortedRuns() {
 		switch {
 		case t.lost() && !s.now.Before(s.leaseEnd(t)):
@@ -346,6 +349,19 @@
 	}
 }
 
+// expires says whether anything of a target may be due in expireRuns.
+func (s *Scheduler) expires(t *target) bool {
+	if t.lost() && !s.now.Before(s.leaseEnd(t)) {
+		return true
+	}
+	for _, r := range t.runs {
+		if at := s.wakeRun(r); !at.IsZero() && !s.now.Before(at) {
+			return true
+		}
+	}
+	return false
+}
+
 // hung stops a run that takes far longer than forecast. Its task runs again
 // once the target has listed the end.
 func (s *Scheduler) hung(r *run) {
