--- a/ctl/command/pool.go
+++ b/ctl/command/pool.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -50,19 +47,8 @@
 func fetchPoolStatus(ctx context.Context, base string) (s poolstatus.Status, err error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(base, "/")+"/status", nil)
-	if err != nil {
-		return s, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return s, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return s, errors.New("status " + resp.Status)
-	}
-	return s, json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&s)
+	err = fetchJSON(ctx, strings.TrimSuffix(base, "/")+"/status", &s)
+	return s, err
 }
 
 type poolStatus struct {
--- a/ctl/command/status.go
+++ b/ctl/command/status.go
@@ -160,19 +160,25 @@
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	var s instanceStatus
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(base, "/")+"/v1/status", nil)
+	err := fetchJSON(ctx, strings.TrimSuffix(base, "/")+"/v1/status", &s)
+	return s, err
+}
+
+// fetchJSON reads a status into v.
+func fetchJSON(ctx context.Context, url string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return s, err
+		return err
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return s, err
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return s, fmt.Errorf("status %d", resp.StatusCode)
+		return fmt.Errorf("status %d", resp.StatusCode)
 	}
-	return s, json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&s)
+	return json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(v)
 }
 
 // awaitInForce waits until the ticket is in force at every named instance.
--- a/pool/listing/listing_test.go
+++ b/pool/listing/listing_test.go
@@ -96,7 +96,8 @@
 func (formats) TargetPrefix() string { return "targets/" }
 
 func (formats) Target(_ string, value []byte) (t scheduler.Target, err error) {
-	return t, json.Unmarshal(value, &t)
+	err = json.Unmarshal(value, &t)
+	return t, err
 }
 
 // holder owns all shards of one pool, or none.
