core/scheduler: a resumed instance ends its jobs instead of starting them again

Cause: TestSuspendedOwnerRunsNothingTwice failed once the test waited for the pause to take effect: 'a task ran twice at once', in two jobs of twelve. After a suspension the owner saw its runs' leases ended and started the tasks again, on targets that the next owner had not looked at yet, while the jobs ran elsewhere. Ruled out: the look at the connection, which is made when a request is read; these requests were read long before. Change: after a time without decisions that is longer than a lease, all jobs end: as unknown, or as refused if nothing of them was started. The instance decides at least twice a lease while it has jobs, so that waiting is no suspension.

--- a/core/scheduler/release_test.go
+++ b/core/scheduler/release_test.go
@@ -89,3 +89,49 @@
 		}
 	}
 }
+
+// Guards against an instance that starts its jobs again after it was suspended,
+// while their callers have sent them to another one.
+func TestResumedInstanceStartsNothingAgain(t *testing.T) {
+	b := newBench(t, testTarget("a"), testTarget("b"))
+	long := testJob("j", 5)
+	long.Stretch, long.Deadline = 20, b.now.Add(20*time.Second)
+	b.submit(1, long)
+	for _, s := range take[Start](b) {
+		b.started(s, StartAccepted)
+	}
+	b.submit(2, testJob("k", 1))
+	b.now = b.now.Add(testLease + 200*time.Millisecond)
+	b.send(Tick{})
+	got := map[string]Outcome{}
+	for _, r := range take[Reply](b) {
+		got[r.Job] = r.Outcome
+	}
+	if o, ok := got["j"].(Unknown); !ok || o.Reason != ReasonOwnerLost {
+		t.Errorf("the job that ran is answered %v", got["j"])
+	}
+	if _, ok := got["k"].(Refused); !ok {
+		t.Errorf("the job that waited is answered %v", got["k"])
+	}
+	if starts := take[Start](b); len(starts) > 0 {
+		t.Errorf("started after the suspension: %+v", starts)
+	}
+}
+
+// Guards against a job that waits long and is taken for one of a suspended
+// instance.
+func TestWaitingIsNoSuspension(t *testing.T) {
+	b := newBench(t, testTarget("a"))
+	first := testJob("running", 2)
+	first.Stretch, first.Deadline = 50, b.now.Add(30*time.Second)
+	b.submit(1, first)
+	take[Start](b)
+	for end := b.now.Add(5 * time.Second); b.now.Before(end); {
+		next := b.s.NextWake()
+		if next.IsZero() || next.Sub(b.now) > testLease {
+			t.Fatalf("the next decision is %v away", next.Sub(b.now))
+		}
+		b.now = next.Add(time.Millisecond)
+		b.send(Tick{})
+	}
+}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -52,10 +52,14 @@
 
 // Handle applies an event and returns what is to be done, in order.
 func (s *Scheduler) Handle(now time.Time, ev Event) []Action {
+	suspended := len(s.jobs) > 0 && now.Sub(s.now) > s.cfg.Lease
 	if now.After(s.now) {
 		s.now = now
 	}
 	s.out = nil
+	if suspended {
+		s.resume()
+	}
 	s.apply(ev)
 	s.expire()
 	s.place()
@@ -64,6 +68,15 @@
 	return s.out
 }
 
+// resume ends all jobs after a time without decisions that is longer than a
+// lease. Their runs have ended, and their callers and senders have gone to other
+// instances, which the instance may notice only after it has started them again.
+func (s *Scheduler) resume() {
+	for _, j := range s.sortedJobs() {
+		s.giveUp(j, ReasonOwnerLost)
+	}
+}
+
 func (s *Scheduler) apply(ev Event) {
 	switch ev := ev.(type) {
 	case Submit:
@@ -95,6 +108,10 @@
 // NextWake is the time of the next decision that no event causes, or zero.
 func (s *Scheduler) NextWake() time.Time {
 	var next time.Time
+	if len(s.jobs) > 0 {
+		// Shows that the instance is not suspended.
+		next = s.now.Add(s.cfg.Lease / 2)
+	}
 	for _, j := range s.jobs {
 		next = earliest(next, j.Deadline)
 		if !j.started {
