pool/listing: forget the list while nothing is owned

The instance had owned the worker's shard before, and published the old list as soon as it owned it again, before it had read the new one. Change: the list is dropped when nothing is owned. Test: TestOldListIsNotUsedAgain fails without the change.

--- a/pool/listing/listing.go
+++ b/pool/listing/listing.go
@@ -96,6 +96,7 @@
 	for l.ctx.Err() == nil {
 		if len(l.owner.Owned()) == 0 {
 			l.publish()
+			l.forget()
 			l.wait(time.Hour)
 			continue
 		}
@@ -111,6 +112,15 @@
 	}
 }
 
+// forget drops the list, which is not followed while nothing is owned. Otherwise
+// targets that have begun to leave meanwhile would get work as soon as the
+// instance owns them again.
+func (l *Listing) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.listed)
+}
+
 // wait pauses, and publishes at once when the owned shards change.
 func (l *Listing) wait(d time.Duration) {
 	timer := time.NewTimer(d)
--- a/pool/listing/listing_test.go
+++ b/pool/listing/listing_test.go
@@ -142,6 +142,8 @@
 	mu     sync.Mutex
 	posted map[string]scheduler.Target
 	ahead  time.Duration
+	// working counts the targets without a notice that were passed on.
+	working int
 }
 
 const shards = 2
@@ -186,6 +188,9 @@
 	r.posted = map[string]scheduler.Target{}
 	for _, t := range ev.(scheduler.TargetsChanged).Targets {
 		r.posted[t.ID] = t
+		if !t.Draining {
+			r.working++
+		}
 	}
 }
 
@@ -315,3 +320,31 @@
 		t.Errorf("%d owners are wanted for %d targets after 3", n, 2*targetsPerOwner)
 	}
 }
+
+// Guards against work on a target that began to leave while another instance
+// owned it.
+func TestOldListIsNotUsedAgain(t *testing.T) {
+	r := newRig(t, "a")
+	owned := r.owner.Owned()
+	own := func(shards map[ownership.Shard]ownership.Claim) {
+		r.owner.mu.Lock()
+		r.owner.owned = shards
+		r.owner.mu.Unlock()
+		r.listing.Refresh()
+	}
+	own(map[ownership.Shard]ownership.Claim{})
+	time.Sleep(limit)
+	leaving := target("a")
+	leaving.Draining = true
+	r.store.put("a", leaving)
+	r.mu.Lock()
+	r.working = 0
+	r.mu.Unlock()
+	own(owned)
+	r.eventually("the target is listed again", func() bool { return r.now()["a"].Draining })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.working > 0 {
+		t.Error("the leaving target takes work")
+	}
+}
