core/ownership: owners on the largest instances first

Owners were drawn with the processors as odds, so that three of fifteen held about 40 targets with 0.144 cores each, which their starts and looks use up. Change: instances are ranked by size, a factor of two being a step, and by weighted rendezvous hashing within a size.

--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -161,6 +161,30 @@
 	}
 }
 
+// Guards against small owners beside large instances: they have to serve as many
+// targets with a fraction of the processor time. With weights as odds alone, 20
+// small instances get a third of the shards.
+func TestLargeInstancesComeFirst(t *testing.T) {
+	for seed := range 20 {
+		var all []Member
+		for i := range 25 {
+			weight := 0.144
+			if i < 3 {
+				weight = 0.8
+			}
+			all = append(all, member(fmt.Sprintf("a%d-%d", seed, i), "a", weight))
+		}
+		c := newCluster(all...)
+		c.each(func(k *Keeper) { k.SetOwners("s", "a", 3) })
+		c.run(time.Second)
+		for name, n := range c.holders("a") {
+			if c.keepers[name].self.Weight < 0.8 {
+				t.Errorf("seed %d: the small instance %s holds %d shards", seed, name, n)
+			}
+		}
+	}
+}
+
 // Guards against shards that move each time an instance restarts: in a rolling
 // restart every move costs the targets' time.
 func TestRestartsMoveNothingBack(t *testing.T) {
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -21,8 +21,8 @@
 	holders []string
 }
 
-// plan ranks the live instances by weighted rendezvous hashing, those of the
-// pool's zone first. The shards are divided evenly among the first ones, so
+// plan ranks the live instances by size and weighted rendezvous hashing, those
+// of the pool's zone first. The shards are divided evenly among the first ones, so
 // that each queue sees as many targets as its instance can serve.
 func (k *Keeper) plan(service, zone string) plan {
 	key := service + "/" + zone
@@ -44,12 +44,15 @@
 	return p
 }
 
+// rank puts larger instances before smaller ones: an owner of too few
+// processors is late with every order for its targets. Hashing spreads the pools
+// over the instances of about one size.
 func rank(all []Member, key string) []string {
 	score := func(m Member) float64 {
 		return -max(m.Weight, minWeight) / math.Log(unit(key+"/"+m.Name))
 	}
 	slices.SortFunc(all, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(size(b), size(a)), cmp.Compare(score(b), score(a)), cmp.Compare(a.Name, b.Name))
 	})
 	out := make([]string, len(all))
 	for i, m := range all {
@@ -61,6 +64,10 @@
 // minWeight stands for instances that have not told their weight.
 const minWeight = 0.01
 
+// size is the same for instances whose weights differ by less than about a
+// factor of two.
+func size(m Member) int { return int(math.Floor(math.Log2(max(m.Weight, minWeight)))) }
+
 // unit hashes a text into the open interval from 0 to 1.
 func unit(text string) float64 {
 	return (float64(xxhash.Sum64String(text)>>11) + 0.5) / (1 << 53)
