core/forecast: tell targets apart by the tasks of one step

Estimates err by 40%, so that it took some ten runs to learn a target's speed, after each change of owner anew. Tasks of one step differ by 15% only. Change: a run time is compared with those of the step's tasks that ended before, where there are any, and counts by its variance (a Kalman filter). The variance of what is not known yet goes into the chance of a useful answer, so that long tasks go to targets known to be fast. Ruled out: reports of the platform (none tells the speed).

--- a/core/forecast/forecast.go
+++ b/core/forecast/forecast.go
@@ -8,13 +8,22 @@
 )
 
 const (
-	// queueWeight and targetWeight are the weights of one sample in the
-	// averages, which are kept as logarithms.
-	queueWeight  = 0.01
-	targetWeight = 0.1
+	// queueWeight is the weight of one sample in the averages of a queue, which
+	// are kept as logarithms.
+	queueWeight = 0.01
 	// priorSamples is the number of samples that the assumption is worth that
-	// estimates are exact and targets equally fast.
+	// estimates are exact.
 	priorSamples = 4
+	// speedVariance is that of the logarithm of the targets' slowness before
+	// anything is known of them: some are twice as slow as the others.
+	speedVariance = 0.12
+	// leastVariance keeps the slowness open to change: a target may turn slow.
+	leastVariance = 0.02
+	// estimateVariance and siblingVariance are those of the logarithm of a run
+	// time beside the forecast from the caller's estimate, and beside the run
+	// times of the other tasks of the step.
+	estimateVariance = 0.2
+	siblingVariance  = 0.05
 	// priorVariance is the assumed variance of the logarithm of estimates.
 	priorVariance = 0.1
 	// maxError bounds the logarithm of one sample's error, so that one outlier
@@ -43,10 +52,18 @@
 	varX, covariance float64
 }
 
-// speed is the logarithm of a target's slowness.
-type speed struct {
-	value   float64
-	samples int
+// speed is the logarithm of a target's slowness, with its variance.
+type speed struct{ value, variance float64 }
+
+// Sample is the run time of a task that has ended well.
+type Sample struct {
+	Queue, Target string
+	// Estimate is the caller's.
+	Estimate time.Duration
+	// Siblings is the mean run time, as on a target of average speed, of the
+	// tasks of the same step that ended before; zero if none has.
+	Siblings time.Duration
+	Took     time.Duration
 }
 
 // New returns a Model that trusts the estimates and takes all targets to be
@@ -103,32 +120,51 @@
 
 func (m *Model) mean() float64 { return m.sum / float64(max(len(m.targets), 1)) }
 
-// Learn takes in the run time of a task that has ended well.
-func (m *Model) Learn(name, target string, estimate, took time.Duration) {
-	if took <= 0 {
+// Variance is that of the logarithm of the target's slowness.
+func (m *Model) Variance(target string) float64 {
+	if t := m.targets[target]; t != nil {
+		return t.variance
+	}
+	return speedVariance
+}
+
+// Learn takes in a sample.
+func (m *Model) Learn(s Sample) {
+	if s.Took <= 0 {
 		return
 	}
-	x, y := math.Log(float64(known(estimate))), math.Log(float64(took))
-	q, t := m.queues[name], m.targets[target]
+	x, y := math.Log(float64(known(s.Estimate))), math.Log(float64(s.Took))
+	q, t := m.queues[s.Queue], m.targets[s.Target]
 	if q == nil {
 		q = &queue{meanX: x, meanY: x, varX: priorVariance, covariance: priorVariance}
-		m.queues[name] = q
+		m.queues[s.Queue] = q
 	}
 	if t == nil {
-		t = &speed{value: m.mean()}
-		m.targets[target] = t
+		t = &speed{value: m.mean(), variance: speedVariance}
+		m.targets[s.Target] = t
 		m.sum += t.value
 	}
 	slowness := t.value - m.mean()
-	off := y - q.predict(x) - slowness
-	off = min(max(off, -maxError), maxError)
-	t.samples++
-	change := weight(targetWeight, t.samples) * off
-	t.value += change
-	m.sum += change
+	off := bounded(y - q.predict(x) - slowness)
+	if s.Siblings > 0 {
+		m.correct(t, bounded(y-math.Log(float64(s.Siblings))-slowness), siblingVariance)
+	} else {
+		m.correct(t, off, estimateVariance)
+	}
 	q.learn(x, q.predict(x)+off)
 }
 
+// correct updates a target's slowness as a Kalman filter does, by an error of
+// which the variance is known.
+func (m *Model) correct(t *speed, off, variance float64) {
+	gain := t.variance / (t.variance + variance)
+	t.value += gain * off
+	m.sum += gain * off
+	t.variance = max(leastVariance, t.variance*(1-gain))
+}
+
+func bounded(off float64) float64 { return min(max(off, -maxError), maxError) }
+
 // Forget drops what is known of a target, for example when it starts anew.
 func (m *Model) Forget(target string) {
 	if t := m.targets[target]; t != nil {
--- a/core/forecast/forecast_test.go
+++ b/core/forecast/forecast_test.go
@@ -28,7 +28,7 @@
 			forecast += math.Abs(math.Log(d / float64(took)))
 			estimated += math.Abs(math.Log(float64(estimate) / float64(took)))
 		}
-		m.Learn("q", name, estimate, took)
+		m.Learn(Sample{Queue: "q", Target: name, Estimate: estimate, Took: took})
 	}
 	if forecast > 0.8*estimated {
 		t.Errorf("forecasts err by %.3f on average, estimates by %.3f", forecast*2/n, estimated*2/n)
@@ -38,3 +38,59 @@
 		t.Errorf("the slow target is taken to be %.2f times slower, is 2.18", ratio)
 	}
 }
+
+// A new owner knows nothing of its targets, and long tasks on slow ones end
+// after their deadline. The tasks of a step take about equally long, so that a
+// few of them have to tell the targets apart, however far off the estimates are.
+func TestSiblingsTellTargetsApart(t *testing.T) {
+	const targets, width, slow = 40, 4, 0.55
+	speed := func(i int) float64 {
+		if i%4 == 0 {
+			return slow
+		}
+		return 1.2
+	}
+	wrong, pairs := 0, 0
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		m := New()
+		order := rng.Perm(targets)
+		for range 3 {
+			for i := 0; i < targets; i += width {
+				work := 0.3 * math.Exp(rng.NormFloat64()*0.4)
+				estimate := time.Duration(work * math.Exp(rng.NormFloat64()*0.4) * float64(time.Second))
+				var total time.Duration
+				for n, target := range order[i : i+width] {
+					name := fmt.Sprint("t", target)
+					took := time.Duration(work * math.Exp(rng.NormFloat64()*0.15) / speed(target) * float64(time.Second))
+					s := Sample{Queue: "q", Target: name, Estimate: estimate, Took: took}
+					if n > 0 {
+						s.Siblings = total / time.Duration(n)
+					}
+					total += time.Duration(float64(took) / m.Slowness(name))
+					m.Learn(s)
+				}
+			}
+			rng.Shuffle(targets, func(i, j int) { order[i], order[j] = order[j], order[i] })
+		}
+		for i := range targets {
+			pairs++
+			if (m.Slowness(fmt.Sprint("t", i)) > 1.25) != (speed(i) == slow) {
+				wrong++
+			}
+		}
+	}
+	if wrong > pairs/100 {
+		t.Errorf("after three tasks each, %d of %d targets are taken for ones of the other speed", wrong, pairs)
+	}
+}
+
+func ExampleModel_Slowness() {
+	m := New()
+	for range 20 {
+		m.Learn(Sample{Queue: "valuations", Target: "old", Estimate: time.Second, Took: 2 * time.Second})
+		m.Learn(Sample{Queue: "valuations", Target: "new", Estimate: time.Second, Took: time.Second})
+	}
+	fmt.Printf("%.0f times as slow\n", m.Slowness("old")/m.Slowness("new"))
+	// Output: 2 times as slow
+}
--- a/core/scheduler/chance.go
+++ b/core/scheduler/chance.go
@@ -7,8 +7,8 @@
 
 const (
 	// taskError and jobError are the standard deviations of the logarithm of a
-	// forecast. The first is that of one task beside the others of its job,
-	// the second also that of the whole job. The latency objective is a
+	// forecast on a target of known speed. The first is that of one task beside
+	// the others of its job, the second also that of the whole job. The latency objective is a
 	// multiple of the job's work, so that only the first bears on it.
 	taskError = 0.15
 	jobError  = 0.3
@@ -21,15 +21,16 @@
 // the given base starts on the target after a wait and all others are in time.
 func (s *Scheduler) chance(k *task, base time.Duration, t *target, wait time.Duration) float64 {
 	j := k.job
-	d := s.expect(k, base, t)
-	spread := jobError
-	if j.ended[k.id.Step].count > 0 {
-		spread = taskError
+	d, unknown := s.expect(k, base, t), s.model.Variance(t.ID)
+	among := math.Sqrt(taskError*taskError + unknown)
+	alone := among
+	if j.ended[k.id.Step].count == 0 {
+		alone = math.Sqrt(jobError*jobError + unknown)
 	}
 	start := s.now.Add(wait)
-	deadline := ends(d, j.Deadline.Sub(start), spread)
-	objective := ends(d, j.Arrived.Add(j.objective).Sub(start), taskError)
-	late := ends(d, s.worthless(j).Sub(start), taskError)
+	deadline := ends(d, j.Deadline.Sub(start), alone)
+	objective := ends(d, j.Arrived.Add(j.objective).Sub(start), among)
+	late := ends(d, s.worthless(j).Sub(start), among)
 	return deadline * ((1-lateValue)*objective + lateValue*late)
 }
 
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -40,6 +40,9 @@
 	count int
 }
 
+// mean is 0 without samples.
+func (n sum) mean() time.Duration { return n.total / time.Duration(max(n.count, 1)) }
+
 // task is one task of a job.
 type task struct {
 	id       TaskID
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -159,8 +159,8 @@
 // tasks of a step take about equally long, so that the ones that have ended
 // tell more than the estimate.
 func (s *Scheduler) base(k *task) time.Duration {
-	if n := k.job.ended[k.id.Step]; n.count > 0 {
-		return n.total / time.Duration(n.count)
+	if d := k.job.ended[k.id.Step].mean(); d > 0 {
+		return d
 	}
 	return s.model.Base(k.job.Queue, k.step.Estimate)
 }
--- a/core/scheduler/rules_test.go
+++ b/core/scheduler/rules_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"marigoldfront.dev/core/forecast"
 )
 
 func (b *bench) stopped(a Stop, answered bool) {
@@ -248,8 +250,8 @@
 func TestLongTaskWaitsForFastTarget(t *testing.T) {
 	b := newBench(t, testTarget("fast"), testTarget("slow"))
 	for range 50 {
-		b.s.model.Learn("q", "fast", 200*time.Millisecond, 200*time.Millisecond)
-		b.s.model.Learn("q", "slow", 200*time.Millisecond, 500*time.Millisecond)
+		b.s.model.Learn(forecast.Sample{Queue: "q", Target: "fast", Estimate: 200 * time.Millisecond, Took: 200 * time.Millisecond})
+		b.s.model.Learn(forecast.Sample{Queue: "q", Target: "slow", Estimate: 200 * time.Millisecond, Took: 500 * time.Millisecond})
 	}
 	short := testJob("short", 2)
 	short.Steps[0].Estimate = 60 * time.Millisecond
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"marigoldfront.dev/core/forecast"
 )
 
 const (
@@ -64,9 +66,7 @@
 	d := r.expected
 	if r.task != nil {
 		d <<= min(2*r.task.hung, maxPatience)
-		if n := r.task.job.ended[r.id.Task.Step]; n.count > 0 {
-			d = max(d, n.total/time.Duration(n.count))
-		}
+		d = max(d, r.task.job.ended[r.id.Task.Step].mean())
 	}
 	return r.started.Add(s.policy.overdue(d))
 }
@@ -277,14 +277,16 @@
 
 // learn takes in the run time of a done task.
 func (s *Scheduler) learn(k *task, t *target, took time.Duration) {
-	base := float64(took) / s.model.Slowness(t.ID)
 	if k.step.Rack != "" && !slices.Contains(t.Labels, k.step.Rack) {
-		base /= max(1, s.cfg.FarFactor)
+		took = time.Duration(float64(took) / max(1, s.cfg.FarFactor))
 	}
 	n := &k.job.ended[k.id.Step]
+	base := time.Duration(float64(took) / s.model.Slowness(t.ID))
+	s.model.Learn(forecast.Sample{
+		Queue: k.job.Queue, Target: t.ID, Estimate: k.step.Estimate, Siblings: n.mean(), Took: took,
+	})
 	n.count++
-	n.total += time.Duration(base)
-	s.model.Learn(k.job.Queue, t.ID, k.step.Estimate, time.Duration(base*s.model.Slowness(t.ID)))
+	n.total += base
 }
 
 func (s *Scheduler) taskDone(k *task) {
