pool/desk: ask full owners once, silent ones last

Owners that an instance cannot reach looked cheaper than busy ones, since a failure wiped their report. Ruled out: processor time (the same without it), the forecasts (backlogs of 0 to 40 ms). Change: an owner that reported in the last 100 ms that it has a queue or too little room is not asked to start a job at once. An owner that left a connection or a beat unanswered comes last for two seconds, from the first beat on and not only when its jobs are given up. Tests: TestFullOwnersAreAskedOnce, the rows "silent" of TestOwnerWithRoomIsAskedFirst, TestUnreachableOwnerIsSilent, TestOwnerIsSilentAfterOneBeat; none passes without the change.

--- a/pool/desk/desk.go
+++ b/pool/desk/desk.go
@@ -33,6 +33,13 @@
 	// shortageCost is added for an owner in the share of the job for which it
 	// has no free processors: the job waits there, or is declined.
 	shortageCost = 40 * time.Millisecond
+	// silentCost is added for an owner that did not answer in the last
+	// silentTime. Only a job that no other owner takes waits for its answer.
+	silentCost = 2 * time.Second
+	silentTime = 2 * time.Second
+	// currentLoad is how old a report may be to say that an owner cannot start
+	// a job at once; most tasks end within it.
+	currentLoad = 100 * time.Millisecond
 	// maxOwners bounds the owners that are asked to start a job at once.
 	maxOwners = 3
 )
@@ -173,19 +180,25 @@
 
 // run asks the owners in turn, as long as the last one has certainly started
 // nothing. The first ones are asked to take the job only if it can start at
-// once; where none can, the best one queues it.
+// once, unless they have just reported that they have no room; where none can,
+// the best one queues it. When all owners are full, each question would make the
+// job later and take processor time from them.
 func (d *Desk) run(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
-	all := d.owners(j)
+	all, need := d.owners(j), needAtOnce(j)
 	all = all[:min(len(all), maxOwners)]
 	now := *j
 	now.OnlyNow = true
-	for _, address := range all {
-		if o := d.ask(ctx, address, &now); final(o) || ctx.Err() != nil {
-			return o, address
+	for _, c := range all {
+		if c.full(time.Now(), need) {
+			continue
+		}
+		if o := d.ask(ctx, c.address, &now); final(o) || ctx.Err() != nil {
+			return o, c.address
 		}
 	}
 	o = scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
-	for _, owner = range d.owners(j) {
+	for _, c := range d.owners(j) {
+		owner = c.address
 		o = d.ask(ctx, owner, j)
 		if r, ok := o.(scheduler.Refused); !ok || r.Reason == scheduler.ReasonOverloaded || final(o) || ctx.Err() != nil {
 			break
@@ -237,6 +250,9 @@
 	if c.load.Draining {
 		cost += time.Second
 	}
+	if now.Sub(c.load.SilentAt) < silentTime {
+		cost += silentCost
+	}
 	if now.Sub(c.load.At) < freshLoad {
 		cost += c.load.Wait
 		if short := need - c.load.FreeCPU; short > 0 {
@@ -246,8 +262,14 @@
 	return cost.Round(costStep)
 }
 
+// full says whether the owner has just reported that it cannot start a job at
+// once that needs a number of processors, in thousandths of a core.
+func (c candidate) full(now time.Time, need int64) bool {
+	return now.Sub(c.load.At) < currentLoad && (c.load.Queued > 0 || c.load.FreeCPU < need)
+}
+
 // owners returns the owners for a job, the best one first.
-func (d *Desk) owners(j *scheduler.Job) []string {
+func (d *Desk) owners(j *scheduler.Job) []candidate {
 	now, need := time.Now(), needAtOnce(j)
 	var all []candidate
 	for s, c := range d.cfg.Holders(j.Service) {
@@ -261,11 +283,7 @@
 	// Among equals the order is random, so that they share the load.
 	rand.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
 	slices.SortStableFunc(all, func(a, b candidate) int { return cmp.Compare(a.cost(now, need), b.cost(now, need)) })
-	out := make([]string, len(all))
-	for i, c := range all {
-		out[i] = c.address
-	}
-	return out
+	return all
 }
 
 // needAtOnce is the sum of what the tasks need that can start first, in
--- a/pool/desk/desk_test.go
+++ b/pool/desk/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -137,9 +138,47 @@
 		"a little short": {candidate{near: true, load: load(0, 100_000)}, candidate{load: load(0, 200_000)}},
 		"longer queue":   {candidate{near: true, load: load(0, 50_000)}, candidate{near: true, load: load(90*time.Millisecond, 200_000)}},
 		"old report":     {candidate{near: true, load: relay.Load{At: now.Add(-time.Minute)}}, candidate{near: true, load: load(0, 0)}},
+		// In a zone that is cut off, each job would wait for the owners outside.
+		"silent": {candidate{near: true, load: load(time.Second, 0)}, candidate{near: true, load: relay.Load{SilentAt: now}}},
+		"no longer silent": {
+			candidate{near: true, load: relay.Load{SilentAt: now.Add(-time.Minute)}}, candidate{near: true, load: load(0, 0)},
+		},
 	} {
 		if b, w := tc.better.cost(now, need), tc.worse.cost(now, need); b >= w {
 			t.Errorf("%s: cost %v of the better owner, %v of the other", name, b, w)
 		}
 	}
 }
+
+// Guards against jobs that are late because they ask one full owner after the
+// other, which costs the owners processor time just when they have none left.
+func TestFullOwnersAreAskedOnce(t *testing.T) {
+	j := scheduler.Job{ID: "j", Service: "s", Steps: []scheduler.Step{{Count: 2, CPU: 27_000}}}
+	for name, tc := range map[string]struct {
+		load relay.Load
+		want []bool // OnlyNow of each question
+	}{
+		"room":         {relay.Load{FreeCPU: 200_000}, []bool{true, false}},
+		"no room":      {relay.Load{FreeCPU: 50_000}, []bool{false}},
+		"queue":        {relay.Load{FreeCPU: 200_000, Queued: 1}, []bool{false}},
+		"no report":    {relay.Load{At: time.Unix(1, 0)}, []bool{true, false}},
+		"older report": {relay.Load{At: time.Now().Add(-2 * currentLoad)}, []bool{true, false}},
+	} {
+		var asked []bool
+		d := newDesk(t, func(_ context.Context, j scheduler.Job) (scheduler.Outcome, error) {
+			asked = append(asked, j.OnlyNow)
+			return scheduler.Refused{Reason: scheduler.ReasonBusy}, nil
+		})
+		d.cfg.Load = func() relay.Load {
+			l := tc.load
+			if l.At.IsZero() {
+				l.At = time.Now()
+			}
+			return l
+		}
+		d.Submit(context.Background(), j)
+		if !slices.Equal(asked, tc.want) {
+			t.Errorf("%s: asked to start at once: %v, want %v", name, asked, tc.want)
+		}
+	}
+}
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -50,6 +50,8 @@
 	Queued   int
 	Draining bool
 	At       time.Time
+	// SilentAt is when the owner did not answer, if it has not answered since.
+	SilentAt time.Time
 }
 
 // Relay is the client side.
@@ -167,7 +169,7 @@
 	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		r.forget(o)
+		r.silent(o)
 		return scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
 	}
 	var te twirp.Error
@@ -217,10 +219,11 @@
 	}
 }
 
-func (r *Relay) forget(o *owner) {
+// silent notes that an owner does not answer.
+func (r *Relay) silent(o *owner) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	o.load = Load{}
+	o.load = Load{SilentAt: time.Now()}
 }
 
 // beatAlways sends beats as long as jobs are on their way, and one after the
@@ -280,6 +283,7 @@
 		}
 		return
 	}
+	r.silent(o)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if time.Since(o.heard) < ownerTimeout {
@@ -287,7 +291,6 @@
 	}
 	r.log.Warn("An owner is silent; its jobs are given up.", zap.Int("jobs", len(o.flights)), zap.Error(err),
 		zap.Duration("silent", time.Since(o.heard)))
-	o.load = Load{}
 	for _, f := range o.flights {
 		f.end(errSilent)
 	}
--- /dev/null
+++ b/pool/relay/relay_test.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/infra/tracing"
+	"marigoldfront.dev/wire"
+)
+
+func newRelay(t *testing.T) *Relay {
+	tracer, err := tracing.New("off", "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := NewRelay(zap.NewNop(), tracer, "a", 1, func() int64 { return 0 }, func(wire.Pool) {})
+	t.Cleanup(r.Close)
+	return r
+}
+
+func testJob() *scheduler.Job {
+	now := time.Now()
+	return &scheduler.Job{ID: "j", Arrived: now, Deadline: now.Add(time.Second)}
+}
+
+// Guards against an owner without a report that counts as free although it has
+// just not answered.
+func TestUnreachableOwnerIsSilent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	r, j := newRelay(t), testJob()
+	if o, ok := r.Run(context.Background(), address, j.Arrived, j).(scheduler.Refused); !ok || o.Reason != scheduler.ReasonNoTarget {
+		t.Errorf("the answer is %v", o)
+	}
+	if at := r.Load(address).SilentAt; at.Before(j.Arrived) {
+		t.Errorf("the owner is silent since %v", at)
+	}
+}
+
+// Guards against an owner that counts as reachable until its jobs are given up:
+// every job that it gets meanwhile is lost.
+func TestOwnerIsSilentAfterOneBeat(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	r, j := newRelay(t), testJob()
+	go r.Run(context.Background(), l.Addr().String(), j.Arrived, j)
+	limit := beatEvery + beatTimeout + 50*time.Millisecond
+	for end := time.Now().Add(limit); r.Load(l.Addr().String()).SilentAt.IsZero(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not known to be silent after %v", limit)
+		}
+	}
+}
