ownership: owners by what they can serve, claims only of reached targets

(1) The number of owners came from the number of targets alone: 17 targets went to one instance of 0.12 cores and 2 Mbit/s, whose link was full (each question took it 40 to 300 ms, also without processor time), and the large site's pools were divided anew when they grew from 108 to 136 targets, although owners of 0.8 cores had used 0.15. (2) When a zone was cut off, an instance outside claimed its 12 shards 1.5 s later, fenced its owners off as soon as the cut ended, and gave the shards back one by one. Ruled out: a longer wait before such claims (docs/PLATFORM.md). Change: instances register how many targets they can serve, by processors and link (new setting link_mbps); the store holds the number of targets of a pool, and all work out the same owners from both. Shards of another zone are claimed only if one of three targets there answers a look without a token.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -22,8 +22,17 @@
 	// settleTime is how long another instance has to be the better holder of a
 	// shard before it is passed on, so that restarts do not move shards twice.
 	settleTime = 3 * time.Second
-	// muchLarger is the ratio of weights from which a shard is passed on.
+	// muchLarger is the ratio of capacities from which a shard is passed on.
 	muchLarger = 2
+	// targetsPerCore and targetsPerMbps are the targets that one core, and one
+	// Mbit/s of the link, can serve: the orders for a target take 5 to 8 ms of
+	// processor time and about 12 KB a second, and as much again in bursts.
+	targetsPerCore = 100
+	targetsPerMbps = 5
+	// mostTargets bounds the search for a free target, which looks at each.
+	mostTargets = 120
+	// usualCapacity is that of an instance that has not told its own.
+	usualCapacity = 40
 	// reclaimDelay leaves a living holder whose key vanished the time to claim
 	// it again, because its tasks run on under the old token.
 	reclaimDelay = 1200 * time.Millisecond
@@ -47,12 +56,29 @@
 	Zone        string
 	Address     string
 	Incarnation uint64
-	// Weight is the instance's share of work, relative to others.
-	Weight float64
+	// Capacity is the number of targets that the instance can serve.
+	Capacity int
 	// Draining is set once the instance prepares to stop: it claims nothing.
 	Draining bool
 }
 
+// Capacity returns the number of targets that an instance can serve, by its
+// processors and its link in Mbit/s, of which 0 means any number.
+func Capacity(cores, mbps float64) int {
+	n := min(cores*targetsPerCore, mostTargets)
+	if mbps > 0 {
+		n = min(n, mbps*targetsPerMbps)
+	}
+	return max(int(n), 1)
+}
+
+func (m Member) capacity() int {
+	if m.Capacity <= 0 {
+		return usualCapacity
+	}
+	return m.Capacity
+}
+
 // Claim is the holder of a shard. One without a name was passed on by its
 // holder and can be claimed at once.
 type Claim struct {
@@ -84,8 +110,8 @@
 	claims   map[Shard]Claim
 	// free holds the shards that can be claimed and since when.
 	free map[Shard]vacancy
-	// owners is the number of instances that hold the shards of a pool.
-	owners map[pool]int
+	// targets is the number of targets of a pool.
+	targets map[pool]int
 	// misplaced holds own shards that another instance should hold.
 	misplaced map[Shard]time.Time
 }
@@ -105,7 +131,7 @@
 	k := &Keeper{
 		self: self, zones: slices.Clone(zones), shards: max(shards, 1),
 		members: map[string]Member{}, claims: map[Shard]Claim{}, free: map[Shard]vacancy{},
-		owners: map[pool]int{}, misplaced: map[Shard]time.Time{},
+		targets: map[pool]int{}, misplaced: map[Shard]time.Time{},
 	}
 	slices.Sort(k.zones)
 	return k
@@ -114,11 +140,12 @@
 // SetServices sets the services of the configuration in force.
 func (k *Keeper) SetServices(services []string) { k.services = slices.Clone(services) }
 
-// SetOwners sets how many instances hold the shards of a service in a zone.
-func (k *Keeper) SetOwners(service, zone string, n int) { k.owners[pool{service, zone}] = n }
+// SetTargets sets how many targets a service has in a zone. As many instances
+// hold its shards as it takes to serve them.
+func (k *Keeper) SetTargets(service, zone string, n int) { k.targets[pool{service, zone}] = n }
 
-// Owners is the number set with SetOwners, or 1.
-func (k *Keeper) Owners(service, zone string) int { return max(k.owners[pool{service, zone}], 1) }
+// Targets is the number set with SetTargets.
+func (k *Keeper) Targets(service, zone string) int { return k.targets[pool{service, zone}] }
 
 // SetMember registers a live instance.
 func (k *Keeper) SetMember(m Member) { k.members[m.Name] = m }
@@ -172,7 +199,7 @@
 	}
 	k.members = map[string]Member{}
 	k.claims = claims
-	k.owners = map[pool]int{}
+	k.targets = map[pool]int{}
 }
 
 // lives says whether the holder of a claim is registered.
@@ -240,11 +267,7 @@
 				own = append(own, s)
 			}
 		}
-		share := len(own)
-		if n := p.owners(); n > 0 {
-			share = (k.shards + n - 1) / n
-		}
-		over := len(own) - share
+		over := len(own) - p.share(k.self, k.shards)
 		for _, s := range own {
 			to := p.preferred(s.Index)
 			if to == k.self.Name || to == "" || over <= 0 && !k.better(to, zone) {
@@ -267,7 +290,7 @@
 	if k.self.Zone != zone {
 		return m.Zone == zone
 	}
-	return m.Zone == zone && m.Weight > muchLarger*k.self.Weight
+	return m.Zone == zone && m.capacity() > muchLarger*k.self.capacity()
 }
 
 // settled says whether a shard has been misplaced for long enough.
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -17,8 +17,10 @@
 	// in the pool's zone.
 	ranked []string
 	near   int
-	// holders are the preferred holders of the shards.
-	holders []string
+	// holders are the preferred holders of the shards, and capacity what they
+	// have together.
+	holders  []string
+	capacity int
 }
 
 // plan ranks the live instances by size and weighted rendezvous hashing, those
@@ -36,10 +38,22 @@
 			far = append(far, m)
 		}
 	}
-	p := plan{near: len(near), ranked: append(rank(near, key), rank(far, key)...)}
-	n := min(k.Owners(service, zone), max(len(near), min(len(far), 1)))
-	if n > 0 {
-		p.holders = divide(p.ranked[:n], key, k.shards)
+	rank(near, key)
+	rank(far, key)
+	p := plan{near: len(near)}
+	for _, m := range append(near, far...) {
+		p.ranked = append(p.ranked, m.Name)
+	}
+	owners := near
+	if len(near) == 0 {
+		owners = far[:min(len(far), 1)]
+	}
+	for i, m := range owners {
+		p.capacity += m.capacity()
+		if p.capacity >= k.Targets(service, zone) || i == len(owners)-1 {
+			p.holders = divide(owners[:i+1], p.capacity, key, k.shards)
+			break
+		}
 	}
 	return p
 }
@@ -47,26 +61,18 @@
 // rank puts larger instances before smaller ones: an owner of too few
 // processors is late with every order for its targets. Hashing spreads the pools
 // over the instances of about one size.
-func rank(all []Member, key string) []string {
+func rank(all []Member, key string) {
 	score := func(m Member) float64 {
-		return -max(m.Weight, minWeight) / math.Log(unit(key+"/"+m.Name))
+		return -float64(m.capacity()) / math.Log(unit(key+"/"+m.Name))
 	}
 	slices.SortFunc(all, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(size(b), size(a)), cmp.Compare(score(b), score(a)), cmp.Compare(a.Name, b.Name))
 	})
-	out := make([]string, len(all))
-	for i, m := range all {
-		out[i] = m.Name
-	}
-	return out
 }
 
-// minWeight stands for instances that have not told their weight.
-const minWeight = 0.01
-
-// size is the same for instances whose weights differ by less than about a
+// size is the same for instances whose capacities differ by less than about a
 // factor of two.
-func size(m Member) int { return int(math.Floor(math.Log2(max(m.Weight, minWeight)))) }
+func size(m Member) int { return int(math.Floor(math.Log2(float64(m.capacity())))) }
 
 // unit hashes a text into the open interval from 0 to 1.
 func unit(text string) float64 {
@@ -75,15 +81,15 @@
 
 // divide gives each shard to the owner that ranks first for it and has room,
 // so that few shards move when an owner comes or goes.
-func divide(owners []string, key string, shards int) []string {
-	room := (shards + len(owners) - 1) / len(owners)
+func divide(owners []Member, capacity int, key string, shards int) []string {
 	count := map[string]int{}
 	out := make([]string, shards)
 	for i := range shards {
 		best, bestScore := "", -1.0
 		for _, o := range owners {
-			if score := unit(key + "/" + strconv.Itoa(i) + "/" + o); count[o] < room && score > bestScore {
-				best, bestScore = o, score
+			score := unit(key + "/" + strconv.Itoa(i) + "/" + o.Name)
+			if count[o.Name] < part(o, capacity, shards) && score > bestScore {
+				best, bestScore = o.Name, score
 			}
 		}
 		out[i] = best
@@ -92,13 +98,17 @@
 	return out
 }
 
-// owners is the number of instances that share the pool.
-func (p plan) owners() int {
-	seen := map[string]bool{}
-	for _, h := range p.holders {
-		seen[h] = true
+// part is the most shards that an owner holds, by its part of the capacity.
+func part(m Member, capacity, shards int) int {
+	return (shards*m.capacity() + capacity - 1) / capacity
+}
+
+// share is the most shards that an instance should hold.
+func (p plan) share(m Member, shards int) int {
+	if p.capacity == 0 {
+		return shards
 	}
-	return len(seen)
+	return part(m, p.capacity, shards)
 }
 
 // preferred is who should hold shard i, or empty.
--- a/pool/listing/listing.go
+++ b/pool/listing/listing.go
@@ -51,8 +51,9 @@
 	mu     sync.Mutex
 	listed map[string]*entry // by key
 	posted []scheduler.Target
-	// wanted belongs to the goroutine of Run: the owners of each pool.
-	wanted map[string]int
+	// told belongs to the goroutine of Run: the number of targets of each pool,
+	// as it was told last.
+	told map[pool]int
 }
 
 // Owner says which shards are the instance's own.
@@ -60,8 +61,8 @@
 	Owned() map[ownership.Shard]ownership.Claim
 	// Releasing returns those that are being passed on.
 	Releasing() map[ownership.Shard]bool
-	// WantOwners is told how many instances should hold a pool.
-	WantOwners(service, zone string, n int)
+	// SetTargets is told how many targets a pool has.
+	SetTargets(service, zone string, n int)
 }
 
 // entry is a listed target.
@@ -78,7 +79,7 @@
 	return &Listing{
 		log: log, store: store, formats: formats, owner: owner, shards: shards, clock: clock, post: post,
 		ctx: ctx, cancel: cancel, done: make(chan struct{}), kick: make(chan struct{}, 1),
-		listed: map[string]*entry{}, wanted: map[string]int{},
+		listed: map[string]*entry{}, told: map[pool]int{},
 	}
 }
 
@@ -186,7 +187,7 @@
 	}
 	l.mu.Unlock()
 	l.publish()
-	l.countOwners()
+	l.countTargets()
 }
 
 func (l *Listing) apply(it port.Item) {
@@ -236,16 +237,15 @@
 	}
 }
 
-// targetsPerOwner is how many targets one instance serves. More of them make its
-// queue see more free room, and cost it processor time: a target is about ten
-// starts and looks a second.
-const targetsPerOwner = 40
+// pool is the targets of a service in an availability zone.
+type pool struct{ service, zone string }
 
-// countOwners tells how many instances the listed pools need. A pool has to
-// shrink well below the bound before it gets fewer, so that it does not move
-// back and forth.
-func (l *Listing) countOwners() {
-	type pool struct{ service, zone string }
+// shrunk is the part to which a pool has to shrink before that is told, so that
+// its shards do not move back and forth.
+const shrunk = 0.75
+
+// countTargets tells how many targets the pools have.
+func (l *Listing) countTargets() {
 	l.mu.Lock()
 	counts := map[pool]int{}
 	for _, e := range l.listed {
@@ -253,12 +253,10 @@
 	}
 	l.mu.Unlock()
 	for p, n := range counts {
-		want := (n + targetsPerOwner - 1) / targetsPerOwner
-		if old := l.wanted[p.service+"/"+p.zone]; want < old && n > (old-1)*targetsPerOwner*3/4 {
-			want = old
+		if old := l.told[p]; n > old || float64(n) < shrunk*float64(old) {
+			l.told[p] = n
 		}
-		l.wanted[p.service+"/"+p.zone] = want
-		l.owner.WantOwners(p.service, p.zone, want)
+		l.owner.SetTargets(p.service, p.zone, l.told[p])
 	}
 }
 
--- a/pool/owner/claim.go
+++ b/pool/owner/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,7 +43,12 @@
 	if len(wishes) == 0 {
 		return
 	}
-	o.claim(wishes[:min(len(wishes), maxWishes)], lease)
+	wishes = slices.DeleteFunc(wishes, func(w ownership.Wish) bool {
+		return w.Shard.Zone != o.self.Zone && !o.reaches(o.ctx, w.Shard.Service, w.Shard.Zone)
+	})
+	if len(wishes) > 0 {
+		o.claim(wishes[:min(len(wishes), maxWishes)], lease)
+	}
 	o.mu.Lock()
 	o.claiming = false
 	o.mu.Unlock()
--- a/pool/owner/owner.go
+++ b/pool/owner/owner.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	memberPrefix = "marigoldfront/members/"
-	shardPrefix  = "marigoldfront/shards/"
-	ownersPrefix = "marigoldfront/owners/"
-	rootPrefix   = "marigoldfront/"
+	memberPrefix  = "marigoldfront/members/"
+	shardPrefix   = "marigoldfront/shards/"
+	targetsPrefix = "marigoldfront/targets/"
+	rootPrefix    = "marigoldfront/"
 	// leaseTime is how long a registration outlives its instance. Its targets
 	// have dropped their tasks by then.
 	leaseTime = 1500 * time.Millisecond
@@ -49,14 +49,14 @@
 	Zone        string `json:"zone"`
 	Address     string `json:"address"`
 	Incarnation uint64 `json:"incarnation,string"`
-	// Weight is the instance's share of work, relative to others.
-	Weight   float64 `json:"weight,omitempty"`
-	Draining bool    `json:"draining,omitempty"`
+	// Capacity is the number of targets that the instance can serve.
+	Capacity int  `json:"capacity,omitempty"`
+	Draining bool `json:"draining,omitempty"`
 }
 
-// owners is the value of the key that says how many instances hold a pool.
-type owners struct {
-	Owners int `json:"owners"`
+// targets is the value of the key that says how many targets a pool has.
+type targets struct {
+	Targets int `json:"targets"`
 }
 
 // Owner follows and makes claims.
@@ -85,15 +85,19 @@
 	releasing map[ownership.Shard]bool
 	// busy says whether anything runs on the targets of a shard.
 	busy func(ownership.Shard) bool
+	// reaches says whether the targets of a pool can be reached from here.
+	reaches func(ctx context.Context, service, zone string) bool
 }
 
 // New returns an Owner; Run starts it.
 func New(log *zap.Logger, store port.Store, self ownership.Member, zones []string, shards int,
-	clock func() time.Time, changed func(), busy func(ownership.Shard) bool) *Owner {
+	clock func() time.Time, changed func(), busy func(ownership.Shard) bool,
+	reaches func(ctx context.Context, service, zone string) bool) *Owner {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Owner{
 		log: log, store: store, self: self, clock: clock, changed: changed, ctx: ctx, cancel: cancel,
 		keeper: ownership.New(self, zones, shards), releasing: map[ownership.Shard]bool{}, busy: busy,
+		reaches: reaches,
 	}
 }
 
@@ -207,7 +211,7 @@
 	o.mu.Unlock()
 	b, err := json.Marshal(holder{
 		Name: o.self.Name, Zone: o.self.Zone, Address: o.self.Address, Incarnation: o.self.Incarnation,
-		Weight: o.self.Weight, Draining: draining,
+		Capacity: o.self.Capacity, Draining: draining,
 	})
 	if err != nil {
 		panic(err)
--- a/pool/owner/release.go
+++ b/pool/owner/release.go
@@ -89,25 +89,25 @@
 	}
 }
 
-// WantOwners sets how many instances should hold a pool, if this one holds the
-// pool's first shard.
-func (o *Owner) WantOwners(service, zone string, n int) {
+// SetTargets tells all instances how many targets a pool has, if this one holds
+// the pool's first shard.
+func (o *Owner) SetTargets(service, zone string, n int) {
 	o.mu.Lock()
 	_, first := o.keeper.Owned()[ownership.Shard{Service: service, Zone: zone}]
-	known := o.keeper.Owners(service, zone)
+	known := o.keeper.Targets(service, zone)
 	o.mu.Unlock()
 	if !first || n == known {
 		return
 	}
-	value, err := json.Marshal(owners{Owners: n})
+	value, err := json.Marshal(targets{Targets: n})
 	if err != nil {
 		panic(err)
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 	defer cancel()
-	put := port.Put{Key: ownersPrefix + service + "/" + zone, Value: value}
+	put := port.Put{Key: targetsPrefix + service + "/" + zone, Value: value}
 	if _, _, _, err := o.store.Commit(ctx, port.Change{Puts: []port.Put{put}}); err != nil {
-		o.log.Warn("The number of owners was not written.", zap.String("service", service), zap.Error(err))
+		o.log.Warn("The number of targets was not written.", zap.String("service", service), zap.Error(err))
 	}
 }
 
--- a/pool/owner/watch.go
+++ b/pool/owner/watch.go
@@ -71,8 +71,8 @@
 			o.applyMember(it)
 		case strings.HasPrefix(it.Key, shardPrefix):
 			o.applyClaim(it)
-		case strings.HasPrefix(it.Key, ownersPrefix) && !it.Deleted:
-			o.applyOwners(it)
+		case strings.HasPrefix(it.Key, targetsPrefix) && !it.Deleted:
+			o.applyTargets(it)
 		}
 	}
 }
@@ -90,20 +90,20 @@
 		return
 	}
 	o.keeper.SetMember(ownership.Member{
-		Name: name, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation, Weight: h.Weight,
+		Name: name, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation, Capacity: h.Capacity,
 		Draining: h.Draining,
 	})
 }
 
-func (o *Owner) applyOwners(it port.Item) {
-	parts := strings.Split(strings.TrimPrefix(it.Key, ownersPrefix), "/")
-	var v owners
+func (o *Owner) applyTargets(it port.Item) {
+	parts := strings.Split(strings.TrimPrefix(it.Key, targetsPrefix), "/")
+	var v targets
 	if err := json.Unmarshal(it.Value, &v); err != nil || len(parts) != 2 {
-		o.log.Warn("The number of owners cannot be read.", zap.String("key", it.Key), zap.Error(err))
+		o.log.Warn("The number of targets cannot be read.", zap.String("key", it.Key), zap.Error(err))
 		return
 	}
-	o.log.Info("The number of owners is known.", zap.String("key", it.Key), zap.Int("owners", v.Owners))
-	o.keeper.SetOwners(parts[0], parts[1], v.Owners)
+	o.log.Info("The number of targets is known.", zap.String("key", it.Key), zap.Int("targets", v.Targets))
+	o.keeper.SetTargets(parts[0], parts[1], v.Targets)
 }
 
 func (o *Owner) applyClaim(it port.Item) {
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -25,6 +25,7 @@
 	"marigoldfront.dev/infra/logging"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/pool/configuration"
+	"marigoldfront.dev/pool/contact"
 	"marigoldfront.dev/pool/desk"
 	"marigoldfront.dev/pool/listing"
 	"marigoldfront.dev/pool/loop"
@@ -122,7 +123,7 @@
 		cfg: cfg, platform: p, log: log, decisions: decisions, tracer: tracer, metrics: metrics.New(),
 		self: ownership.Member{
 			Name: cfg.Name, Zone: cfg.AvailabilityZone, Address: cfg.PeerAddress, Incarnation: rand.Uint64(),
-			Weight: cfg.Weight,
+			Capacity: ownership.Capacity(cfg.Weight, cfg.LinkMbps),
 		},
 	}
 	in.compose()
@@ -145,7 +146,7 @@
 	})
 	in.sender = sender.New(in.part("sender"), in.tracer, p.Targets, in.metrics, in.loop.Post)
 	in.owner = owner.New(in.part("owner"), store, in.self, cfg.Zones, cfg.Shards, clock.Now,
-		func() { in.listing.Refresh() }, in.busy)
+		func() { in.listing.Refresh() }, in.busy, contact.New(in.part("contact"), store, p.Formats, p.Targets).Reaches)
 	in.listing = listing.New(in.part("listing"), store, p.Formats, in.owner, cfg.Shards, clock.Now, in.loop.Post)
 	in.conf = configuration.New(in.part("configuration"), store, p.Formats, func(c *catalog.Catalog) {
 		in.owner.SetServices(c.Services)
--- a/pool/settings/settings.go
+++ b/pool/settings/settings.go
@@ -28,9 +28,12 @@
 	Store string `toml:"store"`
 	// MemoryMB bounds the memory of the process.
 	MemoryMB int `toml:"memory_mb"`
-	// Weight is the instance's share of work relative to others, such as its
-	// processors.
+	// Weight is the number of cores, or the part of one, that the instance may
+	// use. The instances with more of them serve the targets.
 	Weight float64 `toml:"weight"`
+	// LinkMbps is the bandwidth of the instance's link in Mbit/s; 0 if it sets
+	// no limit.
+	LinkMbps float64 `toml:"link_mbps"`
 	// LeaseMS is the longest lease that targets grant.
 	LeaseMS int `toml:"lease_ms"`
 	// FarFactor is how many times longer a task runs away from its rack.
@@ -99,6 +102,9 @@
 	if s.Weight <= 0 {
 		add("weight", "must be above 0")
 	}
+	if s.LinkMbps < 0 {
+		add("link_mbps", "must not be negative")
+	}
 	if s.GraceS < 1 {
 		add("grace_s", "must be at least 1")
 	}
