core/forecast: compare the runs of a step with each other

Later runs are longer, so that every comparison made its target look slower; targets no longer owned held the mean back, and the speeds of those in use drifted without bound. Change: the runs of a step are taken in together once the job has its answer; their corrections add up to zero. The variance that goes into the chances is what exceeds that of a target known well, which the errors of forecasts hold already. Tests: TestSpeedsDoNotDrift (fails with the old comparison: 1,000 steps move targets apart), TestSiblingsTellTargetsApart as before.

--- a/core/forecast/forecast.go
+++ b/core/forecast/forecast.go
@@ -55,15 +55,10 @@
 // speed is the logarithm of a target's slowness, with its variance.
 type speed struct{ value, variance float64 }
 
-// Sample is the run time of a task that has ended well.
-type Sample struct {
-	Queue, Target string
-	// Estimate is the caller's.
-	Estimate time.Duration
-	// Siblings is the mean run time, as on a target of average speed, of the
-	// tasks of the same step that ended before; zero if none has.
-	Siblings time.Duration
-	Took     time.Duration
+// Run is the run time of a task that has ended well.
+type Run struct {
+	Target string
+	Took   time.Duration
 }
 
 // New returns a Model that trusts the estimates and takes all targets to be
@@ -120,38 +115,53 @@
 
 func (m *Model) mean() float64 { return m.sum / float64(max(len(m.targets), 1)) }
 
-// Variance is that of the logarithm of the target's slowness.
+// Variance is that of the logarithm of the target's slowness, beyond that of a
+// target which is known well.
 func (m *Model) Variance(target string) float64 {
 	if t := m.targets[target]; t != nil {
-		return t.variance
+		return t.variance - leastVariance
 	}
-	return speedVariance
+	return speedVariance - leastVariance
 }
 
-// Learn takes in a sample.
-func (m *Model) Learn(s Sample) {
-	if s.Took <= 0 {
-		return
-	}
-	x, y := math.Log(float64(known(s.Estimate))), math.Log(float64(s.Took))
-	q, t := m.queues[s.Queue], m.targets[s.Target]
+// Learn takes in the runs of a step's tasks, of which the caller gave one
+// estimate. The tasks take about equally long, so that their run times tell the
+// targets apart, however far off the estimate is. The corrections of the targets
+// add up to zero: compared in the order in which they ended, later runs would
+// make all targets look slower and slower.
+func (m *Model) Learn(name string, estimate time.Duration, runs []Run) {
+	x := math.Log(float64(known(estimate)))
+	q := m.queues[name]
 	if q == nil {
 		q = &queue{meanX: x, meanY: x, varX: priorVariance, covariance: priorVariance}
-		m.queues[s.Queue] = q
+		m.queues[name] = q
+	}
+	base := make([]float64, len(runs))
+	mean := 0.0
+	for i, r := range runs {
+		base[i] = math.Log(float64(max(r.Took, time.Millisecond))) - (m.speed(r.Target).value - m.mean())
+		mean += base[i] / float64(len(runs))
+	}
+	for i, r := range runs {
+		off := bounded(base[i] - q.predict(x))
+		if len(runs) > 1 {
+			m.correct(m.speed(r.Target), bounded(base[i]-mean), siblingVariance)
+		} else {
+			m.correct(m.speed(r.Target), off, estimateVariance)
+		}
+		q.learn(x, q.predict(x)+off)
 	}
+}
+
+// speed returns what is known of a target, which is the mean at first.
+func (m *Model) speed(target string) *speed {
+	t := m.targets[target]
 	if t == nil {
 		t = &speed{value: m.mean(), variance: speedVariance}
-		m.targets[s.Target] = t
+		m.targets[target] = t
 		m.sum += t.value
 	}
-	slowness := t.value - m.mean()
-	off := bounded(y - q.predict(x) - slowness)
-	if s.Siblings > 0 {
-		m.correct(t, bounded(y-math.Log(float64(s.Siblings))-slowness), siblingVariance)
-	} else {
-		m.correct(t, off, estimateVariance)
-	}
-	q.learn(x, q.predict(x)+off)
+	return t
 }
 
 // correct updates a target's slowness as a Kalman filter does, by an error of
--- a/core/forecast/forecast_test.go
+++ b/core/forecast/forecast_test.go
@@ -1,9 +1,11 @@
 package forecast
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -28,7 +30,7 @@
 			forecast += math.Abs(math.Log(d / float64(took)))
 			estimated += math.Abs(math.Log(float64(estimate) / float64(took)))
 		}
-		m.Learn(Sample{Queue: "q", Target: name, Estimate: estimate, Took: took})
+		m.Learn("q", estimate, []Run{{name, took}})
 	}
 	if forecast > 0.8*estimated {
 		t.Errorf("forecasts err by %.3f on average, estimates by %.3f", forecast*2/n, estimated*2/n)
@@ -59,17 +61,12 @@
 			for i := 0; i < targets; i += width {
 				work := 0.3 * math.Exp(rng.NormFloat64()*0.4)
 				estimate := time.Duration(work * math.Exp(rng.NormFloat64()*0.4) * float64(time.Second))
-				var total time.Duration
-				for n, target := range order[i : i+width] {
-					name := fmt.Sprint("t", target)
-					took := time.Duration(work * math.Exp(rng.NormFloat64()*0.15) / speed(target) * float64(time.Second))
-					s := Sample{Queue: "q", Target: name, Estimate: estimate, Took: took}
-					if n > 0 {
-						s.Siblings = total / time.Duration(n)
-					}
-					total += time.Duration(float64(took) / m.Slowness(name))
-					m.Learn(s)
+				var runs []Run
+				for _, target := range order[i : i+width] {
+					took := work * math.Exp(rng.NormFloat64()*0.15) / speed(target) * float64(time.Second)
+					runs = append(runs, Run{fmt.Sprint("t", target), time.Duration(took)})
 				}
+				m.Learn("q", estimate, runs)
 			}
 			rng.Shuffle(targets, func(i, j int) { order[i], order[j] = order[j], order[i] })
 		}
@@ -88,9 +85,38 @@
 func ExampleModel_Slowness() {
 	m := New()
 	for range 20 {
-		m.Learn(Sample{Queue: "valuations", Target: "old", Estimate: time.Second, Took: 2 * time.Second})
-		m.Learn(Sample{Queue: "valuations", Target: "new", Estimate: time.Second, Took: time.Second})
+		m.Learn("valuations", time.Second, []Run{{"old", 2 * time.Second}, {"new", time.Second}})
 	}
 	fmt.Printf("%.0f times as slow\n", m.Slowness("old")/m.Slowness("new"))
 	// Output: 2 times as slow
 }
+
+// Guards against speeds that drift while an instance owns only some of the
+// targets that it knows: those that it gets back later would look much faster
+// than the others, and the forecasts would be off by as much.
+func TestSpeedsDoNotDrift(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	m := New()
+	step := func(first int) {
+		work := 0.2 * math.Exp(rng.NormFloat64()*0.4)
+		var runs []Run
+		for i := range 8 {
+			took := work * math.Exp(rng.NormFloat64()*0.15) * float64(time.Second)
+			runs = append(runs, Run{fmt.Sprint("t", first+i), time.Duration(took)})
+		}
+		slices.SortFunc(runs, func(a, b Run) int { return cmp.Compare(a.Took, b.Took) })
+		m.Learn("q", 200*time.Millisecond, runs)
+	}
+	for range 100 {
+		step(0)
+		step(8)
+	}
+	for range 1000 {
+		step(0)
+	}
+	for i := range 16 {
+		if s := m.Slowness(fmt.Sprint("t", i)); s < 0.7 || s > 1.4 {
+			t.Errorf("target %d of equally fast ones is taken to be %.2f times as slow", i, s)
+		}
+	}
+}
--- a/core/scheduler/chance.go
+++ b/core/scheduler/chance.go
@@ -24,7 +24,7 @@
 	d, unknown := s.expect(k, base, t), s.model.Variance(t.ID)
 	among := math.Sqrt(taskError*taskError + unknown)
 	alone := among
-	if j.ended[k.id.Step].count == 0 {
+	if len(j.ended[k.id.Step].runs) == 0 {
 		alone = math.Sqrt(jobError*jobError + unknown)
 	}
 	start := s.now.Add(wait)
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"marigoldfront.dev/core/forecast"
 )
 
 const (
@@ -18,7 +20,7 @@
 	Job
 	tasks   [][]*task // by step
 	left    []int     // tasks of each step that are not done
-	ended   []sum     // run times of the done tasks of each step
+	ended   []ended   // by step
 	waiters []RequestID
 	// unplaced is the number of tasks of ready steps that wait for a target.
 	unplaced int
@@ -34,14 +36,15 @@
 	summary Summary
 }
 
-// sum adds up run times, as on a target of average speed.
-type sum struct {
-	total time.Duration
-	count int
+// ended holds the run times of the done tasks of a step.
+type ended struct {
+	runs []forecast.Run
+	// base is their sum, as on targets of average speed.
+	base time.Duration
 }
 
-// mean is 0 without samples.
-func (n sum) mean() time.Duration { return n.total / time.Duration(max(n.count, 1)) }
+// mean is the mean run time on a target of average speed, or 0.
+func (e ended) mean() time.Duration { return e.base / time.Duration(max(len(e.runs), 1)) }
 
 // task is one task of a job.
 type task struct {
@@ -97,7 +100,7 @@
 }
 
 func (s *Scheduler) newJob(in Job) *job {
-	j := &job{Job: in, tasks: make([][]*task, len(in.Steps)), left: make([]int, len(in.Steps)), ended: make([]sum, len(in.Steps))}
+	j := &job{Job: in, tasks: make([][]*task, len(in.Steps)), left: make([]int, len(in.Steps)), ended: make([]ended, len(in.Steps))}
 	ends := make([]time.Duration, len(in.Steps))
 	for i := range in.Steps {
 		step := &j.Steps[i]
@@ -207,6 +210,11 @@
 	}
 	delete(s.jobs, j.ID)
 	s.dequeue(j)
+	for i, e := range j.ended {
+		if len(e.runs) > 0 {
+			s.model.Learn(j.Queue, j.Steps[i].Estimate, e.runs)
+		}
+	}
 	for _, ts := range j.tasks {
 		for _, t := range ts {
 			if t.run != nil {
--- a/core/scheduler/rules_test.go
+++ b/core/scheduler/rules_test.go
@@ -250,8 +250,8 @@
 func TestLongTaskWaitsForFastTarget(t *testing.T) {
 	b := newBench(t, testTarget("fast"), testTarget("slow"))
 	for range 50 {
-		b.s.model.Learn(forecast.Sample{Queue: "q", Target: "fast", Estimate: 200 * time.Millisecond, Took: 200 * time.Millisecond})
-		b.s.model.Learn(forecast.Sample{Queue: "q", Target: "slow", Estimate: 200 * time.Millisecond, Took: 500 * time.Millisecond})
+		b.s.model.Learn("q", 200*time.Millisecond, []forecast.Run{{Target: "fast", Took: 200 * time.Millisecond}})
+		b.s.model.Learn("q", 200*time.Millisecond, []forecast.Run{{Target: "slow", Took: 500 * time.Millisecond}})
 	}
 	short := testJob("short", 2)
 	short.Steps[0].Estimate = 60 * time.Millisecond
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -259,7 +259,7 @@
 	k.ran = true
 	switch how {
 	case EndDone:
-		s.learn(k, t, s.now.Sub(r.started))
+		s.record(k, t, s.now.Sub(r.started))
 		s.taskDone(k)
 	case EndFailed:
 		s.badRun(t, k.job.ID)
@@ -275,18 +275,15 @@
 	}
 }
 
-// learn takes in the run time of a done task.
-func (s *Scheduler) learn(k *task, t *target, took time.Duration) {
+// record notes the run time of a done task. The forecasts learn from it with the
+// others of its step, once the job has its answer.
+func (s *Scheduler) record(k *task, t *target, took time.Duration) {
 	if k.step.Rack != "" && !slices.Contains(t.Labels, k.step.Rack) {
 		took = time.Duration(float64(took) / max(1, s.cfg.FarFactor))
 	}
-	n := &k.job.ended[k.id.Step]
-	base := time.Duration(float64(took) / s.model.Slowness(t.ID))
-	s.model.Learn(forecast.Sample{
-		Queue: k.job.Queue, Target: t.ID, Estimate: k.step.Estimate, Siblings: n.mean(), Took: took,
-	})
-	n.count++
-	n.total += base
+	e := &k.job.ended[k.id.Step]
+	e.runs = append(e.runs, forecast.Run{Target: t.ID, Took: took})
+	e.base += time.Duration(float64(took) / s.model.Slowness(t.ID))
 }
 
 func (s *Scheduler) taskDone(k *task) {
