pool/owner: claims in the own zone do not wait for answers from others

Cause: found in reading the change before: the question whether another zone's targets can be reached takes up to a second, and the claims of the own zone waited for it in the same decision. Change: claims of other zones run beside those of the own one. Tests: TestOwnZoneDoesNotWaitForOthers (without the change: the own shards are not claimed within 1 s), TestOnlyReachedTargetsAreClaimed. The race detector finds nothing in both.

--- a/pool/owner/claim.go
+++ b/pool/owner/claim.go
@@ -29,28 +29,48 @@
 
 func (o *Owner) decide() {
 	o.mu.Lock()
-	if o.claiming || o.lease == 0 || !o.synced || o.draining {
+	if o.lease == 0 || !o.synced || o.draining {
 		o.mu.Unlock()
 		return
 	}
-	wishes := o.keeper.Decide(o.clock())
+	var near, far []ownership.Wish
+	for _, w := range o.keeper.Decide(o.clock()) {
+		switch {
+		case w.Shard.Zone == o.self.Zone && !o.claiming:
+			near = append(near, w)
+		case w.Shard.Zone != o.self.Zone && !o.claimingFar:
+			far = append(far, w)
+		}
+	}
 	lease := o.lease
-	o.claiming = len(wishes) > 0
+	o.claiming = o.claiming || len(near) > 0
+	o.claimingFar = o.claimingFar || len(far) > 0
 	for _, s := range o.keeper.Surplus(o.clock()) {
 		o.release(s)
 	}
 	o.mu.Unlock()
-	if len(wishes) == 0 {
-		return
+	if len(far) > 0 {
+		o.wg.Go(func() { o.claimFar(far, lease) })
 	}
+	if len(near) > 0 {
+		o.claim(near[:min(len(near), maxWishes)], lease)
+		o.mu.Lock()
+		o.claiming = false
+		o.mu.Unlock()
+	}
+}
+
+// claimFar claims those shards of other zones whose targets can be reached. It
+// runs beside the claims in the own zone, which do not wait for the answers.
+func (o *Owner) claimFar(wishes []ownership.Wish, lease int64) {
 	wishes = slices.DeleteFunc(wishes, func(w ownership.Wish) bool {
-		return w.Shard.Zone != o.self.Zone && !o.reaches(o.ctx, w.Shard.Service, w.Shard.Zone)
+		return !o.reaches(o.ctx, w.Shard.Service, w.Shard.Zone)
 	})
 	if len(wishes) > 0 {
 		o.claim(wishes[:min(len(wishes), maxWishes)], lease)
 	}
 	o.mu.Lock()
-	o.claiming = false
+	o.claimingFar = false
 	o.mu.Unlock()
 }
 
--- a/pool/owner/owner.go
+++ b/pool/owner/owner.go
@@ -74,9 +74,10 @@
 	mu     sync.Mutex
 	keeper *ownership.Keeper
 	lease  int64
-	// claiming is set while a claim is on its way.
-	claiming bool
-	draining bool
+	// claiming and claimingFar are set while a claim in the own zone or in
+	// another one is on its way.
+	claiming, claimingFar bool
+	draining              bool
 	// left is set once the registration has been ended.
 	left bool
 	// synced is set once the claims have been read.
