--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -267,7 +267,7 @@
 				own = append(own, s)
 			}
 		}
-		over := len(own) - p.share(k.self, k.shards)
+		over := len(own) - p.quota(k.self, k.shards)
 		for _, s := range own {
 			to := p.preferred(s.Index)
 			if to == k.self.Name || to == "" || over <= 0 && !k.better(to, zone) {
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -24,8 +24,9 @@
 }
 
 // plan ranks the live instances by size and weighted rendezvous hashing, those
-// of the pool's zone first. The shards are divided evenly among the first ones, so
-// that each queue sees as many targets as its instance can serve.
+// of the pool's zone first. The shards are divided among the first ones that can
+// serve all targets together, by their capacities, so that each queue sees as
+// many targets as its instance can serve.
 func (k *Keeper) plan(service, zone string) plan {
 	key := service + "/" + zone
 	var near, far []Member
@@ -88,7 +89,7 @@
 		best, bestScore := "", -1.0
 		for _, o := range owners {
 			score := unit(key + "/" + strconv.Itoa(i) + "/" + o.Name)
-			if count[o.Name] < part(o, capacity, shards) && score > bestScore {
+			if count[o.Name] < quota(o, capacity, shards) && score > bestScore {
 				best, bestScore = o.Name, score
 			}
 		}
@@ -98,17 +99,18 @@
 	return out
 }
 
-// part is the most shards that an owner holds, by its part of the capacity.
-func part(m Member, capacity, shards int) int {
+// quota is the most shards that an owner holds, of those of owners with a
+// capacity together.
+func quota(m Member, capacity, shards int) int {
 	return (shards*m.capacity() + capacity - 1) / capacity
 }
 
-// share is the most shards that an instance should hold.
-func (p plan) share(m Member, shards int) int {
+// quota is the most shards of the pool that an instance should hold.
+func (p plan) quota(m Member, shards int) int {
 	if p.capacity == 0 {
 		return shards
 	}
-	return part(m, p.capacity, shards)
+	return quota(m, p.capacity, shards)
 }
 
 // preferred is who should hold shard i, or empty.
--- a/core/scheduler/chance.go
+++ b/core/scheduler/chance.go
@@ -8,8 +8,9 @@
 const (
 	// taskError and jobError are the standard deviations of the logarithm of a
 	// forecast on a target of known speed. The first is that of one task beside
-	// the others of its job, the second also that of the whole job. The latency objective is a
-	// multiple of the job's work, so that only the first bears on it.
+	// the others of its job, the second also that of the whole job. The latency
+	// objective is a multiple of the job's work, so that only the first bears
+	// on it.
 	taskError = 0.15
 	jobError  = 0.3
 	// lateValue is the value of an answer after the latency objective, of one
@@ -22,15 +23,15 @@
 func (s *Scheduler) chance(k *task, base time.Duration, t *target, wait time.Duration) float64 {
 	j := k.job
 	d, unknown := s.expect(k, base, t), s.model.Variance(t.ID)
-	among := math.Sqrt(taskError*taskError + unknown)
-	alone := among
+	taskSpread := math.Sqrt(taskError*taskError + unknown)
+	spread := taskSpread
 	if len(j.ended[k.id.Step].runs) == 0 {
-		alone = math.Sqrt(jobError*jobError + unknown)
+		spread = math.Sqrt(jobError*jobError + unknown)
 	}
 	start := s.now.Add(wait)
-	deadline := ends(d, j.Deadline.Sub(start), alone)
-	objective := ends(d, j.Arrived.Add(j.objective).Sub(start), among)
-	late := ends(d, s.worthless(j).Sub(start), among)
+	deadline := ends(d, j.Deadline.Sub(start), spread)
+	objective := ends(d, j.Arrived.Add(j.objective).Sub(start), taskSpread)
+	late := ends(d, s.worthless(j).Sub(start), taskSpread)
 	return deadline * ((1-lateValue)*objective + lateValue*late)
 }
 
