bench/poolrun: targets of given speeds, and the share of the largest jobs

The model had a log-normal spread of speeds and large targets only, and did not show what the largest jobs get.

TargetConfig.Slowness assigns given factors in equal shares, Result.LargestShare is the share of the largest tenth of the worst kind, and the command policies prints the paired change against the first policy with its standard error.

--- a/bench/policies/command.go
+++ b/bench/policies/command.go
@@ -35,19 +35,22 @@
 	} `positional-args:"yes" required:"yes"`
 }
 
-// Execute implements flags.Commander. It prints the mean results of each policy
-// and writes a table and a chart if an output directory is set.
+// Execute implements flags.Commander. It prints the mean results of each policy,
+// with the change of the earned share against the first policy and its standard
+// error, and writes a table and a chart if an output directory is set.
 func (c *Command) Execute([]string) error {
 	exp, found := poolrun.Load(c.Args.File)
 	if err := found.Err(); err != nil {
 		return err
 	}
 	rows := c.runAll(exp)
-	fmt.Printf(rowFormat, columns...)
+	fmt.Printf(rowFormat+"  change of worth\n", columns...)
 	means := make([]poolrun.Result, len(exp.Policies))
 	for i, p := range exp.Policies {
-		means[i] = poolrun.Mean(p.Name, rows[i*c.Seeds:(i+1)*c.Seeds])
-		fmt.Printf(rowFormat, rowValues(means[i], "mean")...)
+		runs := rows[i*c.Seeds : (i+1)*c.Seeds]
+		means[i] = poolrun.Mean(p.Name, runs)
+		change, stdErr := poolrun.EarnedChange(rows[:c.Seeds], runs)
+		fmt.Printf(rowFormat+"  %+.4f +- %.4f\n", append(rowValues(means[i], "mean"), change, stdErr)...)
 	}
 	if c.OutputDir == "" {
 		return nil
@@ -75,10 +78,10 @@
 	return rows
 }
 
-const rowFormat = "%-20s %5s %6s %6s %7s %7s %7s %6s %7s %6s %7s %7s %7s %7s %7s %7s %8s\n"
+const rowFormat = "%-32s %5s %6s %6s %7s %7s %7s %7s %6s %7s %6s %7s %7s %7s %7s %7s %7s %8s"
 
 var columns = []any{
-	"policy", "seed", "jobs", "worth", "windows", "kind", "in_time", "late", "refused", "failed", "unknown",
+	"policy", "seed", "jobs", "worth", "windows", "kind", "largest", "in_time", "late", "refused", "failed", "unknown",
 	"p50_ms", "p99_ms", "starts", "looks", "wakes", "wasted_s",
 }
 
@@ -86,7 +89,7 @@
 func rowValues(r poolrun.Result, seed string) []any {
 	f := func(v float64, digits int) string { return strconv.FormatFloat(v, 'f', digits, 64) }
 	return []any{
-		r.Policy, seed, strconv.Itoa(r.Jobs), f(r.EarnedShare, 3), f(r.WorstWindowsShare, 3), f(r.WorstKindShare, 3), f(r.InTime, 3),
+		r.Policy, seed, strconv.Itoa(r.Jobs), f(r.EarnedShare, 3), f(r.WorstWindowsShare, 3), f(r.WorstKindShare, 3), f(r.LargestShare, 3), f(r.InTime, 3),
 		f(r.Late, 3), f(r.Refused, 3), f(r.Failed, 3), f(r.Unknown, 3), f(r.P50, 0), f(r.P99, 0),
 		strconv.Itoa(r.Starts), strconv.Itoa(r.Polls), strconv.Itoa(r.TimerWakes), f(r.WastedCoreSeconds, 0),
 	}
--- a/bench/poolrun/experiment.go
+++ b/bench/poolrun/experiment.go
@@ -38,6 +38,10 @@
 	// SpeedSpread is the standard deviation of the logarithm of a target's
 	// slowness.
 	SpeedSpread float64 `toml:"speed_spread"`
+	// Slowness holds the factors of the run times on the targets, which are
+	// assigned at random in equal shares. SpeedSpread applies in addition. Empty
+	// means 1 for all targets.
+	Slowness []float64 `toml:"slowness"`
 	// DelayMS is the one-way network delay between an instance and a target, in
 	// milliseconds.
 	DelayMS float64 `toml:"delay_ms"`
@@ -149,6 +153,11 @@
 	if len(exp.Targets.CPU) == 0 {
 		add("cpu", "must name at least one size")
 	}
+	for _, f := range exp.Targets.Slowness {
+		if f <= 0 {
+			add("slowness", "%v must be above 0", f)
+		}
+	}
 	if len(exp.Kinds) == 0 {
 		add("kinds", "must hold at least one kind")
 	}
--- a/bench/poolrun/poolrun_test.go
+++ b/bench/poolrun/poolrun_test.go
@@ -1,10 +1,12 @@
 package poolrun
 
 import (
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 func loadBusyDay(t *testing.T, edit func(string) string) (Experiment, error) {
@@ -54,6 +56,32 @@
 	}
 }
 
+// Guards against slowness factors that are not assigned in equal shares, which
+// makes a comparison of policies depend on the seed.
+func TestSlownessIsAssignedInEqualShares(t *testing.T) {
+	cfg := TargetConfig{Count: 48, Slowness: []float64{0.5, 1, 2}}
+	counts := map[float64]int{}
+	for _, f := range cfg.assignSlowness(rand.New(rand.NewPCG(1, 1))) {
+		counts[f]++
+	}
+	for _, f := range cfg.Slowness {
+		if counts[f] != 16 {
+			t.Errorf("%d targets of slowness %v, want 16", counts[f], f)
+		}
+	}
+}
+
+// Guards against a share of the largest jobs that is taken over other jobs.
+func TestLargestTenth(t *testing.T) {
+	var all []jobScore
+	for i := range 20 {
+		all = append(all, jobScore{valueShare{earned: float64(i % 2), possible: 1}, time.Duration(i+1) * time.Second})
+	}
+	if got := largestTenth(all); got != (valueShare{earned: 1, possible: 2}) {
+		t.Errorf("largest tenth of 20 jobs: %+v, want 1 of 2", got)
+	}
+}
+
 // Guards against a scheduler whose timer wakes it repeatedly without need under
 // overload.
 func TestTimerWakesAreBounded(t *testing.T) {
--- a/bench/poolrun/result.go
+++ b/bench/poolrun/result.go
@@ -1,10 +1,13 @@
 package poolrun
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 
+	"gonum.org/v1/gonum/stat"
+
 	"marigoldfront.dev/core/scheduler"
 )
 
@@ -25,6 +28,9 @@
 	// the objective to all jobs. WorstWindowsShare is the mean of this share over
 	// the two worst windows, WorstKindShare the share of the worst kind of job.
 	EarnedShare, WorstWindowsShare, WorstKindShare float64
+	// LargestShare is the share that the largest tenth of the jobs of a kind, by
+	// work, has earned, for the kind with the lowest share.
+	LargestShare float64
 	// InTime, Late, Refused, Failed and Unknown are shares of the jobs by their
 	// answer. InTime and Late are complete answers within the latency objective
 	// and after it.
@@ -61,6 +67,30 @@
 	return s.earned / s.possible
 }
 
+// jobScore is the value of one job's answer, and the job's work.
+type jobScore struct {
+	valueShare
+	work time.Duration
+}
+
+// largestTenth returns the value of the jobs with the most work.
+func largestTenth(all []jobScore) (sum valueShare) {
+	slices.SortFunc(all, func(a, b jobScore) int { return cmp.Compare(b.work, a.work) })
+	for _, s := range all[:(len(all)+9)/10] {
+		sum.earned += s.earned
+		sum.possible += s.possible
+	}
+	return sum
+}
+
+// work returns the total run time of a job's tasks on targets of slowness 1.
+func (j *job) work() (total time.Duration) {
+	for _, t := range j.tasks {
+		total += t.runTime
+	}
+	return total
+}
+
 // summarize sets the fields of the result after a run.
 func (sim *simulation) summarize() {
 	r := &sim.result
@@ -68,12 +98,14 @@
 	var total valueShare
 	windows := make([]valueShare, int(math.Ceil(sim.exp.Seconds/windowLength.Seconds())))
 	kinds := map[string]*valueShare{}
+	scores := map[string][]jobScore{}
 	var latencies []float64
 	for _, j := range sim.jobs {
 		if kinds[j.kind.Name] == nil {
 			kinds[j.kind.Name] = &valueShare{}
 		}
 		v := sim.scoreJob(j)
+		scores[j.kind.Name] = append(scores[j.kind.Name], jobScore{work: j.work(), valueShare: valueShare{v, j.kind.Worth}})
 		for _, s := range []*valueShare{&total, &windows[int(j.arrival.Sub(sim.begin)/windowLength)], kinds[j.kind.Name]} {
 			s.earned += v
 			s.possible += j.kind.Worth
@@ -85,9 +117,10 @@
 	for _, n := range []*float64{&r.InTime, &r.Late, &r.Refused, &r.Failed, &r.Unknown} {
 		*n /= float64(max(1, r.Jobs))
 	}
-	r.EarnedShare, r.WorstKindShare = total.ratio(), 1
-	for _, s := range kinds {
+	r.EarnedShare, r.WorstKindShare, r.LargestShare = total.ratio(), 1, 1
+	for name, s := range kinds {
 		r.WorstKindShare = min(r.WorstKindShare, s.ratio())
+		r.LargestShare = min(r.LargestShare, largestTenth(scores[name]).ratio())
 	}
 	slices.SortFunc(windows, func(a, b valueShare) int {
 		if a.ratio() < b.ratio() {
@@ -147,6 +180,7 @@
 			from float64
 		}{
 			{&out.EarnedShare, r.EarnedShare}, {&out.WorstWindowsShare, r.WorstWindowsShare}, {&out.WorstKindShare, r.WorstKindShare},
+			{&out.LargestShare, r.LargestShare},
 			{&out.InTime, r.InTime}, {&out.Late, r.Late}, {&out.Refused, r.Refused}, {&out.Failed, r.Failed},
 			{&out.Unknown, r.Unknown}, {&out.P50, r.P50}, {&out.P99, r.P99}, {&out.WastedCoreSeconds, r.WastedCoreSeconds},
 		} {
@@ -155,3 +189,14 @@
 	}
 	return out
 }
+
+// EarnedChange returns the mean change of the earned share from the runs of one
+// policy to those of another with the same seeds, and its standard error.
+func EarnedChange(from, to []Result) (change, stdErr float64) {
+	diffs := make([]float64, len(from))
+	for i := range from {
+		diffs[i] = to[i].EarnedShare - from[i].EarnedShare
+	}
+	mean, stdDev := stat.MeanStdDev(diffs, nil)
+	return mean, stat.StdErr(stdDev, float64(len(diffs)))
+}
--- a/bench/poolrun/simulation.go
+++ b/bench/poolrun/simulation.go
@@ -81,8 +81,9 @@
 			Lease: maxLease, MaxClockDrift: 0.02, RemoteRackFactor: 1, Policy: p.schedulerPolicy(),
 		})})
 	}
+	slowness := exp.Targets.assignSlowness(jobRNG)
 	for i := range exp.Targets.Count {
-		sim.addTarget(i, math.Exp(jobRNG.NormFloat64()*exp.Targets.SpeedSpread))
+		sim.addTarget(i, slowness[i]*math.Exp(jobRNG.NormFloat64()*exp.Targets.SpeedSpread))
 	}
 	for _, o := range sim.owners {
 		sim.sendTargetList(o)
@@ -94,6 +95,19 @@
 	return sim
 }
 
+// assignSlowness returns the factor of the run times on each target, without the
+// random spread.
+func (c *TargetConfig) assignSlowness(rng *rand.Rand) []float64 {
+	all := slices.Repeat([]float64{1}, c.Count)
+	if len(c.Slowness) == 0 {
+		return all
+	}
+	for i, k := range rng.Perm(c.Count) {
+		all[k] = c.Slowness[i%len(c.Slowness)]
+	}
+	return all
+}
+
 func (sim *simulation) addTarget(i int, slowness float64) {
 	id := fmt.Sprintf("t%03d", i)
 	sim.targets = append(sim.targets, &target{
