pool: no jobs into a partition, shards stay after it, jobs wait for an owner

An owner from which nothing was heard for 310 ms is now asked before it gets a job, one whose heartbeat is overdue by 60 ms comes last, an unresponsive one gets none until it replies; heartbeats to it go on without jobs. A lost owner is given up after 0.7 s, not at the end of the heartbeat after that. - When a cut ended, another zone, or another instance of the same one, claimed the shards within 0.1 s and fenced off their holder, whose jobs died; the shards moved back 3 s later. Claims of others wait 1.5 s after a partition or a lost registration. A job that no owner has targets for is kept until its latest start while claims change, and claims are made as soon as the instance has registered, not at the next tick.

--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -105,25 +105,49 @@
 
 func (s *Scheduler) newJob(in Job) *job {
 	j := &job{Job: in, tasks: make([][]*task, len(in.Steps)), remaining: make([]int, len(in.Steps)), stepRuns: make([]stepRuns, len(in.Steps))}
-	ends := make([]time.Duration, len(in.Steps))
 	for i := range in.Steps {
 		step := &j.Steps[i]
 		j.remaining[i] = step.Count
 		for k := range step.Count {
 			j.tasks[i] = append(j.tasks[i], &task{id: TaskID{Job: in.ID, Step: i, Index: k}, job: j, step: step})
 		}
-		for _, a := range step.After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		ends[i] += s.model.BaseRunTime(in.Queue, step.Estimate)
-		j.criticalPath = max(j.criticalPath, ends[i])
 	}
-	j.objective = time.Duration(float64(j.criticalPath)*max(1, in.Stretch)) + in.Slack
+	j.criticalPath = in.criticalPath(func(estimate time.Duration) time.Duration {
+		return s.model.BaseRunTime(in.Queue, estimate)
+	})
+	j.objective = in.objective(j.criticalPath)
 	j.refuseAt = in.Arrived.Add(time.Duration(float64(j.objective) * s.policy.HoldShare))
 	j.countUnplaced()
 	return j
 }
 
+// criticalPath returns the run time of the longest chain of dependent steps.
+// runTime returns the run time of a task with an estimate.
+func (j *Job) criticalPath(runTime func(estimate time.Duration) time.Duration) time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(j.Steps))
+	for i := range j.Steps {
+		for _, a := range j.Steps[i].After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += runTime(j.Steps[i].Estimate)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// objective returns the latency objective of a job with a critical path.
+func (j *Job) objective(criticalPath time.Duration) time.Duration {
+	return time.Duration(float64(criticalPath)*max(1, j.Stretch)) + j.Slack
+}
+
+// LatestStart returns when the job has to start to meet its latency objective, if
+// the caller's estimates are exact.
+func (j *Job) LatestStart() time.Time {
+	path := j.criticalPath(func(estimate time.Duration) time.Duration { return estimate })
+	return j.Arrived.Add(j.objective(path) - path)
+}
+
 func (j *job) countUnplaced() {
 	j.unplaced = 0
 	for _, ts := range j.tasks {
--- a/pool/claims/claim.go
+++ b/pool/claims/claim.go
@@ -17,10 +17,11 @@
 	for {
 		select {
 		case <-tick.C:
-			m.claimDue()
+		case <-m.wake:
 		case <-m.ctx.Done():
 			return
 		}
+		m.claimDue()
 	}
 }
 
@@ -36,8 +37,11 @@
 		return
 	}
 	var local, remote []ownership.ClaimRequest
+	reconnected, own := m.clock().Sub(m.reregisteredAt) < reconnectDelay, m.planner.Owned()
 	for _, req := range m.planner.DueClaims(m.clock()) {
+		_, held := own[req.Shard]
 		switch {
+		case reconnected && !held:
 		case req.Shard.Zone == m.self.Zone && !m.claiming:
 			local = append(local, req)
 		case req.Shard.Zone != m.self.Zone && !m.claimingRemote:
@@ -63,11 +67,11 @@
 }
 
 // claimRemote claims those of the shards of other zones whose targets are
-// reachable. It runs in its own goroutine, so that claims in the instance's zone
+// reachable and were not unreachable within reconnectDelay. It runs in its own goroutine, so that claims in the instance's zone
 // do not wait for the probes.
 func (m *Manager) claimRemote(requests []ownership.ClaimRequest, lease int64) {
 	requests = slices.DeleteFunc(requests, func(req ownership.ClaimRequest) bool {
-		return !m.reachable(m.ctx, req.Shard.Service, req.Shard.Zone)
+		return !m.steadilyReachable(req.Shard.Service, req.Shard.Zone)
 	})
 	if len(requests) > 0 {
 		m.claim(requests[:min(len(requests), maxClaimsPerCommit)], lease)
@@ -77,6 +81,18 @@
 	m.mu.Unlock()
 }
 
+// steadilyReachable reports whether the targets of a pool are reachable and were
+// not found unreachable within reconnectDelay.
+func (m *Manager) steadilyReachable(service, zone string) bool {
+	p := pool{service, zone}
+	if !m.reachable(m.ctx, service, zone) {
+		m.unreachableAt[p] = m.clock()
+		return false
+	}
+	last, ok := m.unreachableAt[p]
+	return !ok || m.clock().Sub(last) >= reconnectDelay
+}
+
 // claim claims the shards in one transaction, which fails as a whole if any of
 // their keys has changed.
 func (m *Manager) claim(requests []ownership.ClaimRequest, lease int64) {
@@ -94,6 +110,7 @@
 		return
 	}
 	m.mu.Lock()
+	m.changedAt = m.clock()
 	if ok {
 		for _, req := range requests {
 			m.planner.SetClaim(req.Shard, ownership.Claim{
--- a/pool/claims/claims.go
+++ b/pool/claims/claims.go
@@ -38,6 +38,13 @@
 	watchWait = 3 * time.Second
 	// watchSlack is added to watchWait for the timeout of a watch.
 	watchSlack = 600 * time.Millisecond
+	// settlePeriod is how long after a change of the claims the next owner of a
+	// shard may still read the list of targets and poll them.
+	settlePeriod = time.Second
+	// reconnectDelay is the time after a network partition, or after a lost
+	// registration, before shards of other instances are claimed. Instances that
+	// have served their targets meanwhile register again within it and keep them.
+	reconnectDelay = 1500 * time.Millisecond
 	// idleTimeout bounds the wait for the running tasks of a shard that is being
 	// released. The next owner stops those that still run.
 	idleTimeout = 1800 * time.Millisecond
@@ -58,6 +65,9 @@
 	Draining bool `json:"draining,omitempty"`
 }
 
+// pool is the targets of a service in an availability zone.
+type pool struct{ service, zone string }
+
 // targetCount is the value of the key with the number of targets of a pool.
 type targetCount struct {
 	Targets int `json:"targets"`
@@ -71,6 +81,8 @@
 	store port.Store
 	self  ownership.Member
 	clock func() time.Time
+	// wake triggers the claim loop before its next tick.
+	wake chan struct{}
 	// onChange is called after each change of members or claims, without the
 	// lock held.
 	onChange func()
@@ -90,10 +102,17 @@
 	// synced is set while the planner has the claims of the store. It is unset
 	// until they are read, and after a target has rejected a claim.
 	synced bool
+	// reregisteredAt is when this incarnation last registered again.
+	reregisteredAt time.Time
+	// changedAt is when claims were last read, set or removed.
+	changedAt time.Time
 	// releasing holds the shards that are being released.
 	releasing map[ownership.Shard]bool
 	// busy reports whether any task runs on the targets of a shard.
 	busy func(ownership.Shard) bool
+	// unreachableAt is when the targets of a pool were last found unreachable. Only
+	// the goroutine of claimRemote uses it.
+	unreachableAt map[pool]time.Time
 	// reachable reports whether this instance reaches the targets of a pool.
 	reachable func(ctx context.Context, service, zone string) bool
 }
@@ -107,8 +126,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
 		log: log, store: store, self: self, clock: clock, onChange: onChange, ctx: ctx, cancel: cancel,
+		wake: make(chan struct{}, 1), changedAt: clock(),
 		planner: ownership.New(self, zones, shards), releasing: map[ownership.Shard]bool{}, busy: busy,
-		reachable: reachable,
+		unreachableAt: map[pool]time.Time{}, reachable: reachable,
 	}
 }
 
@@ -124,8 +144,25 @@
 // SetServices sets the services of the current configuration.
 func (m *Manager) SetServices(services []string) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.planner.SetServices(services)
+	m.mu.Unlock()
+	m.wakeClaimLoop()
+}
+
+// wakeClaimLoop makes the claim loop decide now.
+func (m *Manager) wakeClaimLoop() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Settling reports whether claims have just changed, so that targets without an
+// owner are likely to have one soon.
+func (m *Manager) Settling() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock().Sub(m.changedAt) < settlePeriod
 }
 
 // Owned returns the shards that this instance holds. The revision of a claim is
@@ -214,10 +251,14 @@
 		return err
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	if m.lease != 0 {
+		m.reregisteredAt = m.clock()
+	}
 	m.lease = lease
 	m.planner.SetMember(m.self)
+	m.mu.Unlock()
 	m.log.Info("The instance is registered.", zap.Int64("lease", lease))
+	m.wakeClaimLoop()
 	return nil
 }
 
--- a/pool/claims/claims_test.go
+++ b/pool/claims/claims_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,12 +18,17 @@
 )
 
 // fakeStore is a store that commits every transaction without checking its
-// preconditions. Its watches never return changes.
+// preconditions. Its watches never return changes, but end when reread is signaled,
+// so that the items are read again.
 type fakeStore struct {
 	port.Store
+	reread   chan struct{}
 	mu       sync.Mutex
 	revision int64
 	items    map[string]port.Item
+	grants   int64
+	// expired is set to report the lease as expired until the next grant.
+	expired bool
 }
 
 func (s *fakeStore) Read(context.Context, string) ([]port.Item, int64, error) {
@@ -33,6 +40,8 @@
 func (s *fakeStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]port.Item, int64, error) {
 	select {
 	case <-time.After(wait):
+	case <-s.reread:
+		return nil, 0, errors.New("the history is gone")
 	case <-ctx.Done():
 	}
 	return nil, after, ctx.Err()
@@ -48,9 +57,29 @@
 	return s.revision, true, nil, nil
 }
 
-func (s *fakeStore) Grant(context.Context, time.Duration) (int64, error) { return 1, nil }
+func (s *fakeStore) Grant(context.Context, time.Duration) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expired = false
+	s.grants++
+	return s.grants, nil
+}
+
+func (s *fakeStore) KeepAlive(context.Context, int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.expired {
+		return port.ErrLeaseNotFound
+	}
+	return nil
+}
 
-func (s *fakeStore) KeepAlive(context.Context, int64) error { return nil }
+// registrations returns how often an instance has registered.
+func (s *fakeStore) registrations() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grants
+}
 
 // claimed returns the number of claimed shards in a zone.
 func (s *fakeStore) claimed(zone string) int {
@@ -73,7 +102,7 @@
 
 // newManager starts a Manager of the instance a1 in the zones a and b.
 func newManager(t *testing.T, reachable func(ctx context.Context, service, zone string) bool) (*Manager, *fakeStore) {
-	s := &fakeStore{items: map[string]port.Item{}}
+	s := &fakeStore{items: map[string]port.Item{}, reread: make(chan struct{})}
 	self := ownership.Member{Name: "a1", Zone: "a", Address: "127.0.0.1:1", Incarnation: 1, Capacity: 40}
 	o := New(zap.NewNop(), s, self, []string{"a", "b"}, shards, time.Now, func() {}, func(ownership.Shard) bool { return false }, reachable)
 	o.SetServices([]string{"s"})
@@ -115,6 +144,55 @@
 	}
 }
 
+// Guards against claims that an instance of another zone makes as soon as a network
+// partition ends. They fence off the zone's own instances, whose tasks are lost.
+func TestReconnectedZoneKeepsItsTargets(t *testing.T) {
+	t.Parallel()
+	var reachable atomic.Bool
+	probes := make(chan struct{}, 1000)
+	_, s := newManager(t, func(context.Context, string, string) bool {
+		probes <- struct{}{}
+		return reachable.Load()
+	})
+	eventually(t, remoteClaimLimit, "the targets of the other zone are probed", func() bool { return len(probes) > 0 })
+	reachable.Store(true)
+	end := time.Now()
+	eventually(t, remoteClaimLimit, "its shards are claimed", func() bool { return s.claimed("b") == shards })
+	if d := time.Since(end); d < reconnectDelay-2*claimEvery {
+		t.Errorf("the shards were claimed %v after the partition, want at least %v", d, reconnectDelay)
+	}
+}
+
+// Guards against an instance that registers again after a network partition and
+// claims the shards of another one, which also was partitioned but still serves
+// them.
+func TestReregisteredInstanceLeavesShardsToTheirHolders(t *testing.T) {
+	t.Parallel()
+	o, s := newManager(t, func(context.Context, string, string) bool { return false })
+	eventually(t, time.Second, "the own shards are claimed", func() bool { return s.claimed("a") == shards })
+	other := ownership.Shard{Service: "s", Zone: "a", Index: 3}
+	record := []byte(`{"name": "a2", "zone": "a", "address": "127.0.0.1:2", "incarnation": "2", "capacity": 40}`)
+	s.mu.Lock()
+	s.revision++
+	s.items[shardKey(other)] = port.Item{Key: shardKey(other), Value: record, Revision: s.revision}
+	s.items[memberPrefix+"a2"] = port.Item{Key: memberPrefix + "a2", Value: record, Revision: s.revision}
+	s.mu.Unlock()
+	s.reread <- struct{}{}
+	eventually(t, time.Second, "the claim of the other instance is read", func() bool { return o.Holders("s")[other].Holder == "a2" })
+	s.mu.Lock()
+	s.expired = true
+	delete(s.items, shardKey(other))
+	delete(s.items, memberPrefix+"a2")
+	s.mu.Unlock()
+	eventually(t, 2*time.Second, "the instance registers again", func() bool { return s.registrations() == 2 })
+	begin := time.Now()
+	s.reread <- struct{}{}
+	eventually(t, 2*reconnectDelay, "the shard is claimed in the end", func() bool { return s.claimed("a") == shards })
+	if d := time.Since(begin); d < reconnectDelay-2*claimEvery {
+		t.Errorf("the shard was claimed %v after the registration, want at least %v", d, reconnectDelay)
+	}
+}
+
 // Guards against claims in the instance's own zone that wait for the probes of
 // another, partitioned zone, of which each takes up to a second.
 func TestOwnZoneDoesNotWaitForProbes(t *testing.T) {
--- a/pool/claims/watch.go
+++ b/pool/claims/watch.go
@@ -42,6 +42,7 @@
 	m.apply(items)
 	m.synced = true
 	m.mu.Unlock()
+	m.wakeClaimLoop()
 	m.onChange()
 	return revision, nil
 }
@@ -76,6 +77,7 @@
 		case strings.HasPrefix(it.Key, memberPrefix):
 			m.applyMember(it)
 		case strings.HasPrefix(it.Key, shardPrefix):
+			m.changedAt = m.clock()
 			m.applyClaim(it)
 		case strings.HasPrefix(it.Key, targetsPrefix) && !it.Deleted:
 			m.applyTargets(it)
--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -35,10 +35,12 @@
 	// job. If the owner lacks only a share of the processors, that share of the
 	// cost is added. The job waits at such an owner, or the owner declines it.
 	shortageCost = 40 * time.Millisecond
-	// unresponsiveCost is added for an owner that failed to reply within the
-	// last unresponsivePeriod. A job is sent there only if no other owner
-	// accepts it.
-	unresponsiveCost   = 2 * time.Second
+	// overdueCost is added for an owner whose reply to a heartbeat is overdue. A
+	// job is sent there only if no other owner accepts it.
+	overdueCost = 2 * time.Second
+	// unresponsivePeriod is the time after an owner's last failure to reply in
+	// which it gets no jobs. Heartbeats to it continue, so that a live owner
+	// replies before.
 	unresponsivePeriod = 2 * time.Second
 	// maxFullReportAge is the age up to which a load report shows that an owner
 	// cannot start a job at once. Most tasks end within this time, so that an
@@ -46,6 +48,9 @@
 	maxFullReportAge = 100 * time.Millisecond
 	// maxStartNowOwners limits the owners that are asked to start a job at once.
 	maxStartNowOwners = 3
+	// ownerRetryInterval is the time between two attempts to find an owner while
+	// the owners change.
+	ownerRetryInterval = 15 * time.Millisecond
 )
 
 // Config holds the dependencies of a Frontend.
@@ -59,7 +64,10 @@
 	Catalog func() *catalog.Catalog
 	// ShardHolders returns the claims of all instances to the shards of a service.
 	ShardHolders func(service string) map[ownership.Shard]ownership.Claim
-	RelayClient  *relay.Client
+	// OwnersChanging reports whether targets without an owner are likely to have
+	// one soon.
+	OwnersChanging func() bool
+	RelayClient    *relay.Client
 	// SelfAddress is the address at which other instances reach this one.
 	SelfAddress string
 	// Submit runs a job on this instance's own targets, and Load returns their
@@ -178,7 +186,7 @@
 // complete runs a job and passes its outcome to the waiters.
 func (f *Frontend) complete(ctx context.Context, job *inFlightJob, j scheduler.Job) {
 	defer job.cancel()
-	o, owner := f.runAtOwners(ctx, &j)
+	o, owner := f.run(ctx, &j)
 	f.mu.Lock()
 	delete(f.inFlight, j.ID)
 	if job.cancelled {
@@ -190,6 +198,30 @@
 	f.recordOutcome(&j, o, owner)
 }
 
+// run runs a job at an owner. While the owners change, for example after a
+// restart, a job that no owner has targets for is kept until its latest start.
+func (f *Frontend) run(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
+	for {
+		o, owner = f.runAtOwners(ctx, j)
+		next := f.cfg.Clock().Add(ownerRetryInterval)
+		if !lacksOwner(o) || !f.cfg.OwnersChanging() || next.After(j.LatestStart()) {
+			return o, owner
+		}
+		select {
+		case <-time.After(ownerRetryInterval):
+		case <-ctx.Done():
+			return o, owner
+		}
+	}
+}
+
+// lacksOwner reports whether a job was refused because the owners that were asked
+// have no targets for it or shut down.
+func lacksOwner(o scheduler.Outcome) bool {
+	r, ok := o.(scheduler.Refused)
+	return ok && (r.Reason == scheduler.ReasonNoTarget || r.Reason == scheduler.ReasonDraining)
+}
+
 // runAtOwners sends the job to one owner after the other until one accepts it.
 // It tries the next owner only if the previous one has certainly started
 // nothing. It first asks the best owners to accept the job only if it can start
@@ -265,8 +297,8 @@
 	if c.load.Draining {
 		cost += time.Second
 	}
-	if now.Sub(c.load.UnresponsiveAt) < unresponsivePeriod {
-		cost += unresponsiveCost
+	if c.load.Overdue {
+		cost += overdueCost
 	}
 	if now.Sub(c.load.ReportedAt) < maxLoadAge {
 		cost += c.load.ForecastWait
@@ -285,15 +317,20 @@
 }
 
 // rankedOwners returns the owners of targets of the job's service, the one with
-// the lowest cost first.
+// the lowest cost first. It leaves out unresponsive owners, because the outcome of
+// a job that is sent to an owner behind a network partition is unknown.
 func (f *Frontend) rankedOwners(j *scheduler.Job) []candidate {
 	now, need := time.Now(), cpuToStart(j)
 	var all []candidate
 	for s, c := range f.cfg.ShardHolders(j.Service) {
 		i := slices.IndexFunc(all, func(o candidate) bool { return o.address == c.Address })
 		if i < 0 {
+			load := f.load(c.Address)
+			if now.Sub(load.UnresponsiveAt) < unresponsivePeriod {
+				continue
+			}
 			i = len(all)
-			all = append(all, candidate{address: c.Address, load: f.load(c.Address)})
+			all = append(all, candidate{address: c.Address, load: load})
 		}
 		all[i].sameZone = all[i].sameZone || s.Zone == f.cfg.Zone
 	}
--- a/pool/frontend/frontend_test.go
+++ b/pool/frontend/frontend_test.go
@@ -26,7 +26,7 @@
 		ShardHolders: func(string) map[ownership.Shard]ownership.Claim {
 			return map[ownership.Shard]ownership.Claim{{Service: "s", Zone: "a"}: {Holder: "self", Address: "self:1"}}
 		},
-		Load: func() relay.Load { return relay.Load{} },
+		Load: func() relay.Load { return relay.Load{} }, OwnersChanging: func() bool { return false },
 	})
 }
 
@@ -139,13 +139,12 @@
 		t.Fatalf("the first tasks need %d thousandths of a core, want 108000", need)
 	}
 	for name, tc := range map[string]struct{ better, worse candidate }{
-		"no capacity":    {candidate{sameZone: true, load: load(0, 200_000)}, candidate{sameZone: true, load: load(0, 50_000)}},
-		"other zone":     {candidate{load: load(0, 200_000)}, candidate{sameZone: true, load: load(0, 0)}},
-		"a little short": {candidate{sameZone: true, load: load(0, 100_000)}, candidate{load: load(0, 200_000)}},
-		"longer queue":   {candidate{sameZone: true, load: load(0, 50_000)}, candidate{sameZone: true, load: load(90*time.Millisecond, 200_000)}},
-		"old report":     {candidate{sameZone: true, load: relay.Load{ReportedAt: now.Add(-time.Minute)}}, candidate{sameZone: true, load: load(0, 0)}},
-		// In a partitioned zone, each job would wait for unreachable owners.
-		"unresponsive": {candidate{sameZone: true, load: load(time.Second, 0)}, candidate{sameZone: true, load: relay.Load{UnresponsiveAt: now}}},
+		"no capacity":       {candidate{sameZone: true, load: load(0, 200_000)}, candidate{sameZone: true, load: load(0, 50_000)}},
+		"other zone":        {candidate{load: load(0, 200_000)}, candidate{sameZone: true, load: load(0, 0)}},
+		"a little short":    {candidate{sameZone: true, load: load(0, 100_000)}, candidate{load: load(0, 200_000)}},
+		"longer queue":      {candidate{sameZone: true, load: load(0, 50_000)}, candidate{sameZone: true, load: load(90*time.Millisecond, 200_000)}},
+		"old report":        {candidate{sameZone: true, load: relay.Load{ReportedAt: now.Add(-time.Minute)}}, candidate{sameZone: true, load: load(0, 0)}},
+		"overdue heartbeat": {candidate{sameZone: true, load: load(time.Second, 0)}, candidate{sameZone: true, load: relay.Load{Overdue: true}}},
 		"no longer unresponsive": {
 			candidate{sameZone: true, load: relay.Load{UnresponsiveAt: now.Add(-time.Minute)}}, candidate{sameZone: true, load: load(0, 0)},
 		},
@@ -156,6 +155,49 @@
 	}
 }
 
+// Guards against a job that is sent to an unresponsive owner, whose outcome would
+// be unknown, and against an owner that gets no jobs after it has recovered.
+func TestUnresponsiveOwnerGetsNoJobs(t *testing.T) {
+	for since, want := range map[time.Duration]int{0: 0, unresponsivePeriod / 2: 0, 2 * unresponsivePeriod: 1} {
+		d := newFrontend(t, nil)
+		d.cfg.Load = func() relay.Load { return relay.Load{UnresponsiveAt: time.Now().Add(-since)} }
+		if got := d.rankedOwners(&scheduler.Job{Service: "s"}); len(got) != want {
+			t.Errorf("%v after the owner failed to reply, %d owners may get a job, want %d", since, len(got), want)
+		}
+	}
+}
+
+// Guards against a job that is refused although targets will have an owner before
+// its latest start, and against one that is kept longer than that.
+func TestJobWaitsForAnOwnerUntilItsLatestStart(t *testing.T) {
+	for name, tc := range map[string]struct {
+		changing bool
+		owned    time.Duration // when the owner accepts jobs
+		complete bool
+	}{
+		"owner in time":      {true, 60 * time.Millisecond, true},
+		"owner too late":     {true, time.Hour, false},
+		"no owner is coming": {false, 60 * time.Millisecond, false},
+	} {
+		begin := time.Now()
+		d := newFrontend(t, func(context.Context, scheduler.Job) (scheduler.Outcome, error) {
+			if time.Since(begin) < tc.owned {
+				return scheduler.Refused{Reason: scheduler.ReasonNoTarget}, nil
+			}
+			return scheduler.Completed{}, nil
+		})
+		d.cfg.OwnersChanging = func() bool { return tc.changing }
+		j := scheduler.Job{
+			ID: "j", Service: "s", Stretch: 2, Arrived: begin, Deadline: begin.Add(time.Second),
+			Steps: []scheduler.Step{{Count: 1, Estimate: 200 * time.Millisecond}},
+		}
+		_, completed := d.Submit(context.Background(), j).(scheduler.Completed)
+		if completed != tc.complete || time.Since(begin) > 300*time.Millisecond {
+			t.Errorf("%s: completed is %v after %v, want %v before the latest start", name, completed, time.Since(begin), tc.complete)
+		}
+	}
+}
+
 // Guards against jobs that are delayed because they are sent to one full owner
 // after the other, which also costs the owners processor time under full load.
 func TestFullOwnersAreTriedOnce(t *testing.T) {
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -31,8 +31,18 @@
 	// ownerTimeout is the time without a reply of an owner after which the sender
 	// no longer waits for the jobs there.
 	ownerTimeout = 700 * time.Millisecond
-	// heartbeatTimeout bounds one heartbeat.
-	heartbeatTimeout = 400 * time.Millisecond
+	// overdueReply is the time without a reply to a heartbeat after which the owner
+	// gets no new jobs while others are available. Replies take milliseconds.
+	overdueReply = 60 * time.Millisecond
+	// probePeriod is how long heartbeats to an unresponsive owner continue without
+	// jobs, so that it gets new jobs again soon after it replies.
+	probePeriod = 30 * time.Second
+	// confirmTimeout is the time in which an owner from which nothing was heard for
+	// longer than heartbeatEvery must reply before it gets a job.
+	confirmTimeout = 100 * time.Millisecond
+	// minHeartbeatTimeout and maxHeartbeatTimeout bound the timeout of a heartbeat.
+	minHeartbeatTimeout = 50 * time.Millisecond
+	maxHeartbeatTimeout = 400 * time.Millisecond
 	// dialTimeout bounds a connection to another instance.
 	dialTimeout = 300 * time.Millisecond
 	// replySlack is how long after a job's deadline its reply is awaited.
@@ -61,6 +71,8 @@
 	// UnresponsiveAt is the time at which the owner last failed to reply, or zero
 	// if it has replied since.
 	UnresponsiveAt time.Time
+	// Overdue is set while the reply to a heartbeat takes unusually long.
+	Overdue bool
 }
 
 // Client sends jobs to other instances. Its methods may be called from several
@@ -91,13 +103,18 @@
 	inFlight map[uint64]*inFlightJob
 	// heartbeatActive is set while a goroutine sends heartbeats to the owner.
 	heartbeatActive bool
-	// lastReply is the time of the last reply, or of the start of heartbeats.
+	// lastReply is the time of the last reply.
 	lastReply time.Time
 	// epoch is the epoch of the owner's ledger of this instance's jobs, or 0 if it
 	// is unknown.
 	epoch uint64
-	// heartbeats counts the heartbeats sent.
-	heartbeats uint64
+	// heartbeats counts the heartbeats sent. heartbeatSent is when the last one was
+	// sent, or zero once it has been answered.
+	heartbeats    uint64
+	heartbeatSent time.Time
+	// unresponsiveSince is the time of the first failure since the last reply, or
+	// zero.
+	unresponsiveSince time.Time
 }
 
 // inFlightJob is a job whose reply is awaited.
@@ -156,10 +173,13 @@
 func (c *Client) Load(address string) Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o := c.owners[address]; o != nil {
-		return o.load
+	o := c.owners[address]
+	if o == nil {
+		return Load{}
 	}
-	return Load{}
+	l := o.load
+	l.Overdue = !o.heartbeatSent.IsZero() && time.Since(o.heartbeatSent) > overdueReply
+	return l
 }
 
 // Run sends a job to the owner at the address and returns its outcome. It returns
@@ -170,6 +190,10 @@
 	defer cancelTimeout()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	if !c.confirm(ctx, address) {
+		c.log.Info("An owner did not reply in time to get a job.", zap.String("job", j.ID), zap.String("owner", address))
+		return scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
+	}
 	o, job, id := c.addJob(address, cancel)
 	ctx, span := c.tracer.Start(ctx, "ask owner")
 	defer span.End()
@@ -206,6 +230,35 @@
 	return scheduler.Unknown{Reason: scheduler.ReasonOwnerLost}
 }
 
+// confirm reports whether the owner at the address has replied recently. If it has
+// not, it sends a heartbeat and waits for the reply, because the outcome of a job
+// that is sent into a network partition is unknown.
+func (c *Client) confirm(ctx context.Context, address string) bool {
+	c.mu.Lock()
+	o := c.owner(address)
+	recent := time.Since(o.lastReply) <= heartbeatEvery+overdueReply
+	if !recent {
+		c.startHeartbeats(o)
+	}
+	c.mu.Unlock()
+	if recent {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return c.heartbeat(ctx, o, c.nextHeartbeat(o))
+}
+
+// startHeartbeats starts the heartbeats to an owner unless they are active. The
+// caller holds the lock.
+func (c *Client) startHeartbeats(o *owner) {
+	if o.heartbeatActive || c.ctx.Err() != nil {
+		return
+	}
+	o.heartbeatActive = true
+	c.wg.Go(func() { c.heartbeatLoop(o) })
+}
+
 // addJob records a job in flight, and starts the heartbeats to its owner if they
 // are not active.
 func (c *Client) addJob(address string, cancel context.CancelCauseFunc) (*owner, *inFlightJob, uint64) {
@@ -215,10 +268,7 @@
 	c.lastID++
 	job := &inFlightJob{cancel: cancel, sent: time.Now(), epoch: o.epoch}
 	o.inFlight[c.lastID] = job
-	if !o.heartbeatActive {
-		o.heartbeatActive, o.lastReply = true, time.Now()
-		c.wg.Go(func() { c.heartbeatLoop(o) })
-	}
+	c.startHeartbeats(o)
 	return o, job, c.lastID
 }
 
@@ -237,6 +287,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o.lastReply, o.epoch = time.Now(), epoch
+	o.heartbeatSent, o.unresponsiveSince = time.Time{}, time.Time{}
 	o.load = Load{
 		ForecastWait: time.Duration(l.WaitMs) * time.Millisecond, FreeCPU: l.FreeCpu, CPU: l.Cpu,
 		Queued: int(l.Queued), Draining: l.Draining, ReportedAt: time.Now(),
@@ -248,11 +299,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o.load = Load{UnresponsiveAt: time.Now()}
+	o.heartbeatSent = time.Time{}
+	if o.unresponsiveSince.IsZero() {
+		o.unresponsiveSince = time.Now()
+	}
 }
 
-// heartbeatLoop sends heartbeats to an owner while jobs are in flight there. It
-// sends one more without jobs, so that the owner stops jobs whose replies are no
-// longer awaited.
+// heartbeatLoop sends heartbeats to an owner while jobs are in flight there, and
+// while it does not reply, up to probePeriod. It sends one more without jobs, so
+// that the owner stops jobs whose replies are no longer awaited.
 func (c *Client) heartbeatLoop(o *owner) {
 	tick := time.NewTicker(heartbeatEvery)
 	defer tick.Stop()
@@ -263,7 +318,9 @@
 			return
 		}
 		in := c.nextHeartbeat(o)
-		c.heartbeat(o, in)
+		ctx, cancel := context.WithTimeout(c.ctx, c.heartbeatTimeout(o))
+		c.heartbeat(ctx, o, in)
+		cancel()
 		if len(in.Jobs) == 0 && c.stopHeartbeatsIfIdle(o) {
 			return
 		}
@@ -271,11 +328,12 @@
 }
 
 // stopHeartbeatsIfIdle ends the heartbeats to an owner unless another job is in
-// flight there. It reports whether they have ended.
+// flight there or the owner is being probed. It reports whether they have ended.
 func (c *Client) stopHeartbeatsIfIdle(o *owner) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o.heartbeatActive = len(o.inFlight) > 0
+	probing := !o.unresponsiveSince.IsZero() && time.Since(o.unresponsiveSince) < probePeriod
+	o.heartbeatActive = len(o.inFlight) > 0 || probing
 	return !o.heartbeatActive
 }
 
@@ -286,6 +344,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o.heartbeats++
+	o.heartbeatSent = time.Now()
 	in := &wire.BeatRequest{
 		Sender: c.name, Incarnation: c.incarnation, Configuration: version, Number: o.heartbeats, Last: c.lastID,
 	}
@@ -298,11 +357,10 @@
 	return in
 }
 
-// heartbeat sends a heartbeat and processes its reply. If the owner has not
-// replied for ownerTimeout, it ends the wait for all jobs there.
-func (c *Client) heartbeat(o *owner, in *wire.BeatRequest) {
-	ctx, cancel := context.WithTimeout(c.ctx, heartbeatTimeout)
-	defer cancel()
+// heartbeat sends a heartbeat, processes its reply and reports whether there was
+// one. If the owner has not replied for ownerTimeout, it ends the wait for all jobs
+// there.
+func (c *Client) heartbeat(ctx context.Context, o *owner, in *wire.BeatRequest) bool {
 	out, err := o.client.Beat(ctx, in)
 	if err == nil {
 		c.recordReply(o, out.Load, out.Epoch)
@@ -310,19 +368,32 @@
 		if out.Configuration > c.version() {
 			c.onNewerConfiguration(o.client)
 		}
-		return
+		return true
 	}
 	c.markUnresponsive(o)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Since(o.lastReply) < ownerTimeout {
-		return
+	if len(o.inFlight) == 0 || time.Since(o.lastReply) < ownerTimeout {
+		return false
 	}
 	c.log.Warn("An owner is unresponsive; its jobs are no longer awaited.", zap.Int("jobs", len(o.inFlight)), zap.Error(err),
 		zap.Duration("silent", time.Since(o.lastReply)))
 	for _, job := range o.inFlight {
 		job.cancel(errOwnerUnresponsive)
 	}
+	return false
+}
+
+// heartbeatTimeout returns the timeout of the next heartbeat to an owner. It ends
+// when the owner becomes unresponsive, so that its jobs wait no longer.
+func (c *Client) heartbeatTimeout(o *owner) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := time.Until(o.lastReply.Add(ownerTimeout))
+	if left <= 0 {
+		return maxHeartbeatTimeout
+	}
+	return min(max(left, minHeartbeatTimeout), maxHeartbeatTimeout)
 }
 
 // reconcile ends the wait for jobs whose replies arrived with the heartbeat, and
--- a/pool/relay/relay_test.go
+++ b/pool/relay/relay_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,10 +58,79 @@
 	defer l.Close()
 	r, j := newTestClient(t), testJob()
 	go r.Run(context.Background(), l.Addr().String(), j.Arrived, j)
-	limit := heartbeatEvery + heartbeatTimeout + 50*time.Millisecond
+	limit := heartbeatEvery + maxHeartbeatTimeout + 50*time.Millisecond
 	for end := time.Now().Add(limit); r.Load(l.Addr().String()).UnresponsiveAt.IsZero(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("the owner does not count as unresponsive after %v", limit)
 		}
 	}
 }
+
+// fakeOwner is an owner that replies to nothing while silent is set. It counts the
+// jobs that it receives, and keeps each of them until its sender gives it up.
+type fakeOwner struct {
+	wire.Pool
+	silent atomic.Bool
+	jobs   atomic.Int64
+}
+
+func (o *fakeOwner) Beat(ctx context.Context, _ *wire.BeatRequest) (*wire.BeatReply, error) {
+	if o.silent.Load() {
+		<-ctx.Done()
+	}
+	return &wire.BeatReply{Load: &wire.PoolLoad{}, Epoch: 1}, nil
+}
+
+func (o *fakeOwner) Run(ctx context.Context, _ *wire.RunRequest) (*wire.RunReply, error) {
+	o.jobs.Add(1)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// serve returns the address of the owner.
+func (o *fakeOwner) serve(t *testing.T) string {
+	s := httptest.NewServer(wire.NewPoolServer(o))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// Guards against a job that is sent into a network partition after a pause in which
+// the owner got no jobs. Its outcome would be unknown.
+func TestSilentOwnerGetsNoJob(t *testing.T) {
+	o := &fakeOwner{}
+	o.silent.Store(true)
+	r, j, address := newTestClient(t), testJob(), o.serve(t)
+	if out, ok := r.Run(context.Background(), address, j.Arrived, j).(scheduler.Refused); !ok || out.Reason != scheduler.ReasonNoTarget {
+		t.Errorf("the outcome is %v, want a refusal for lack of targets", out)
+	}
+	if d := time.Since(j.Arrived); d > 2*confirmTimeout || o.jobs.Load() > 0 {
+		t.Errorf("the owner got %d jobs, and the refusal took %v", o.jobs.Load(), d)
+	}
+	o.silent.Store(false)
+	for end := time.Now().Add(2 * time.Second); !r.Load(address).UnresponsiveAt.IsZero(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the owner still counts as unresponsive 2 s after it replies again")
+		}
+	}
+}
+
+// Guards against jobs that wait for a lost owner until the next heartbeat fails.
+func TestLostOwnerIsGivenUpInTime(t *testing.T) {
+	o := &fakeOwner{}
+	r, j, address := newTestClient(t), testJob(), o.serve(t)
+	j.Deadline = j.Arrived.Add(time.Minute)
+	outcome := make(chan scheduler.Outcome, 1)
+	go func() { outcome <- r.Run(context.Background(), address, j.Arrived, j) }()
+	for o.jobs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(heartbeatEvery + heartbeatEvery/2)
+	o.silent.Store(true)
+	silentAt := time.Now()
+	if out, ok := (<-outcome).(scheduler.Unknown); !ok || out.Reason != scheduler.ReasonOwnerLost {
+		t.Errorf("the outcome is %v, want unknown", out)
+	}
+	if d := time.Since(silentAt); d > ownerTimeout+minHeartbeatTimeout {
+		t.Errorf("the job was given up after %v, want at most %v", d, ownerTimeout+minHeartbeatTimeout)
+	}
+}
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -168,7 +168,7 @@
 	})
 	in.frontend = frontend.New(frontend.Config{
 		Log: jobLogger("desk"), Metrics: in.metrics, Tracer: in.tracer, Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.configuration.Catalog,
-		ShardHolders: in.claims.Holders, RelayClient: in.relayClient, SelfAddress: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
+		ShardHolders: in.claims.Holders, OwnersChanging: in.claims.Settling, RelayClient: in.relayClient, SelfAddress: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
 		WaitingJobs: in.waiting, Draining: in.draining.Load,
 	})
 	in.callerServer = &http.Server{
