pool/claims: leave shards to a holder that is serving

An instance that the store turned away for longer than its lease, or whose keys the store dropped, lost its shards to another one 1.2 s later: the claim fenced it off, and its jobs ended as unknown, although it served them all the while.

The claim of a holder whose key is gone is kept and marked; whoever is due to claim the shard asks the holder first, and leaves the shard to it while it replies, has usable targets and does not shut down. Jobs go on being sent to it meanwhile.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -92,8 +92,9 @@
 	Incarnation uint64
 	// Revision is the revision of the key in the store.
 	Revision int64
-	// KeyMissing is set for a claim of this instance whose key is gone from the
-	// store. The instance keeps using its old token until another one fences it.
+	// KeyMissing is set for a claim whose key is gone from the store. The holder
+	// keeps using its old token until another instance fences it, if it is still
+	// alive.
 	KeyMissing bool
 }
 
@@ -103,6 +104,10 @@
 	// ExpectedRevision is the revision of the key that is replaced, or 0 if
 	// there must be no key.
 	ExpectedRevision int64
+	// Previous is the claim of another instance that this one replaces. Its holder
+	// is not registered, but may be alive; see Postpone. It is empty if there is
+	// none.
+	Previous Claim
 }
 
 // Planner decides which shards an instance claims and releases, from the members,
@@ -182,20 +187,26 @@
 }
 
 // RemoveClaim records that the key of a shard was deleted at a revision of the
-// store. The revision is 0 if it is unknown. A claim of this instance is kept with
-// KeyMissing set.
+// store. The revision is 0 if it is unknown. The claim is kept with KeyMissing set.
 func (p *Planner) RemoveClaim(now time.Time, s Shard, revision int64) {
 	old, ok := p.claims[s]
 	switch {
 	case !ok || revision != 0 && old.Revision > revision:
-	case p.isOwn(old):
+	case old.Holder == "":
+		p.vacate(now, s, false)
+	default:
 		old.KeyMissing = true
 		p.claims[s] = old
-	default:
-		p.vacate(now, s, p.holderRegistered(old))
+		if !p.isOwn(old) {
+			p.vacant[s] = vacancy{since: now, reclaim: p.holderRegistered(old)}
+		}
 	}
 }
 
+// Postpone leaves a shard to the previous holder of a due claim, which has replied
+// to a heartbeat. The claim becomes due again later.
+func (p *Planner) Postpone(now time.Time, s Shard) { p.vacant[s] = vacancy{since: now, reclaim: true} }
+
 // DropClaim gives up a claim of this instance after another instance has fenced
 // it.
 func (p *Planner) DropClaim(now time.Time, s Shard) { p.vacate(now, s, true) }
@@ -210,18 +221,18 @@
 	return c.Holder == p.self.Name && c.Incarnation == p.self.Incarnation
 }
 
-// Reset clears the state before the store is read again. Own claims are kept with
+// Reset clears the state before the store is read again. Claims are kept with
 // KeyMissing set until SetClaim is called for them.
 func (p *Planner) Reset() {
-	claims := map[Shard]Claim{}
 	for s, c := range p.claims {
-		if p.isOwn(c) {
-			c.KeyMissing = true
-			claims[s] = c
+		if c.Holder == "" {
+			delete(p.claims, s)
+			continue
 		}
+		c.KeyMissing = true
+		p.claims[s] = c
 	}
 	p.members = map[string]Member{}
-	p.claims = claims
 	p.targetCounts = map[pool]int{}
 	clear(p.plans)
 }
@@ -342,11 +353,15 @@
 
 func (p *Planner) dueClaim(now time.Time, s Shard, delay time.Duration) (ClaimRequest, bool) {
 	c, held := p.claims[s]
-	if held && c.KeyMissing {
-		return ClaimRequest{Shard: s}, true
+	req := ClaimRequest{Shard: s, ExpectedRevision: c.Revision}
+	if c.KeyMissing {
+		req.ExpectedRevision = 0
+	}
+	if held && c.KeyMissing && p.isOwn(c) {
+		return req, true
 	}
 	stale := held && c.Holder == p.self.Name && c.Incarnation != p.self.Incarnation
-	if held && !stale && p.holderRegistered(c) {
+	if held && !c.KeyMissing && !stale && p.holderRegistered(c) {
 		delete(p.vacant, s)
 		return ClaimRequest{}, false
 	}
@@ -364,5 +379,8 @@
 	if now.Sub(v.since) < delay {
 		return ClaimRequest{}, false
 	}
-	return ClaimRequest{Shard: s, ExpectedRevision: c.Revision}, true
+	if !stale {
+		req.Previous = c
+	}
+	return req, true
 }
--- a/pool/claims/claim.go
+++ b/pool/claims/claim.go
@@ -59,7 +59,9 @@
 		m.wg.Go(func() { m.claimRemote(remote, lease) })
 	}
 	if len(local) > 0 {
-		m.claim(local[:min(len(local), maxClaimsPerCommit)], lease)
+		if local = m.leaveToHolders(local); len(local) > 0 {
+			m.claim(local[:min(len(local), maxClaimsPerCommit)], lease)
+		}
 		m.mu.Lock()
 		m.claiming = false
 		m.mu.Unlock()
@@ -73,6 +75,7 @@
 	requests = slices.DeleteFunc(requests, func(req ownership.ClaimRequest) bool {
 		return !m.steadilyReachable(req.Shard.Service, req.Shard.Zone)
 	})
+	requests = m.leaveToHolders(requests)
 	if len(requests) > 0 {
 		m.claim(requests[:min(len(requests), maxClaimsPerCommit)], lease)
 	}
@@ -93,6 +96,35 @@
 	return !ok || m.clock().Sub(last) >= reconnectDelay
 }
 
+// leaveToHolders removes the requests for shards whose previous holder is still
+// serving, although the store has dropped its registration. A claim would fence it
+// off and lose its tasks.
+func (m *Manager) leaveToHolders(requests []ownership.ClaimRequest) []ownership.ClaimRequest {
+	type holder struct {
+		address     string
+		incarnation uint64
+	}
+	asked := map[holder]bool{}
+	return slices.DeleteFunc(requests, func(req ownership.ClaimRequest) bool {
+		h := holder{req.Previous.Address, req.Previous.Incarnation}
+		if h.address == "" {
+			return false
+		}
+		serving, ok := asked[h]
+		if !ok {
+			serving = m.serving(m.ctx, h.address, h.incarnation)
+			asked[h] = serving
+			m.log.Info("The previous holder of shards was asked.", zap.String("holder", req.Previous.Holder), zap.Bool("serving", serving))
+		}
+		if serving {
+			m.mu.Lock()
+			m.planner.Postpone(m.clock(), req.Shard)
+			m.mu.Unlock()
+		}
+		return serving
+	})
+}
+
 // claim claims the shards in one transaction, which fails as a whole if any of
 // their keys has changed.
 func (m *Manager) claim(requests []ownership.ClaimRequest, lease int64) {
--- a/pool/claims/claims_test.go
+++ b/pool/claims/claims_test.go
@@ -22,7 +22,9 @@
 // so that the items are read again.
 type fakeStore struct {
 	port.Store
-	reread   chan struct{}
+	reread chan struct{}
+	// serving is set while the instance a2 replies.
+	serving  atomic.Bool
 	mu       sync.Mutex
 	revision int64
 	items    map[string]port.Item
@@ -94,6 +96,21 @@
 	return n
 }
 
+// addHolder registers the instance a2 as the holder of a shard, and waits until the
+// Manager has read it.
+func (s *fakeStore) addHolder(t *testing.T, o *Manager, shard ownership.Shard) {
+	t.Helper()
+	record := []byte(`{"name": "a2", "zone": "a", "address": "127.0.0.1:2", "incarnation": "2", "capacity": 40}`)
+	s.mu.Lock()
+	s.revision++
+	for _, key := range []string{shardKey(shard), memberPrefix + "a2"} {
+		s.items[key] = port.Item{Key: key, Value: record, Revision: s.revision}
+	}
+	s.mu.Unlock()
+	s.reread <- struct{}{}
+	eventually(t, time.Second, "the claim of a2 is read", func() bool { return o.Holders("s")[shard].Holder == "a2" })
+}
+
 const shards = 12
 
 // remoteClaimLimit bounds the time until the only instance claims the shards of
@@ -104,7 +121,10 @@
 func newManager(t *testing.T, reachable func(ctx context.Context, service, zone string) bool) (*Manager, *fakeStore) {
 	s := &fakeStore{items: map[string]port.Item{}, reread: make(chan struct{})}
 	self := ownership.Member{Name: "a1", Zone: "a", Address: "127.0.0.1:1", Incarnation: 1, Capacity: 40}
-	o := New(zap.NewNop(), s, self, []string{"a", "b"}, shards, time.Now, func() {}, func(ownership.Shard) bool { return false }, reachable)
+	o := New(zap.NewNop(), s, self, []string{"a", "b"}, shards, time.Now, func() {}, func(ownership.Shard) bool { return false }, reachable,
+		func(_ context.Context, address string, incarnation uint64) bool {
+			return s.serving.Load() && address == "127.0.0.1:2" && incarnation == 2
+		})
 	o.SetServices([]string{"s"})
 	go o.Run()
 	t.Cleanup(o.Close)
@@ -171,14 +191,7 @@
 	o, s := newManager(t, func(context.Context, string, string) bool { return false })
 	eventually(t, time.Second, "the own shards are claimed", func() bool { return s.claimed("a") == shards })
 	other := ownership.Shard{Service: "s", Zone: "a", Index: 3}
-	record := []byte(`{"name": "a2", "zone": "a", "address": "127.0.0.1:2", "incarnation": "2", "capacity": 40}`)
-	s.mu.Lock()
-	s.revision++
-	s.items[shardKey(other)] = port.Item{Key: shardKey(other), Value: record, Revision: s.revision}
-	s.items[memberPrefix+"a2"] = port.Item{Key: memberPrefix + "a2", Value: record, Revision: s.revision}
-	s.mu.Unlock()
-	s.reread <- struct{}{}
-	eventually(t, time.Second, "the claim of the other instance is read", func() bool { return o.Holders("s")[other].Holder == "a2" })
+	s.addHolder(t, o, other)
 	s.mu.Lock()
 	s.expired = true
 	delete(s.items, shardKey(other))
@@ -193,6 +206,33 @@
 	}
 }
 
+// Guards against an instance that the store turns away or whose keys it has dropped:
+// another one that claims its shards fences it off, and its tasks are lost.
+func TestServingHolderKeepsItsShards(t *testing.T) {
+	t.Parallel()
+	o, s := newManager(t, func(context.Context, string, string) bool { return false })
+	eventually(t, time.Second, "the own shards are claimed", func() bool { return s.claimed("a") == shards })
+	other := ownership.Shard{Service: "s", Zone: "a", Index: 3}
+	s.addHolder(t, o, other)
+	s.serving.Store(true)
+	s.mu.Lock()
+	delete(s.items, shardKey(other))
+	delete(s.items, memberPrefix+"a2")
+	s.mu.Unlock()
+	s.reread <- struct{}{}
+	const claimLimit = 3 * time.Second
+	for end := time.Now().Add(claimLimit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if s.claimed("a") == shards {
+			t.Fatal("the shard of a serving holder was claimed")
+		}
+		if h := o.Holders("s")[other].Holder; h != "a2" {
+			t.Fatalf("jobs for the shard go to %q, want a2", h)
+		}
+	}
+	s.serving.Store(false)
+	eventually(t, claimLimit, "the shard is claimed once its holder is gone", func() bool { return s.claimed("a") == shards })
+}
+
 // Guards against claims in the instance's own zone that wait for the probes of
 // another, partitioned zone, of which each takes up to a second.
 func TestOwnZoneDoesNotWaitForProbes(t *testing.T) {
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -249,6 +249,23 @@
 	return c.heartbeat(ctx, o, c.nextHeartbeat(o))
 }
 
+// Serving reports whether the instance at the address replies, has the incarnation,
+// owns usable targets and does not shut down.
+func (c *Client) Serving(ctx context.Context, address string, incarnation uint64) bool {
+	c.mu.Lock()
+	o := c.owner(address)
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	out, err := o.client.Beat(ctx, c.nextHeartbeat(o))
+	if err != nil || out.Load == nil {
+		return false
+	}
+	c.recordReply(o, out.Load, out.Epoch)
+	c.reconcile(o, out)
+	return out.Incarnation == incarnation && out.Load.Cpu > 0 && !out.Load.Draining
+}
+
 // startHeartbeats starts the heartbeats to an owner unless they are active. The
 // caller holds the lock.
 func (c *Client) startHeartbeats(o *owner) {
