pool/claims: a starting instance leaves other zones' shards alone

With claims made at registration, the first instance that registers claimed the shards of zones whose instances were milliseconds later (TestStatusShowsOwnersAndJobs failed), and they moved back 3 s later. An instance now claims shards of other zones from 0.5 s after its start on.

--- a/pool/claims/claim.go
+++ b/pool/claims/claim.go
@@ -37,11 +37,11 @@
 		return
 	}
 	var local, remote []ownership.ClaimRequest
-	reconnected, own := m.clock().Sub(m.reregisteredAt) < reconnectDelay, m.planner.Owned()
+	own := m.planner.Owned()
 	for _, req := range m.planner.DueClaims(m.clock()) {
 		_, held := own[req.Shard]
 		switch {
-		case reconnected && !held:
+		case !held && m.clock().Sub(m.registeredAt) < m.registrationDelay(req.Shard):
 		case req.Shard.Zone == m.self.Zone && !m.claiming:
 			local = append(local, req)
 		case req.Shard.Zone != m.self.Zone && !m.claimingRemote:
@@ -68,6 +68,18 @@
 	}
 }
 
+// registrationDelay returns how long after its registration the instance leaves a
+// shard to others. The caller holds the lock.
+func (m *Manager) registrationDelay(s ownership.Shard) time.Duration {
+	switch {
+	case m.reregistered:
+		return reconnectDelay
+	case s.Zone != m.self.Zone:
+		return startDelay
+	}
+	return 0
+}
+
 // claimRemote claims those of the shards of other zones whose targets are
 // reachable and were not unreachable within reconnectDelay. It runs in its own goroutine, so that claims in the instance's zone
 // do not wait for the probes.
--- a/pool/claims/claims.go
+++ b/pool/claims/claims.go
@@ -45,6 +45,9 @@
 	// registration, before shards of other instances are claimed. Instances that
 	// have served their targets meanwhile register again within it and keep them.
 	reconnectDelay = 1500 * time.Millisecond
+	// startDelay is the time after the start of an instance before it claims shards
+	// of other zones, whose instances may have started at the same time.
+	startDelay = 500 * time.Millisecond
 	// idleTimeout bounds the wait for the running tasks of a shard that is being
 	// released. The next owner stops those that still run.
 	idleTimeout = 1800 * time.Millisecond
@@ -102,8 +105,10 @@
 	// synced is set while the planner has the claims of the store. It is unset
 	// until they are read, and after a target has rejected a claim.
 	synced bool
-	// reregisteredAt is when this incarnation last registered again.
-	reregisteredAt time.Time
+	// registeredAt is when the instance last registered. reregistered is set if
+	// this incarnation was registered before.
+	registeredAt time.Time
+	reregistered bool
 	// changedAt is when claims were last read, set or removed.
 	changedAt time.Time
 	// releasing holds the shards that are being released.
@@ -255,10 +260,7 @@
 		return err
 	}
 	m.mu.Lock()
-	if m.lease != 0 {
-		m.reregisteredAt = m.clock()
-	}
-	m.lease = lease
+	m.registeredAt, m.reregistered, m.lease = m.clock(), m.lease != 0, lease
 	m.planner.SetMember(m.self)
 	m.mu.Unlock()
 	m.log.Info("The instance is registered.", zap.Int64("lease", lease))
--- a/pool/claims/claims_test.go
+++ b/pool/claims/claims_test.go
@@ -233,6 +233,19 @@
 	eventually(t, claimLimit, "the shard is claimed once its holder is gone", func() bool { return s.claimed("a") == shards })
 }
 
+// Guards against an instance that claims the shards of another zone before the
+// instances of that zone, which start at the same time, have registered.
+func TestStartingInstanceLeavesOtherZonesAlone(t *testing.T) {
+	t.Parallel()
+	begin := time.Now()
+	_, s := newManager(t, func(context.Context, string, string) bool { return true })
+	eventually(t, startDelay/2, "the own shards are claimed", func() bool { return s.claimed("a") == shards })
+	eventually(t, remoteClaimLimit, "the shards of the other zone are claimed", func() bool { return s.claimed("b") == shards })
+	if d := time.Since(begin); d < startDelay {
+		t.Errorf("the shards of the other zone were claimed after %v, want at least %v", d, startDelay)
+	}
+}
+
 // Guards against claims in the instance's own zone that wait for the probes of
 // another, partitioned zone, of which each takes up to a second.
 func TestOwnZoneDoesNotWaitForProbes(t *testing.T) {
