core/scheduler: calibrated forecast errors, and a cost of unknown outcomes

The error of a job's forecast is that of its longest task now (0.37 for 0.30), an unknown outcome counts as a loss, because its caller cannot submit the job again, and the preference for slow targets grows with the use of the fast ones. Jobs that are more likely to miss their deadline than to meet it are refused on arrival.

--- a/bench/poolrun/poolrun_test.go
+++ b/bench/poolrun/poolrun_test.go
@@ -82,6 +82,33 @@
 	}
 }
 
+// Guards against long jobs that start on slow targets while fast ones are free, run
+// past their deadline and end with an unknown outcome. Overconfident forecasts rate
+// all targets alike.
+func TestLongJobsGetFastTargets(t *testing.T) {
+	exp, found := Load(filepath.Join("..", "..", "examples", "experiments", "mixed-speeds.toml"))
+	if err := found.Err(); err != nil {
+		t.Fatal(err)
+	}
+	exp.Rate, exp.Faults = 90, nil
+	overconfident := Policy{Overrides: map[string]float64{"forecast_error": 0.3, "unknown_cost": 0}}
+	var unknown, unknownBefore float64
+	for seed := range uint64(4) {
+		r := Run(exp, exp.Policies[0], seed)
+		if r.EarnedShare < 0.96 {
+			t.Errorf("seed %d: %.3f of the worth is earned on a lightly loaded system, want 0.96", seed, r.EarnedShare)
+		}
+		if r.LargestShare < 0.5*r.WorstKindShare {
+			t.Errorf("seed %d: the largest jobs earn %.3f, less than half of %.3f of their kind", seed, r.LargestShare, r.WorstKindShare)
+		}
+		unknown += r.Unknown
+		unknownBefore += Run(exp, overconfident, seed).Unknown
+	}
+	if unknown >= unknownBefore {
+		t.Errorf("%.4f of the jobs have an unknown outcome, not fewer than %.4f with overconfident forecasts", unknown, unknownBefore)
+	}
+}
+
 // Guards against a scheduler whose timer wakes it repeatedly without need under
 // overload.
 func TestTimerWakesAreBounded(t *testing.T) {
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -11,6 +11,9 @@
 	// maxSkippedJobs limits how many jobs without a suitable target one call of
 	// place passes over.
 	maxSkippedJobs = 16
+	// minFastUse is the use of the fast targets that is assumed while they are idle,
+	// so that tasks to which all targets are equal leave them free.
+	minFastUse = 0.1
 	// packingEfficiency is the fraction of the CPU that can be used, because
 	// tasks of different sizes do not fill the targets completely.
 	packingEfficiency = 0.85
@@ -92,13 +95,13 @@
 func (s *Scheduler) chooseTarget(k *task) *target {
 	var best *target
 	var bestScore, bestValue float64
-	base := s.baseRunTime(k)
+	base, slownessWeight := s.baseRunTime(k), s.slownessWeight(k.job.Service)
 	for _, t := range s.sortedTargets {
 		if !s.canStartNow(t, k) || !s.isCandidate(t, k) {
 			continue
 		}
 		value := s.expectedValue(k, base, t, 0)
-		if score := value + s.preference(k, t); best == nil || score > bestScore {
+		if score := value + s.preference(k, t, slownessWeight); best == nil || score > bestScore {
 			best, bestScore, bestValue = t, score, value
 		}
 	}
@@ -121,12 +124,31 @@
 	})
 }
 
+// slownessWeight returns the weight of a target's slowness, which grows with the
+// use of the fast targets.
+func (s *Scheduler) slownessWeight(service string) float64 {
+	return s.policy.SlownessWeight * max(s.usedFastCPU(service), minFastUse)
+}
+
+// usedFastCPU returns the used share of the CPU of the service's targets that are
+// faster than the average, between 0 and 1.
+func (s *Scheduler) usedFastCPU(service string) float64 {
+	var free, total int64
+	for _, t := range s.sortedTargets {
+		if t.Service == service && t.usable() && s.model.Slowness(t.ID) < 1 {
+			free += t.free.cpu
+			total += t.CPU
+		}
+	}
+	return 1 - float64(free)/float64(max(total, 1))
+}
+
 // preference ranks targets with similar expected values: slow ones first,
 // because other tasks need the fast ones, then those with little CPU left.
-func (s *Scheduler) preference(k *task, t *target) float64 {
+func (s *Scheduler) preference(k *task, t *target, slownessWeight float64) float64 {
 	slow := math.Log(s.model.Slowness(t.ID))
 	rest := float64(t.free.cpu-k.step.CPU) / float64(max(t.CPU, 1))
-	return s.policy.SlownessWeight*min(max(slow, -1), 1) - s.policy.FreeCapacityWeight*rest
+	return slownessWeight*min(max(slow, -1), 1) - s.policy.FreeCapacityWeight*rest
 }
 
 // waitForCapacity forecasts the time until enough runs of a target have ended to
--- a/core/scheduler/policy.go
+++ b/core/scheduler/policy.go
@@ -16,9 +16,16 @@
 	// for a faster target.
 	WaitGain float64
 	// SlownessWeight and FreeCapacityWeight convert the logarithm of a target's
-	// slowness and its fraction of free CPU into expected value.
+	// slowness and its fraction of free CPU into expected value. SlownessWeight
+	// applies in proportion to the used share of the fast targets.
 	SlownessWeight     float64
 	FreeCapacityWeight float64
+	// ForecastStdDev is the standard deviation of the logarithm of the run time of
+	// a job's longest task relative to its forecast, on a target of known speed.
+	ForecastStdDev float64
+	// UnknownCost is what an unknown outcome costs the caller, relative to the value
+	// of an answer in time. A job that may have run cannot be submitted again.
+	UnknownCost float64
 	// MinExpectedValue is the expected value that each ready task must have on
 	// its best target for its job to be accepted.
 	MinExpectedValue float64
@@ -37,8 +44,8 @@
 // DefaultPolicy returns the policy that is used unless Config sets another.
 func DefaultPolicy() Policy {
 	return Policy{
-		HoldShare: 0.25, LateFactor: 3, WaitGain: 0.1, SlownessWeight: 0.04, FreeCapacityWeight: 0.02, MinExpectedValue: 0.04,
-		MaxValueLoss: 0.05, OverdueFactor: 3, OverdueMS: 300, EjectAfter: 2,
+		HoldShare: 0.25, LateFactor: 3, WaitGain: 0.1, SlownessWeight: 0.04, FreeCapacityWeight: 0.02, ForecastStdDev: 0.37,
+		UnknownCost: 0.7, MinExpectedValue: 0.04, MaxValueLoss: 0.05, OverdueFactor: 3, OverdueMS: 300, EjectAfter: 2,
 	}
 }
 
--- a/core/scheduler/value.go
+++ b/core/scheduler/value.go
@@ -6,34 +6,34 @@
 )
 
 const (
-	// taskLogStdDev and jobLogStdDev are the standard deviations of the logarithm
-	// of a forecast error on a target of known speed. taskLogStdDev is that of one
-	// task compared with the other tasks of its job. jobLogStdDev also includes
-	// the error of the whole job's forecast. The latency objective is a multiple
-	// of the job's forecast, so that only taskLogStdDev applies to it.
+	// taskLogStdDev is the standard deviation of the logarithm of the forecast
+	// error of one task on a target of known speed, compared with the other tasks
+	// of its job. The error of the whole job's forecast is Policy.ForecastStdDev.
+	// The latency objective is a multiple of the job's forecast, so that only
+	// taskLogStdDev applies to it.
 	taskLogStdDev = 0.15
-	jobLogStdDev  = 0.3
 	// lateValue is the value of an answer that misses the latency objective,
 	// relative to one that meets it.
 	lateValue = 0.2
 )
 
-// expectedValue forecasts the value of the job's answer, between 0 and 1, if the
-// task starts on the target after a wait and all other tasks end in time. base
-// is the task's run time on a target of average speed.
+// expectedValue forecasts the value of the job's answer, at most 1, if the task
+// starts on the target after a wait and all other tasks end in time. It is negative
+// if the outcome is likely to be unknown at the deadline. base is the task's run
+// time on a target of average speed.
 func (s *Scheduler) expectedValue(k *task, base time.Duration, t *target, wait time.Duration) float64 {
 	j := k.job
 	d, slownessVariance := s.expectedRunTime(k, base, t), s.model.SlownessVariance(t.ID)
 	taskStdDev := math.Sqrt(taskLogStdDev*taskLogStdDev + slownessVariance)
 	stdDev := taskStdDev
 	if len(j.stepRuns[k.id.Step].samples) == 0 {
-		stdDev = math.Sqrt(jobLogStdDev*jobLogStdDev + slownessVariance)
+		stdDev = math.Sqrt(s.policy.ForecastStdDev*s.policy.ForecastStdDev + slownessVariance)
 	}
 	start := s.now.Add(wait)
 	deadline := probabilityInTime(d, j.Deadline.Sub(start), stdDev)
 	objective := probabilityInTime(d, j.Arrived.Add(j.objective).Sub(start), taskStdDev)
 	late := probabilityInTime(d, s.worthlessAfter(j).Sub(start), taskStdDev)
-	return deadline * ((1-lateValue)*objective + lateValue*late)
+	return deadline*((1-lateValue)*objective+lateValue*late) - s.policy.UnknownCost*(1-deadline)
 }
 
 // probabilityInTime returns the probability that a run with the forecast d ends
@@ -55,8 +55,8 @@
 
 // certaintyRatio is the ratio between the remaining time and the forecast above
 // which the probability is taken as 1, and below whose inverse it is taken as 0.
-// It corresponds to four times jobLogStdDev and avoids computing most of the
-// logarithms.
+// It corresponds to more than three standard deviations and avoids computing most
+// of the logarithms.
 const certaintyRatio = 3.3
 
 // bestExpectedValue returns the lowest expected value among the ready tasks of a
