pool/run: catch signals before the settings are read

A SIGHUP in the first milliseconds ended the process, because signals were caught only after the settings were read and the components built. A changed settings file can therefore stop an instance that is starting.

Signals are caught first. The test keeps Main reading its settings from a pipe and sends SIGHUP: before, the test process ended with it.

--- a/pool/run/main.go
+++ b/pool/run/main.go
@@ -40,6 +40,11 @@
 // function connect returns the adapters to the platform. SIGTERM and interrupts
 // shut the instance down; SIGHUP validates the settings file again.
 func Main(args []string, connect func(settings.Settings) Platform, stdout, stderr io.Writer) int {
+	// Signals are caught first, because a SIGHUP that is not caught ends the process.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	var opts options
 	parser := flags.NewNamedParser("marigold-pool", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
@@ -69,10 +74,6 @@
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	go func() {
 		for range reloads {
 			in.Reload(settings.Load(opts.Config))
