pool/relay: an instance that was asked once recovers

Reading the diff: a holder that did not reply to the question whether it serves kept its heartbeat marked as overdue without regular heartbeats to clear it, so that this sender ranked it last for as long as it had another owner. A caller that disconnected while an owner was asked marked the owner as unresponsive.

Both questions go through one method that starts the regular heartbeats and does not depend on the job's context; the test shows the first fault on the code before.

--- a/pool/claims/claim.go
+++ b/pool/claims/claim.go
@@ -81,8 +81,8 @@
 }
 
 // claimRemote claims those of the shards of other zones whose targets are
-// reachable and were not unreachable within reconnectDelay. It runs in its own goroutine, so that claims in the instance's zone
-// do not wait for the probes.
+// reachable and were not unreachable within reconnectDelay. It runs in its own
+// goroutine, so that claims in the instance's zone do not wait for the probes.
 func (m *Manager) claimRemote(requests []ownership.ClaimRequest, lease int64) {
 	requests = slices.DeleteFunc(requests, func(req ownership.ClaimRequest) bool {
 		return !m.steadilyReachable(req.Shard.Service, req.Shard.Zone)
@@ -124,7 +124,7 @@
 		}
 		serving, ok := asked[h]
 		if !ok {
-			serving = m.serving(m.ctx, h.address, h.incarnation)
+			serving = m.serving(h.address, h.incarnation)
 			asked[h] = serving
 			m.log.Info("The previous holder of shards was asked.", zap.String("holder", req.Previous.Holder), zap.Bool("serving", serving))
 		}
--- a/pool/claims/claims.go
+++ b/pool/claims/claims.go
@@ -122,16 +122,16 @@
 	reachable func(ctx context.Context, service, zone string) bool
 	// serving reports whether the instance with the address and the incarnation
 	// replies and has usable targets.
-	serving func(ctx context.Context, address string, incarnation uint64) bool
+	serving func(address string, incarnation uint64) bool
 }
 
 // New returns a Manager; Run starts it. Each service has the given number of
-// shards in each zone. The functions onChange, busy, reachable and serving are called
-// from the goroutines of the Manager.
+// shards in each zone. The functions onChange, busy, reachable and serving are
+// called from the goroutines of the Manager.
 func New(log *zap.Logger, store port.Store, self ownership.Member, zones []string, shards int,
 	clock func() time.Time, onChange func(), busy func(ownership.Shard) bool,
 	reachable func(ctx context.Context, service, zone string) bool,
-	serving func(ctx context.Context, address string, incarnation uint64) bool) *Manager {
+	serving func(address string, incarnation uint64) bool) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
 		log: log, store: store, self: self, clock: clock, onChange: onChange, ctx: ctx, cancel: cancel,
--- a/pool/claims/claims_test.go
+++ b/pool/claims/claims_test.go
@@ -122,7 +122,7 @@
 	s := &fakeStore{items: map[string]port.Item{}, reread: make(chan struct{})}
 	self := ownership.Member{Name: "a1", Zone: "a", Address: "127.0.0.1:1", Incarnation: 1, Capacity: 40}
 	o := New(zap.NewNop(), s, self, []string{"a", "b"}, shards, time.Now, func() {}, func(ownership.Shard) bool { return false }, reachable,
-		func(_ context.Context, address string, incarnation uint64) bool {
+		func(address string, incarnation uint64) bool {
 			return s.serving.Load() && address == "127.0.0.1:2" && incarnation == 2
 		})
 	o.SetServices([]string{"s"})
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -37,8 +37,8 @@
 	// probePeriod is how long heartbeats to an unresponsive owner continue without
 	// jobs, so that it gets new jobs again soon after it replies.
 	probePeriod = 30 * time.Second
-	// confirmTimeout is the time in which an owner from which nothing was heard for
-	// longer than heartbeatEvery must reply before it gets a job.
+	// confirmTimeout is the time in which an owner must reply that is asked before
+	// it gets a job, or before its shards are claimed.
 	confirmTimeout = 100 * time.Millisecond
 	// minHeartbeatTimeout and maxHeartbeatTimeout bound the timeout of a heartbeat.
 	minHeartbeatTimeout = 50 * time.Millisecond
@@ -190,7 +190,7 @@
 	defer cancelTimeout()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if !c.confirm(ctx, address) {
+	if !c.confirm(address) {
 		c.log.Info("An owner did not reply in time to get a job.", zap.String("job", j.ID), zap.String("owner", address))
 		return scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
 	}
@@ -233,37 +233,33 @@
 // confirm reports whether the owner at the address has replied recently. If it has
 // not, it sends a heartbeat and waits for the reply, because the outcome of a job
 // that is sent into a network partition is unknown.
-func (c *Client) confirm(ctx context.Context, address string) bool {
+func (c *Client) confirm(address string) bool {
 	c.mu.Lock()
 	o := c.owner(address)
 	recent := time.Since(o.lastReply) <= heartbeatEvery+overdueReply
-	if !recent {
-		c.startHeartbeats(o)
-	}
 	c.mu.Unlock()
-	if recent {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	return c.heartbeat(ctx, o, c.nextHeartbeat(o))
+	return recent || c.ask(o) != nil
 }
 
 // Serving reports whether the instance at the address replies, has the incarnation,
 // owns usable targets and does not shut down.
-func (c *Client) Serving(ctx context.Context, address string, incarnation uint64) bool {
+func (c *Client) Serving(address string, incarnation uint64) bool {
 	c.mu.Lock()
 	o := c.owner(address)
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	out := c.ask(o)
+	return out != nil && out.Load != nil && out.Incarnation == incarnation && out.Load.Cpu > 0 && !out.Load.Draining
+}
+
+// ask sends a heartbeat at once and returns the reply, or nil if there is none
+// within confirmTimeout. The regular heartbeats notice when the owner replies again.
+func (c *Client) ask(o *owner) *wire.BeatReply {
+	c.mu.Lock()
+	c.startHeartbeats(o)
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(c.ctx, confirmTimeout)
 	defer cancel()
-	out, err := o.client.Beat(ctx, c.nextHeartbeat(o))
-	if err != nil || out.Load == nil {
-		return false
-	}
-	c.recordReply(o, out.Load, out.Epoch)
-	c.reconcile(o, out)
-	return out.Incarnation == incarnation && out.Load.Cpu > 0 && !out.Load.Draining
+	return c.heartbeat(ctx, o, c.nextHeartbeat(o))
 }
 
 // startHeartbeats starts the heartbeats to an owner unless they are active. The
@@ -374,10 +370,10 @@
 	return in
 }
 
-// heartbeat sends a heartbeat, processes its reply and reports whether there was
-// one. If the owner has not replied for ownerTimeout, it ends the wait for all jobs
+// heartbeat sends a heartbeat, processes its reply and returns it, or nil if there is
+// none. If the owner has not replied for ownerTimeout, it ends the wait for all jobs
 // there.
-func (c *Client) heartbeat(ctx context.Context, o *owner, in *wire.BeatRequest) bool {
+func (c *Client) heartbeat(ctx context.Context, o *owner, in *wire.BeatRequest) *wire.BeatReply {
 	out, err := o.client.Beat(ctx, in)
 	if err == nil {
 		c.recordReply(o, out.Load, out.Epoch)
@@ -385,20 +381,20 @@
 		if out.Configuration > c.version() {
 			c.onNewerConfiguration(o.client)
 		}
-		return true
+		return out
 	}
 	c.markUnresponsive(o)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(o.inFlight) == 0 || time.Since(o.lastReply) < ownerTimeout {
-		return false
+		return nil
 	}
 	c.log.Warn("An owner is unresponsive; its jobs are no longer awaited.", zap.Int("jobs", len(o.inFlight)), zap.Error(err),
 		zap.Duration("silent", time.Since(o.lastReply)))
 	for _, job := range o.inFlight {
 		job.cancel(errOwnerUnresponsive)
 	}
-	return false
+	return nil
 }
 
 // heartbeatTimeout returns the timeout of the next heartbeat to an owner. It ends
--- a/pool/relay/relay_test.go
+++ b/pool/relay/relay_test.go
@@ -114,6 +114,24 @@
 	}
 }
 
+// Guards against an instance that does not reply once, when it is asked whether it
+// serves, and gets no jobs from then on.
+func TestInstanceThatWasAskedRecovers(t *testing.T) {
+	o := &fakeOwner{}
+	o.silent.Store(true)
+	r, address := newTestClient(t), o.serve(t)
+	if r.Serving(address, 0) {
+		t.Error("an instance that does not reply counts as serving")
+	}
+	o.silent.Store(false)
+	time.Sleep(overdueReply)
+	for end := time.Now().Add(2 * time.Second); r.Load(address).Overdue || !r.Load(address).UnresponsiveAt.IsZero(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the load is still %+v 2 s after the instance replies again", r.Load(address))
+		}
+	}
+}
+
 // Guards against jobs that wait for a lost owner until the next heartbeat fails.
 func TestLostOwnerIsGivenUpInTime(t *testing.T) {
 	o := &fakeOwner{}
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -157,9 +157,7 @@
 	in.sender = sender.New(in.logger("sender"), in.tracer, p.Targets, in.metrics, in.loop.Post)
 	in.claims = claims.New(in.logger("owner"), store, in.self, cfg.AvailabilityZones, cfg.Shards, clock.Now,
 		func() { in.targets.Refresh() }, in.busy, reachability.New(in.logger("contact"), store, p.Formats, p.Targets).Reachable,
-		func(ctx context.Context, address string, incarnation uint64) bool {
-			return in.relayClient.Serving(ctx, address, incarnation)
-		})
+		func(address string, incarnation uint64) bool { return in.relayClient.Serving(address, incarnation) })
 	in.targets = targetlist.New(in.logger("listing"), store, p.Formats, in.claims, cfg.Shards, clock.Now, in.loop.Post)
 	in.configuration = configuration.New(in.logger("configuration"), store, p.Formats, func(c *catalog.Catalog) {
 		in.claims.SetServices(c.Services)
