core/scheduler: the latest start counts the deadline of a kept job

Reading the diff: a job with a long estimate was kept for an owner past its deadline, because the latest start came from the latency objective only. An answer that is certain to come too late is not worth waiting for; the job is refused as not run.

LatestStart is bounded by the deadline; the test has a job whose deadline is near.

--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -141,11 +141,11 @@
 	return time.Duration(float64(criticalPath)*max(1, j.Stretch)) + j.Slack
 }
 
-// LatestStart returns when the job has to start to meet its latency objective, if
-// the caller's estimates are exact.
+// LatestStart returns when the job has to start to meet its latency objective and
+// its deadline, if the caller's estimates are exact.
 func (j *Job) LatestStart() time.Time {
 	path := j.criticalPath(func(estimate time.Duration) time.Duration { return estimate })
-	return j.Arrived.Add(j.objective(path) - path)
+	return earliest(j.Arrived.Add(j.objective(path)), j.Deadline).Add(-path)
 }
 
 func (j *job) countUnplaced() {
--- a/pool/frontend/frontend_test.go
+++ b/pool/frontend/frontend_test.go
@@ -170,14 +170,17 @@
 // Guards against a job that is refused although targets will have an owner before
 // its latest start, and against one that is kept longer than that.
 func TestJobWaitsForAnOwnerUntilItsLatestStart(t *testing.T) {
+	const estimate = 200 * time.Millisecond
 	for name, tc := range map[string]struct {
 		changing bool
 		owned    time.Duration // when the owner accepts jobs
+		deadline time.Duration
 		complete bool
 	}{
-		"owner in time":      {true, 60 * time.Millisecond, true},
-		"owner too late":     {true, time.Hour, false},
-		"no owner is coming": {false, 60 * time.Millisecond, false},
+		"owner in time":      {true, 60 * time.Millisecond, time.Second, true},
+		"owner too late":     {true, time.Hour, time.Second, false},
+		"deadline too near":  {true, 120 * time.Millisecond, estimate + 30*time.Millisecond, false},
+		"no owner is coming": {false, 60 * time.Millisecond, time.Second, false},
 	} {
 		begin := time.Now()
 		d := newFrontend(t, func(context.Context, scheduler.Job) (scheduler.Outcome, error) {
@@ -188,8 +191,8 @@
 		})
 		d.cfg.OwnersChanging = func() bool { return tc.changing }
 		j := scheduler.Job{
-			ID: "j", Service: "s", Stretch: 2, Arrived: begin, Deadline: begin.Add(time.Second),
-			Steps: []scheduler.Step{{Count: 1, Estimate: 200 * time.Millisecond}},
+			ID: "j", Service: "s", Stretch: 2, Arrived: begin, Deadline: begin.Add(tc.deadline),
+			Steps: []scheduler.Step{{Count: 1, Estimate: estimate}},
 		}
 		_, completed := d.Submit(context.Background(), j).(scheduler.Completed)
 		if completed != tc.complete || time.Since(begin) > 300*time.Millisecond {
