core/scheduler: a lease covers targets with slow clocks

Cause: the end of a lease is given in the target's clock, which was extrapolated from its last reply as if it ran at full speed. It may be 2% slow, so that after 40 s without work a start was accepted for 1.8 s, while its task was released after 1.12 s. The error grew without a bound.

Change: the clock is extrapolated at the slowest speed allowed, so that no lease ends later than the release assumes, whatever the time without work. An idle target is polled when the last reading of its clock is 8 s old, so that leases on exact clocks stay longer than 0.84 s.

--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -14,12 +14,15 @@
 	actions []Action
 }
 
-const testLease = time.Second
+const (
+	testLease      = time.Second
+	testClockDrift = 0.02
+)
 
 func newHarness(t *testing.T, targets ...Target) *harness {
 	h := &harness{
 		t: t, now: time.Unix(1000, 0),
-		s: New(Config{Lease: testLease, MaxClockDrift: 0.02, RemoteRackFactor: 2}),
+		s: New(Config{Lease: testLease, MaxClockDrift: testClockDrift, RemoteRackFactor: 2}),
 	}
 	h.send(TargetsChanged{Targets: targets})
 	for _, p := range take[Poll](h) {
--- a/core/scheduler/simulation_target_test.go
+++ b/core/scheduler/simulation_target_test.go
@@ -5,7 +5,11 @@
 	"time"
 )
 
-func (t *simTarget) clock() int64 { return t.sim.now.Add(t.clockOffset).UnixMilli() }
+// clock returns the target's steady clock, in milliseconds. It starts anew with each
+// incarnation.
+func (t *simTarget) clock() int64 {
+	return 1 + int64(float64(t.sim.now.Sub(t.born).Milliseconds())*t.clockRate)
+}
 
 // acceptsFence applies the fencing token of a request. It returns false if the
 // token is outdated.
@@ -18,7 +22,8 @@
 }
 
 func (t *simTarget) extendLease(leaseMS int64) {
-	until := t.sim.now.Add(min(time.Duration(leaseMS-t.clock())*time.Millisecond, testLease))
+	left := min(time.Duration(leaseMS-t.clock())*time.Millisecond, testLease)
+	until := t.sim.now.Add(time.Duration(float64(left) / t.clockRate))
 	if leaseMS > 0 && until.After(t.lease) {
 		t.lease = until
 	}
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -50,7 +50,9 @@
 	lease          time.Time
 	fence          int64
 	disconnected   bool
-	clockOffset    time.Duration
+	// clockRate is the speed of the target's steady clock, which starts at born.
+	clockRate float64
+	born      time.Time
 }
 
 type simRun struct {
@@ -85,7 +87,7 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	sim := &simulation{
 		t: t, rng: rng, now: time.Unix(1000, 0), jobs: map[string]*simJob{},
-		s:      New(Config{Lease: testLease, MaxClockDrift: 0.02, RemoteRackFactor: 2}),
+		s:      New(Config{Lease: testLease, MaxClockDrift: testClockDrift, RemoteRackFactor: 2}),
 		faults: []float64{0, 0.01, 0.05, 0.2}[seed%4],
 	}
 	for i := range 2 + rng.IntN(4) {
@@ -93,7 +95,8 @@
 		target.CPU = []int64{64_000, 96_000}[rng.IntN(2)]
 		sim.targets = append(sim.targets, &simTarget{
 			Target: target, sim: sim, running: map[RunID]*simRun{}, highestAttempt: map[TaskID]int{}, fence: 1,
-			clockOffset: time.Duration(rng.IntN(1000)) * time.Hour,
+			born:      sim.now.Add(-time.Duration(rng.IntN(1000)) * time.Hour),
+			clockRate: 1 - testClockDrift*rng.Float64(),
 		})
 	}
 	return sim
@@ -101,7 +104,13 @@
 
 func (sim *simulation) run() {
 	sim.sendTargets()
-	end := sim.now.Add(12 * time.Second)
+	// Some runs have a time without jobs, in which the targets' clocks drift.
+	idleFrom := sim.now.Add(4 * time.Second)
+	idleUntil := idleFrom
+	if sim.rng.IntN(5) == 0 {
+		idleUntil = idleFrom.Add(40 * time.Second)
+	}
+	end := idleUntil.Add(8 * time.Second)
 	nextJob, nextFault := sim.now, sim.now
 	for sim.now.Before(end.Add(4 * time.Second)) {
 		sim.now = sim.now.Add(5 * time.Millisecond)
@@ -111,6 +120,9 @@
 		}
 		if sim.now.After(nextJob) && sim.now.Before(end) {
 			nextJob = sim.now.Add(time.Duration(sim.rng.ExpFloat64() * float64(40*time.Millisecond)))
+			if nextJob.After(idleFrom) && nextJob.Before(idleUntil) {
+				nextJob = idleUntil
+			}
 			sim.submit()
 		}
 		if sim.faults > 0 && sim.now.After(nextFault) {
@@ -215,8 +227,14 @@
 			unanswered()
 		}
 	})
+	incarnation := t.Incarnation
 	if sim.rng.Float64() < sim.faults/2 {
-		sim.after(2*time.Second+time.Duration(sim.rng.IntN(2000))*time.Millisecond, func() { do() })
+		sim.after(500*time.Millisecond+time.Duration(sim.rng.IntN(3500))*time.Millisecond, func() {
+			// A restarted target does not know of earlier requests.
+			if t.Incarnation == incarnation {
+				do()
+			}
+		})
 		return
 	}
 	sim.after(sim.latency(), func() {
@@ -358,7 +376,7 @@
 	case 1:
 		t.Incarnation++
 		t.running, t.highestAttempt, t.completions, t.lastCompletion = map[RunID]*simRun{}, map[TaskID]int{}, nil, 0
-		t.fence, t.lease = 0, time.Time{}
+		t.fence, t.lease, t.born = 0, time.Time{}, sim.now
 		sim.after(time.Second, sim.sendTargets)
 	case 2:
 		// Another owner takes the target over and stops its runs.
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -21,6 +21,10 @@
 	// acknowledgeAfter delays the poll that acknowledges the last completions of
 	// an idle target. A start within this time makes the extra poll unnecessary.
 	acknowledgeAfter = 2 * time.Second
+	// clockRefresh is the age at which the clock of an idle target is read again.
+	// The next lease is shorter by the drift that is possible in this time, and
+	// must still outlast a poll that is lost.
+	clockRefresh = 8 * time.Second
 	// stopRetryInterval is the time between two attempts to stop a run.
 	stopRetryInterval = 200 * time.Millisecond
 	// maxStartDelay is the longest delay after which an unanswered start may
@@ -67,7 +71,7 @@
 	// runs are not known to be over.
 	removed bool
 
-	// clockMS is the target's clock at clockAt.
+	// clockMS is the last reading of the target's clock, which arrived at clockAt.
 	clockMS int64
 	clockAt time.Time
 	// leaseSentAt is when the lease was last renewed by a start or a poll.
@@ -110,7 +114,7 @@
 		listed[in.ID] = true
 		t := s.targets[in.ID]
 		if t == nil {
-			t = &target{Target: in, runs: map[RunID]*run{}, free: capacity{in.CPU, in.MemoryMB, in.Accelerators}}
+			t = &target{Target: in, runs: map[RunID]*run{}, free: capacity{in.CPU, in.MemoryMB, in.Accelerators}, nextPoll: s.now}
 			s.targets[in.ID] = t
 			s.sortedTargets = append(s.sortedTargets, t)
 			continue
@@ -160,12 +164,15 @@
 }
 
 // leaseMS returns the end of a full lease that begins now, in milliseconds of the
-// target's clock, or 0 if the clock is unknown.
+// target's clock, or 0 if the clock is unknown. The clock is assumed to run as slow
+// as it may: a lease that is too long would let a start take effect after its task
+// was released.
 func (s *Scheduler) leaseMS(t *target) int64 {
 	if t.clockAt.IsZero() {
 		return 0
 	}
-	return t.clockMS + s.now.Sub(t.clockAt).Milliseconds() + s.cfg.Lease.Milliseconds()
+	elapsed := time.Duration(float64(s.now.Sub(t.clockAt)) * (1 - s.cfg.MaxClockDrift))
+	return t.clockMS + elapsed.Milliseconds() + s.cfg.Lease.Milliseconds()
 }
 
 func (t *target) updateClock(ms int64, now time.Time) {
@@ -177,7 +184,7 @@
 // leaseEnd returns when all runs on an unreachable target have lost their lease,
 // even if its clock runs slow by MaxClockDrift.
 func (s *Scheduler) leaseEnd(t *target) time.Time {
-	longest := time.Duration(float64(s.cfg.Lease) * (1 + s.cfg.MaxClockDrift))
+	longest := time.Duration(float64(s.cfg.Lease) / (1 - s.cfg.MaxClockDrift))
 	return t.leaseSentAt.Add(longest + leaseMargin)
 }
 
@@ -191,7 +198,21 @@
 }
 
 func (t *target) pollDue(now time.Time) bool {
-	return !t.polling && t.needsPoll() && !now.Before(t.nextPoll)
+	at := t.pollAt()
+	return !at.IsZero() && !now.Before(at)
+}
+
+// pollAt returns when the next poll is due, or zero if none is.
+func (t *target) pollAt() time.Time {
+	switch {
+	case t.polling:
+		return time.Time{}
+	case t.needsPoll():
+		return t.nextPoll
+	case t.acceptsWork():
+		return t.clockAt.Add(clockRefresh)
+	}
+	return time.Time{}
 }
 
 func (t *target) needsPoll() bool {
@@ -208,10 +229,7 @@
 // nextTargetWake returns the time of the target's next decision that no event
 // causes, or zero.
 func (s *Scheduler) nextTargetWake(t *target) time.Time {
-	var next time.Time
-	if !t.polling && t.needsPoll() {
-		next = t.nextPoll
-	}
+	next := t.pollAt()
 	for _, r := range t.runs {
 		next = earliest(next, s.nextRunWake(r))
 	}
