core/scheduler: replies of an earlier incarnation do not set the clock

Cause: the reply to a start has the clock of the target's process that answered it, but not its incarnation. If it was processed after the target was known to have restarted, the clock of the former process was taken for that of the new one, whose clock starts anew, and leases ended up to hours late.

Evidence: TestReplyOfPreviousIncarnationDoesNotSetTheClock failed before with a lease of 3,600,980 ms.

Change: replies to starts that were sent before the restart was known do not set the clock.

Tried and not kept: stopping the unanswered starts of an earlier incarnation at the new one.

--- a/core/scheduler/clock_test.go
+++ b/core/scheduler/clock_test.go
@@ -90,3 +90,23 @@
 		t.Errorf("the run counts as ended %v before its lease ends", ends.Sub(end))
 	}
 }
+
+// Guards against leases in the clock of an earlier incarnation: a reply of the
+// previous incarnation must not set the clock of the new one, which started anew.
+func TestReplyOfPreviousIncarnationDoesNotSetTheClock(t *testing.T) {
+	h := newIdleTargetHarness(t, 1)
+	h.submit(1, testJob("j", 1))
+	st := one[Start](h.harness)
+	old := h.clockMS()
+	p := one[Poll](h.harness)
+	h.born = h.now
+	h.now = h.now.Add(20 * time.Millisecond)
+	h.send(PollReturned{Target: "a", Sent: p.Sent, Answered: true, Incarnation: 2, ClockMS: h.clockMS()})
+	h.send(StartReturned{Run: st.Run, Target: "a", Result: StartAccepted, ClockMS: old})
+	h.submit(2, testJob("k", 1))
+	for _, st := range take[Start](h.harness) {
+		if left := st.LeaseMS - h.clockMS(); left > testLease.Milliseconds() {
+			t.Errorf("the lease of %v ends in %d ms of the target's clock, want at most %v", st.Run, left, testLease)
+		}
+	}
+}
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -165,11 +165,14 @@
 	if t == nil {
 		return
 	}
-	t.updateClock(ev.ClockMS, s.now)
 	r := t.runs[ev.Run]
 	if r == nil || r.foreign {
 		return
 	}
+	if r.started.After(t.bornAt) {
+		// An earlier incarnation may have answered other starts.
+		t.updateClock(ev.ClockMS, s.now)
+	}
 	switch ev.Result {
 	case StartUnanswered, StartNotSent, StartWrongTarget:
 	default:
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -74,6 +74,9 @@
 	// clockMS is the last reading of the target's clock, which arrived at clockAt.
 	clockMS int64
 	clockAt time.Time
+	// bornAt is when the Scheduler learned of the current incarnation, or zero if
+	// there was no other before.
+	bornAt time.Time
 	// leaseSentAt is when the lease was last renewed by a start or a poll.
 	leaseSentAt time.Time
 
@@ -160,6 +163,7 @@
 	t.Incarnation = incarnation
 	t.lastCompletion, t.acknowledged, t.ackInFlight, t.clockAt = 0, 0, 0, time.Time{}
 	t.unanswered, t.consecutiveBadRuns, t.synced, t.nextPoll = 0, 0, false, s.now
+	t.bornAt = s.now
 	s.model.Forget(t.ID)
 }
 
