--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -194,7 +194,7 @@
 // isCandidate reports whether the task may start on the target once it has free
 // capacity.
 func (s *Scheduler) isCandidate(t *target, k *task) bool {
-	if !t.acceptsWork() || t.Releasing && !k.job.started || !t.ejectedUntil.IsZero() || t.clockAt.IsZero() || t.Service != k.job.Service {
+	if !t.acceptsWork() || t.Releasing && !k.job.started || !t.ejectedUntil.IsZero() || !t.clock.Known() || t.Service != k.job.Service {
 		return false
 	}
 	whole := capacity{t.CPU, t.MemoryMB, t.Accelerators}
