pool/relay: owners refuse jobs that were held on their way

Cause: a job carried times relative to its arrival, so that the owner could not tell a job that was under way for two seconds from a new one.

Change: replies carry the owner's clock, and jobs and heartbeats carry the owner's time at which they were sent, which the sender estimates from the last reply and never too late. A job that was under way for more than 250 ms is refused, which is truthful. This holds for any cause of the delay and for any skew between the clocks.

Related paths: age and deadline at the owner count the time under way; a late heartbeat does not keep the jobs of its sender running; a late message of a sender's previous incarnation does not stop the jobs of the current one.

--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -263,7 +263,7 @@
 // runAt runs the job at the owner with the address, which may be this instance.
 func (f *Frontend) runAt(ctx context.Context, address string, j *scheduler.Job) scheduler.Outcome {
 	if address != f.cfg.SelfAddress {
-		o := f.cfg.RelayClient.Run(ctx, address, f.cfg.Clock(), j)
+		o := f.cfg.RelayClient.Run(ctx, address, j)
 		_, refused := o.(scheduler.Refused)
 		f.cfg.Metrics.RunRequest("other", !refused)
 		return o
--- a/pool/relay/convert.go
+++ b/pool/relay/convert.go
@@ -9,7 +9,7 @@
 )
 
 // jobToWire encodes a job. Times are sent as durations relative to now, because
-// the clocks of instances differ.
+// the clocks of instances differ. The owner adds the time that the job was under way.
 func jobToWire(now time.Time, j *scheduler.Job) *wire.RunRequest {
 	out := &wire.RunRequest{
 		Job: j.ID, Queue: j.Queue, Service: j.Service, Priority: int32(j.Priority), Attempts: int32(j.MaxAttempts),
@@ -29,13 +29,13 @@
 	return out
 }
 
-// jobFromWire decodes a job, with times relative to now.
-func jobFromWire(now time.Time, in *wire.RunRequest) scheduler.Job {
+// jobFromWire decodes a job that was sent at the given time.
+func jobFromWire(sent time.Time, in *wire.RunRequest) scheduler.Job {
 	j := scheduler.Job{
 		ID: in.Job, Queue: in.Queue, Service: in.Service, Priority: int(in.Priority), MaxAttempts: int(in.Attempts),
 		Stretch: in.Stretch, Slack: time.Duration(in.SlackMs) * time.Millisecond,
-		Arrived:  now.Add(-time.Duration(in.AgeMs) * time.Millisecond),
-		Deadline: now.Add(time.Duration(in.RemainingMs) * time.Millisecond), Payload: in.Payload, MustStartNow: in.OnlyNow,
+		Arrived:  sent.Add(-time.Duration(in.AgeMs) * time.Millisecond),
+		Deadline: sent.Add(time.Duration(in.RemainingMs) * time.Millisecond), Payload: in.Payload, MustStartNow: in.OnlyNow,
 	}
 	for _, s := range in.Steps {
 		st := scheduler.Step{
--- a/pool/relay/heartbeat.go
+++ b/pool/relay/heartbeat.go
@@ -15,7 +15,7 @@
 func (c *Client) confirm(address string) bool {
 	c.mu.Lock()
 	o := c.owner(address)
-	recent := time.Since(o.lastReply) <= heartbeatEvery+overdueReply
+	recent := c.clock().Sub(o.lastReply) <= heartbeatEvery+overdueReply
 	c.mu.Unlock()
 	return recent || c.ask(o) != nil
 }
@@ -93,6 +93,7 @@
 	o.heartbeatSent = time.Now()
 	in := &wire.BeatRequest{
 		Sender: c.name, Incarnation: c.incarnation, Configuration: version, Number: o.heartbeats, Last: c.lastID,
+		Sent: o.estimateTime(c.clock()),
 	}
 	for id, job := range o.inFlight {
 		in.Jobs = append(in.Jobs, id)
@@ -109,7 +110,7 @@
 func (c *Client) heartbeat(ctx context.Context, o *owner, in *wire.BeatRequest) *wire.BeatReply {
 	out, err := o.client.Beat(ctx, in)
 	if err == nil {
-		c.recordReply(o, out.Load, out.Epoch)
+		c.recordReply(o, out.Load, out.Time, out.Epoch)
 		c.reconcile(o, out)
 		if out.Configuration > c.version() {
 			c.onNewerConfiguration(o.client)
@@ -119,11 +120,12 @@
 	c.markUnresponsive(o)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(o.inFlight) == 0 || time.Since(o.lastReply) < ownerTimeout {
+	silent := c.clock().Sub(o.lastReply)
+	if len(o.inFlight) == 0 || silent < ownerTimeout {
 		return nil
 	}
 	c.log.Warn("An owner is unresponsive; its jobs are no longer awaited.", zap.Int("jobs", len(o.inFlight)), zap.Error(err),
-		zap.Duration("silent", time.Since(o.lastReply)))
+		zap.Duration("silent", silent))
 	for _, job := range o.inFlight {
 		job.cancel(errOwnerUnresponsive)
 	}
@@ -135,7 +137,7 @@
 func (c *Client) heartbeatTimeout(o *owner) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	left := time.Until(o.lastReply.Add(ownerTimeout))
+	left := ownerTimeout - c.clock().Sub(o.lastReply)
 	if left <= 0 {
 		return maxHeartbeatTimeout
 	}
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"marigoldfront.dev/core/remoteclock"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
@@ -50,6 +51,9 @@
 	// overdueAfter is the time within which an owner must have received a job.
 	// Messages between instances take milliseconds.
 	overdueAfter = 200 * time.Millisecond
+	// maxClockDrift is the fraction by which the clocks of two instances may drift
+	// apart.
+	maxClockDrift = 0.02
 	// maxIdleConns bounds the idle connections to each owner.
 	maxIdleConns = 16
 )
@@ -82,6 +86,7 @@
 	tracer               *tracing.Tracer
 	name                 string
 	incarnation          uint64
+	clock                func() time.Time
 	version              func() int64
 	onNewerConfiguration func(wire.Pool)
 	http                 *http.Client
@@ -103,8 +108,13 @@
 	inFlight map[uint64]*inFlightJob
 	// heartbeatActive is set while a goroutine sends heartbeats to the owner.
 	heartbeatActive bool
-	// lastReply is the time of the last reply.
+	// lastReply is the time of the last reply, by the clock of the Client.
 	lastReply time.Time
+	// incarnation is the incarnation that sent the last reply, and time estimates its
+	// clock. The estimate is never ahead, so that the owner does not take a message
+	// for a newer one than it is.
+	incarnation uint64
+	time        remoteclock.Clock
 	// epoch is the epoch of the owner's ledger of this instance's jobs, or 0 if it
 	// is unknown.
 	epoch uint64
@@ -122,6 +132,8 @@
 	// cancel ends the wait for the reply, with the cause.
 	cancel context.CancelCauseFunc
 	sent   time.Time
+	// sentTime is the time at which the job was sent, by the owner's clock.
+	sentTime *wire.OwnerTime
 	// epoch is the epoch of the owner's ledger when the job was sent.
 	epoch uint64
 	reply *wire.RunReply // guarded by the Client's mutex
@@ -138,14 +150,15 @@
 	errJobNotReceived = errors.New("the job has not reached the owner")
 )
 
-// NewClient returns a Client of the instance with the name and incarnation. Each
-// heartbeat carries the result of version, the version of the active
-// configuration. The function onNewerConfiguration is called with an owner that
-// has a newer one.
-func NewClient(log *zap.Logger, tracer *tracing.Tracer, name string, incarnation uint64, version func() int64, onNewerConfiguration func(wire.Pool)) *Client {
+// NewClient returns a Client of the instance with the name and incarnation. The clock
+// must include suspensions of the machine. Each heartbeat carries the result of
+// version, the version of the active configuration. The function
+// onNewerConfiguration is called with an owner that has a newer one.
+func NewClient(log *zap.Logger, tracer *tracing.Tracer, name string, incarnation uint64, clock func() time.Time, version func() int64, onNewerConfiguration func(wire.Pool)) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
-		log: log, tracer: tracer, name: name, incarnation: incarnation, version: version, onNewerConfiguration: onNewerConfiguration, ctx: ctx, cancel: cancel,
+		log: log, tracer: tracer, name: name, incarnation: incarnation, clock: clock, version: version,
+		onNewerConfiguration: onNewerConfiguration, ctx: ctx, cancel: cancel,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConns,
@@ -163,6 +176,7 @@
 		o = &owner{
 			client:   wire.NewPoolProtobufClient("http://"+address, c.http),
 			inFlight: map[uint64]*inFlightJob{},
+			time:     remoteclock.New(maxClockDrift),
 		}
 		c.owners[address] = o
 	}
@@ -183,10 +197,10 @@
 }
 
 // Run sends a job to the owner at the address and returns its outcome. It returns
-// Refused only if the job certainly does not run there. The time now is the
-// current time of the clock of the job's deadline.
-func (c *Client) Run(ctx context.Context, address string, now time.Time, j *scheduler.Job) scheduler.Outcome {
-	ctx, cancelTimeout := context.WithTimeout(ctx, j.Deadline.Sub(now)+replySlack)
+// Refused only if the job certainly does not run there. The times of the job are of
+// the clock of the Client.
+func (c *Client) Run(ctx context.Context, address string, j *scheduler.Job) scheduler.Outcome {
+	ctx, cancelTimeout := context.WithTimeout(ctx, j.Deadline.Sub(c.clock())+replySlack)
 	defer cancelTimeout()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -194,15 +208,16 @@
 		c.log.Info("An owner did not reply in time to get a job.", zap.String("job", j.ID), zap.String("owner", address))
 		return scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
 	}
+	in := jobToWire(c.clock(), j)
 	o, job, id := c.addJob(address, cancel)
 	ctx, span := c.tracer.Start(ctx, "ask owner")
 	defer span.End()
-	in := jobToWire(now, j)
 	in.Sender, in.Incarnation, in.Id, in.Traceparent = c.name, c.incarnation, id, tracing.Inject(ctx)
+	in.Sent = job.sentTime
 	out, err := o.client.Run(ctx, in)
 	c.removeJob(o, id)
 	if err == nil {
-		c.recordReply(o, out.Load, out.Epoch)
+		c.recordReply(o, out.Load, out.Time, out.Epoch)
 		return outcomeFromWire(out)
 	}
 	switch cause := context.Cause(ctx); {
@@ -237,7 +252,7 @@
 	defer c.mu.Unlock()
 	o := c.owner(address)
 	c.lastID++
-	job := &inFlightJob{cancel: cancel, sent: time.Now(), epoch: o.epoch}
+	job := &inFlightJob{cancel: cancel, sent: time.Now(), sentTime: o.estimateTime(c.clock()), epoch: o.epoch}
 	o.inFlight[c.lastID] = job
 	c.startHeartbeats(o)
 	return o, job, c.lastID
@@ -250,14 +265,16 @@
 	delete(o.inFlight, id)
 }
 
-// recordReply records the load report and the epoch of a reply.
-func (c *Client) recordReply(o *owner, l *wire.PoolLoad, epoch uint64) {
+// recordReply records the load report, the clock and the epoch of a reply. A reply to
+// a job that did not run may lack the load report.
+func (c *Client) recordReply(o *owner, l *wire.PoolLoad, t *wire.OwnerTime, epoch uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o.observeTime(c.clock(), t)
 	if l == nil {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	o.lastReply, o.epoch = time.Now(), epoch
+	o.lastReply, o.epoch = c.clock(), epoch
 	o.heartbeatSent, o.unresponsiveSince = time.Time{}, time.Time{}
 	o.load = Load{
 		ForecastWait: time.Duration(l.WaitMs) * time.Millisecond, FreeCPU: l.FreeCpu, CPU: l.Cpu,
@@ -265,6 +282,30 @@
 	}
 }
 
+// observeTime records a reading of the owner's clock, unless a later one has
+// overtaken it.
+func (o *owner) observeTime(now time.Time, t *wire.OwnerTime) {
+	if t == nil {
+		return
+	}
+	if t.Incarnation != o.incarnation {
+		o.incarnation = t.Incarnation
+		o.time.Reset()
+	}
+	reading := time.Duration(t.Ms) * time.Millisecond
+	if !o.time.Known() || reading >= o.time.At(now) {
+		o.time.Observe(now, reading)
+	}
+}
+
+// estimateTime returns the estimate of the owner's clock, or nil if it is unknown.
+func (o *owner) estimateTime(now time.Time) *wire.OwnerTime {
+	if !o.time.Known() {
+		return nil
+	}
+	return &wire.OwnerTime{Incarnation: o.incarnation, Ms: o.time.At(now).Milliseconds()}
+}
+
 // markUnresponsive records that an owner has just failed to reply.
 func (c *Client) markUnresponsive(o *owner) {
 	c.mu.Lock()
--- a/pool/relay/relay_test.go
+++ b/pool/relay/relay_test.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := NewClient(zap.NewNop(), tracer, "a", 1, func() int64 { return 0 }, func(wire.Pool) {})
+	r := NewClient(zap.NewNop(), tracer, "a", 1, time.Now, func() int64 { return 0 }, func(wire.Pool) {})
 	t.Cleanup(r.Close)
 	return r
 }
@@ -40,7 +40,7 @@
 	address := l.Addr().String()
 	_ = l.Close()
 	r, j := newTestClient(t), testJob()
-	if o, ok := r.Run(context.Background(), address, j.Arrived, j).(scheduler.Refused); !ok || o.Reason != scheduler.ReasonNoTarget {
+	if o, ok := r.Run(context.Background(), address, j).(scheduler.Refused); !ok || o.Reason != scheduler.ReasonNoTarget {
 		t.Errorf("the outcome is %v, want a refusal for lack of targets", o)
 	}
 	if at := r.Load(address).UnresponsiveAt; at.Before(j.Arrived) {
@@ -57,7 +57,7 @@
 	}
 	defer l.Close()
 	r, j := newTestClient(t), testJob()
-	go r.Run(context.Background(), l.Addr().String(), j.Arrived, j)
+	go r.Run(context.Background(), l.Addr().String(), j)
 	limit := heartbeatEvery + maxHeartbeatTimeout + 50*time.Millisecond
 	for end := time.Now().Add(limit); r.Load(l.Addr().String()).UnresponsiveAt.IsZero(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -100,7 +100,7 @@
 	o := &fakeOwner{}
 	o.silent.Store(true)
 	r, j, address := newTestClient(t), testJob(), o.serve(t)
-	if out, ok := r.Run(context.Background(), address, j.Arrived, j).(scheduler.Refused); !ok || out.Reason != scheduler.ReasonNoTarget {
+	if out, ok := r.Run(context.Background(), address, j).(scheduler.Refused); !ok || out.Reason != scheduler.ReasonNoTarget {
 		t.Errorf("the outcome is %v, want a refusal for lack of targets", out)
 	}
 	if d := time.Since(j.Arrived); d > 2*confirmTimeout || o.jobs.Load() > 0 {
@@ -138,7 +138,7 @@
 	r, j, address := newTestClient(t), testJob(), o.serve(t)
 	j.Deadline = j.Arrived.Add(time.Minute)
 	outcome := make(chan scheduler.Outcome, 1)
-	go func() { outcome <- r.Run(context.Background(), address, j.Arrived, j) }()
+	go func() { outcome <- r.Run(context.Background(), address, j) }()
 	for o.jobs.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -25,6 +25,10 @@
 	idleTime   = 2 * time.Minute
 	// maxMessageBytes bounds the body of a request.
 	maxMessageBytes = 4 << 20
+	// maxTransit is the time that a job may be under way. After a longer time, its
+	// sender may have given it up before the owner notices that the sender is
+	// unresponsive. Messages between instances take milliseconds.
+	maxTransit = 250 * time.Millisecond
 	// expiryCheckEvery is the interval of checks for unresponsive senders.
 	expiryCheckEvery = 100 * time.Millisecond
 )
@@ -106,13 +110,19 @@
 		s.cfg.Log.Info("The sender of a job has disconnected.", zap.String("job", in.Job), zap.String("sender", in.Sender))
 		return nil, twirp.NewError(twirp.Canceled, "the job was withdrawn")
 	}
-	p := s.addJob(in, cancel)
+	sent, ok := s.sentTime(in.Sent)
+	if underWay := s.cfg.Clock().Sub(sent); !ok || underWay > maxTransit {
+		s.cfg.Log.Info("A job was under way for too long and is refused.", zap.String("job", in.Job), zap.String("sender", in.Sender),
+			zap.Duration("under_way", underWay), zap.Bool("same_incarnation", ok))
+		return s.refuseUnstarted(), nil
+	}
+	p := s.addJob(in, sent, cancel)
 	if p == nil {
-		return outcomeToWire(scheduler.Refused{Reason: scheduler.ReasonWithdrawn, RetryAfter: time.Second}), nil
+		return s.refuseUnstarted(), nil
 	}
 	ctx, span := s.cfg.Tracer.Start(tracing.Extract(ctx, in.Traceparent), "run at owner")
 	defer span.End()
-	j := jobFromWire(s.cfg.Clock(), in)
+	j := jobFromWire(sent, in)
 	j.TraceID = tracing.TraceID(ctx)
 	o, err := s.cfg.Submit(ctx, j)
 	out, err := s.encodeReply(ctx, o, err)
@@ -120,6 +130,34 @@
 	return out, err
 }
 
+// sentTime returns when a message was sent, or an earlier time. It returns false if
+// the message was meant for another incarnation of this instance, whose clock is
+// unknown. A message without a time counts as sent now: it is a first heartbeat, or of
+// an instance of an earlier version.
+func (s *Server) sentTime(t *wire.OwnerTime) (sent time.Time, ok bool) {
+	now := s.cfg.Clock()
+	if t == nil || t.Incarnation != s.cfg.Incarnation {
+		return now, t == nil
+	}
+	if sent = time.UnixMilli(t.Ms); sent.After(now) {
+		sent = now
+	}
+	return sent, true
+}
+
+// ownTime returns the clock of this instance.
+func (s *Server) ownTime() *wire.OwnerTime {
+	return &wire.OwnerTime{Incarnation: s.cfg.Incarnation, Ms: s.cfg.Clock().UnixMilli()}
+}
+
+// refuseUnstarted returns the reply to a job that its sender no longer awaits. The
+// reply carries the clock, in case the sender was wrong about it.
+func (s *Server) refuseUnstarted() *wire.RunReply {
+	out := outcomeToWire(scheduler.Refused{Reason: scheduler.ReasonWithdrawn, RetryAfter: time.Second})
+	out.Time = s.ownTime()
+	return out
+}
+
 // encodeReply returns the reply to a job and the error for the connection on which
 // the job arrived. The reply is recorded as well, so that the reply to a heartbeat
 // can carry it if that connection fails.
@@ -135,18 +173,18 @@
 			twirp.NewError(twirp.ResourceExhausted, err.Error())
 	}
 	out := outcomeToWire(o)
-	out.Load = s.cfg.Load()
+	out.Load, out.Time = s.cfg.Load(), s.ownTime()
 	return out, nil
 }
 
 // addJob records a job of a sender. It returns nil if the sender no longer awaits
 // the job. Because the clock includes suspensions, all senders count as
 // unresponsive after a suspension of the machine, until their next message.
-func (s *Server) addJob(in *wire.RunRequest, cancel context.CancelFunc) *sender {
+func (s *Server) addJob(in *wire.RunRequest, sent time.Time, cancel context.CancelFunc) *sender {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.recordMessage(in.Sender, in.Incarnation)
-	if !p.ledger.Begin(in.Id) {
+	p := s.recordMessage(in.Sender, in.Incarnation, sent)
+	if p == nil || !p.ledger.Begin(in.Id) {
 		s.cfg.Log.Info("A job arrived after its sender stopped waiting for it.", zap.String("job", in.Job), zap.String("sender", in.Sender))
 		return nil
 	}
@@ -154,13 +192,17 @@
 	return p
 }
 
-// recordMessage returns the sender of a message and records the message's time. A
-// new incarnation of a sender replaces the previous one, whose jobs are stopped.
-// The caller holds the lock.
-func (s *Server) recordMessage(name string, incarnation uint64) *sender {
+// recordMessage returns the sender of a message and records when the message was
+// sent: one that arrives late does not show that the sender is still there. A new
+// incarnation of a sender replaces the previous one, whose jobs are stopped. For a
+// late message of a previous incarnation, it returns nil. The caller holds the lock.
+func (s *Server) recordMessage(name string, incarnation uint64, sent time.Time) *sender {
 	p := s.senders[name]
 	if p == nil || p.incarnation != incarnation {
 		if p != nil {
+			if sent.Before(p.lastMessage) {
+				return nil
+			}
 			p.stopAll()
 		}
 		p = &sender{
@@ -169,7 +211,9 @@
 		}
 		s.senders[name] = p
 	}
-	p.lastMessage = s.cfg.Clock()
+	if sent.After(p.lastMessage) {
+		p.lastMessage = sent
+	}
 	return p
 }
 
@@ -192,10 +236,14 @@
 // Beat implements wire.Pool.
 func (s *Server) Beat(_ context.Context, in *wire.BeatRequest) (*wire.BeatReply, error) {
 	version, _ := s.cfg.Configuration()
-	out := &wire.BeatReply{Incarnation: s.cfg.Incarnation, Configuration: version, Load: s.cfg.Load()}
+	out := &wire.BeatReply{Incarnation: s.cfg.Incarnation, Configuration: version, Load: s.cfg.Load(), Time: s.ownTime()}
+	sent, _ := s.sentTime(in.Sent)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.recordMessage(in.Sender, in.Incarnation)
+	p := s.recordMessage(in.Sender, in.Incarnation, sent)
+	if p == nil {
+		return out, nil
+	}
 	r := p.ledger.Reconcile(s.cfg.Clock(), ledger.SenderState{
 		Number: in.Number, LastID: in.Last, Awaited: in.Jobs, Overdue: in.Overdue,
 	})
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -162,7 +162,7 @@
 	in.configuration = configuration.New(in.logger("configuration"), store, p.Formats, func(c *catalog.Catalog) {
 		in.claims.SetServices(c.Services)
 	})
-	in.relayClient = relay.NewClient(in.logger("relay"), in.tracer, cfg.Name, in.self.Incarnation, in.configuration.Version, in.fetchConfiguration)
+	in.relayClient = relay.NewClient(in.logger("relay"), in.tracer, cfg.Name, in.self.Incarnation, clock.Now, in.configuration.Version, in.fetchConfiguration)
 	in.relayServer = relay.NewServer(relay.ServerConfig{
 		Log: in.logger("relay"), Tracer: in.tracer, Submit: in.loop.Submit, Clock: clock.Now, Load: in.wireLoad,
 		Configuration: in.configuration.Value, Incarnation: in.self.Incarnation,
