pool/targetlist: the list keeps up with any number of heartbeats

Cause: the store returns 500 changes in one answer, and the heartbeats of 3,000 targets are 2,000 changes a second. The reader paused for 700 ms after each answer, so that it read 714 changes a second at most and fell behind without a bound.

Change: after the pause, answers are read until one has few changes. If 20 are not enough, the list is read as a whole, and the log says so.

--- a/pool/targetlist/targetlist.go
+++ b/pool/targetlist/targetlist.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"reflect"
 	"sync"
 	"time"
@@ -26,6 +27,14 @@
 	// the heartbeats of the targets change the list many times a second. A
 	// target that starts to drain must be noticed well within two seconds.
 	batchWindow = 700 * time.Millisecond
+	// completeBelow is the number of changes below which an answer to a watch holds
+	// all there are. The store divides more changes among several answers.
+	completeBelow = 50
+	// catchUpWait is how long the store may hold a watch for the next answer.
+	catchUpWait = time.Millisecond
+	// maxAnswers bounds the answers that are read without a pause. If there are
+	// still more changes, reading the whole list takes less time.
+	maxAnswers = 20
 	// retryEvery is the pause after a failed call to the store.
 	retryEvery = 250 * time.Millisecond
 	// removeAfter is how long a target stays usable after its entry was deleted.
@@ -34,6 +43,9 @@
 	removeAfter = 2500 * time.Millisecond
 )
 
+// errBehind ends a watch that cannot keep up with the changes of the list.
+var errBehind = errors.New("the list of targets has more changes than can be read in time")
+
 // Watcher watches the list of targets.
 type Watcher struct {
 	log     *zap.Logger
@@ -110,7 +122,7 @@
 		revision, err := w.read()
 		for err == nil && len(w.claims.Owned()) > 0 {
 			w.wait(batchWindow)
-			revision, err = w.watch(revision)
+			revision, err = w.catchUp(revision)
 		}
 		if err != nil && w.ctx.Err() == nil {
 			w.log.Info("The watch of the targets has ended.", zap.Error(err))
@@ -172,17 +184,31 @@
 	return revision, nil
 }
 
-// watch applies the changes after a revision, and returns the revision of the
-// last one.
-func (w *Watcher) watch(after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(w.ctx, watchWait+watchSlack)
+// catchUp applies all changes after a revision, in as many answers as it takes. It
+// returns the revision of the last change. Otherwise the list would fall behind
+// without bound where many targets send heartbeats.
+func (w *Watcher) catchUp(after int64) (int64, error) {
+	revision, n, err := w.watch(after, watchWait)
+	for answers := 1; err == nil && n >= completeBelow; answers++ {
+		if answers >= maxAnswers {
+			return 0, errBehind
+		}
+		revision, n, err = w.watch(revision, catchUpWait)
+	}
+	return revision, err
+}
+
+// watch applies the changes after a revision that the store returns in one answer. It
+// returns the revision of the last one and their number.
+func (w *Watcher) watch(after int64, wait time.Duration) (revision int64, n int, err error) {
+	ctx, cancel := context.WithTimeout(w.ctx, wait+watchSlack)
 	defer cancel()
-	items, revision, err := w.store.Watch(ctx, w.formats.TargetPrefix(), after, watchWait)
+	items, revision, err := w.store.Watch(ctx, w.formats.TargetPrefix(), after, wait)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	w.applyAll(items)
-	return revision, nil
+	return revision, len(items), nil
 }
 
 // applyAll applies changes of the list, removes targets that have been missing
