entry: jobs that waited in a paused instance's socket are not started

Cause: the time limit counted from when the dispatcher handled a submission. What waited in the socket during the pause counted as new.

Change: infra/stall notices that the process did not run; submissions that are read then or shortly after count as received when the stall began, and the time limit counts from there. A job whose limit may have passed is refused as not run.

--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -36,8 +36,11 @@
 
 // Submission is the validated description of a job, as its caller sent it.
 type Submission struct {
-	Service      string
-	Repeatable   bool
+	Service    string
+	Repeatable bool
+	// Received is when the submission arrived, or earlier. Timeout counts from it.
+	// If it is zero, Timeout counts from when the Dispatcher handles the submission.
+	Received     time.Time
 	Timeout      time.Duration
 	MemoryMB     int64
 	Accelerators int64
--- a/core/dispatch/rules_test.go
+++ b/core/dispatch/rules_test.go
@@ -42,6 +42,9 @@
 		return actions
 	}
 	f.submit(1, 1, false)
+	f.wantAnswer("time limit passed before the submission was read", send(900, func(ev *Submit) {
+		ev.Submission.Received = f.now.Add(-time.Second)
+	}), "not_run", answer.CodeDeadline)
 	f.wantRejected("other content", send(1, func(*Submit) {}), 409)
 	f.wantRejected("number above the window", send(1026, func(*Submit) {}), 422)
 	f.wantRejected("number 0", send(0, func(*Submit) {}), 422)
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -73,13 +73,17 @@
 		d.reject(ev.Request, 403, "service", "caller %q may not use service %q", ev.Caller, ev.Submission.Service)
 		return
 	}
+	received := d.now
+	if r := ev.Submission.Received; !r.IsZero() && r.Before(received) {
+		received = r
+	}
 	j := &activeJob{
 		id:         ev.Job,
 		session:    e,
 		submission: ev.Submission,
 		caller:     ev.Caller,
 		admitted:   d.now,
-		deadline:   d.now.Add(ev.Submission.Timeout),
+		deadline:   received.Add(ev.Submission.Timeout),
 	}
 	j.state = job.New(j, len(ev.Submission.Tasks), ev.Submission.Repeatable)
 	if code, msg := d.refusalReason(e, j); code != "" {
@@ -98,6 +102,8 @@
 		return answer.CodeDraining, "the instance is draining"
 	case d.dir == nil:
 		return answer.CodeNoConfiguration, "the instance has no configuration"
+	case !j.deadline.After(d.now):
+		return answer.CodeDeadline, "the submission may have waited longer than its time limit before it was read"
 	}
 	return d.policy.admit(d.now, j)
 }
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -26,7 +26,9 @@
 	Engine *engine.Engine
 	Signer *token.Signer
 	// Directory returns the configuration in force, nil if there is none.
-	Directory   func() *directory.Directory
+	Directory func() *directory.Directory
+	// MaxAge returns how long ago a request that is read now may have arrived.
+	MaxAge      func() time.Duration
 	Address     netip.AddrPort
 	Incarnation uint64
 }
@@ -123,6 +125,7 @@
 			return nil, reply
 		}
 		sub := toSubmission(ctx, req)
+		sub.Received = time.Now().Add(-h.cfg.MaxAge())
 		return func(id dispatch.RequestID) dispatch.Event {
 			return dispatch.Submit{Request: id, Job: job, Caller: tok.Caller, Submission: sub, AcknowledgedBelow: req.GetAcknowledgedBelow()}
 		}, nil
--- a/entry/integration/failure_test.go
+++ b/entry/integration/failure_test.go
@@ -145,6 +145,37 @@
 	}
 }
 
+// Guards against starts of jobs that arrived while their home was paused, although
+// their time limit has passed when it reads them.
+func TestJobSentToPausedHomeIsNotStarted(t *testing.T) {
+	c := newCluster(t)
+	target := c.startTarget("t1", 8)
+	c.acceptTicket()
+	e := c.startEntry("e1")
+	c.waitConverged(e)
+	s := e.openSession()
+	const timeout, jobs = time.Second, 8
+	requireComplete(t, e.submit(s, 1, newJob(1, time.Millisecond, timeout)), 1)
+	e.signal(syscall.SIGSTOP)
+	var wg sync.WaitGroup
+	for seq := 2; seq < 2+jobs; seq++ {
+		wg.Go(func() {
+			if got := e.submit(s, seq, newJob(1, time.Millisecond, timeout)); got.State != "not_run" {
+				t.Errorf("job %d was sent 3 s before it was read: %+v, want not_run", seq, got)
+			}
+		})
+	}
+	time.Sleep(3 * time.Second)
+	e.signal(syscall.SIGCONT)
+	wg.Wait()
+	if n := len(startsAt(target)); n > 1 {
+		t.Errorf("%d jobs were started after their time limit", n-1)
+	}
+	// Jobs that arrive later are not affected.
+	time.Sleep(200 * time.Millisecond)
+	requireComplete(t, e.submit(s, 2+jobs, newJob(1, time.Millisecond, timeout)), 1)
+}
+
 // Guards against an instance that cannot serve requests because the store is
 // unreachable when it starts, although a peer has the configuration.
 func TestConfigurationFromPeer(t *testing.T) {
--- a/entry/run/instance.go
+++ b/entry/run/instance.go
@@ -28,8 +28,10 @@
 	"marigoldfront.dev/entry/peers"
 	"marigoldfront.dev/entry/routing"
 	"marigoldfront.dev/entry/sender"
+	"marigoldfront.dev/infra/clock"
 	"marigoldfront.dev/infra/instancelist"
 	"marigoldfront.dev/infra/logging"
+	"marigoldfront.dev/infra/stall"
 	"marigoldfront.dev/infra/store"
 	"marigoldfront.dev/infra/ticketlog"
 	"marigoldfront.dev/infra/tracing"
@@ -60,6 +62,7 @@
 	exchanger     *peering.Exchanger
 	peerServer    *peering.Server
 	gateway       *gateway.Gateway
+	stalls        *stall.Detector
 
 	draining atomic.Bool
 	drained  chan struct{}
@@ -123,8 +126,9 @@
 	in.handover = handover.New(handover.Config{Log: in.logger("handover"), Metrics: in.metrics, Peers: in.peers})
 	in.composeCore()
 	in.composeWatchers()
+	in.stalls = stall.New(clock.Now)
 	in.home = home.New(home.Config{
-		Engine: in.engine, Signer: signer, Directory: in.directory,
+		Engine: in.engine, Signer: signer, Directory: in.directory, MaxAge: in.stalls.MaxAge,
 		Address: address, Incarnation: in.self.Incarnation,
 	})
 	in.router = routing.New(routing.Config{
@@ -208,6 +212,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 2)
+	in.wg.Go(in.stalls.Run)
 	in.wg.Go(in.engine.Run)
 	in.wg.Go(func() { in.configuration.Run(ctx) })
 	in.wg.Go(func() { in.lister.Run(ctx) })
@@ -240,6 +245,7 @@
 	<-in.exchanger.Done()
 	in.sender.Close()
 	in.engine.Close()
+	in.stalls.Close()
 	in.wg.Wait()
 	in.peers.Close()
 	in.httpClient.CloseIdleConnections()
