core/scheduler: a restarted target is used once the list describes it

Cause: a poll that showed the new incarnation made the target usable with the labels and the capacity of its former life, until the list was read again. And a start could reach the new process over a new connection while the loss of the old one did not count yet, because one lost answer is forgiven for 150 ms.

Evidence: TestRestartedTargetIsNotUsedBeforeItIsListed, TestListedRestartIsPolledFirst and TestTargetWithLostConnectionIsPolledFirst failed before.

Change: the scheduler keeps the incarnation that answers polls and the one that the list describes; a target gets work only while they agree. A poll whose connection was closed, reset or refused keeps the target from getting work until the next poll, 2 ms later.

TestRestartedTargetLosesItsRuns expected a start on a target that the list did not describe yet; it now sends the list first and checks the same.

--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -163,7 +163,10 @@
 	// Sent is the time of the Poll action.
 	Sent     time.Time
 	Answered bool
-	Fenced   bool
+	// ConnectionLost is set if the poll has no answer because its connection was
+	// closed, reset or refused. The target may have restarted.
+	ConnectionLost bool
+	Fenced         bool
 	// WrongTarget is set if another target answers at the address.
 	WrongTarget bool
 	Incarnation int64
--- a/core/scheduler/poll.go
+++ b/core/scheduler/poll.go
@@ -17,6 +17,9 @@
 	// recentContact is the time after an answer in which unanswered requests do
 	// not count against the target.
 	recentContact = 150 * time.Millisecond
+	// reconnectPause is the time before a target is polled again whose connection was
+	// lost.
+	reconnectPause = 2 * time.Millisecond
 	// acknowledgeAfter delays the poll that acknowledges the last completions of
 	// an idle target. A start within this time makes the extra poll unnecessary.
 	acknowledgeAfter = 2 * time.Second
@@ -57,7 +60,7 @@
 	if t.fenced {
 		return false
 	}
-	return len(t.runs) > 0 || !t.removed && (!t.synced || t.unanswered > 0 || t.lastCompletion > t.acknowledged)
+	return len(t.runs) > 0 || !t.removed && (!t.synced || !t.described() || t.unanswered > 0 || t.lastCompletion > t.acknowledged)
 }
 
 func (s *Scheduler) sendPoll(t *target) {
@@ -82,6 +85,9 @@
 		s.targetFenced(t)
 	case !ev.Answered, ev.WrongTarget:
 		t.recordNoAnswer(s.now)
+		if ev.ConnectionLost {
+			t.recordConnectionLost(s.now)
+		}
 	default:
 		s.pollAnswered(t, ev)
 	}
@@ -105,6 +111,16 @@
 	t.nextPoll = now.Add(pause)
 }
 
+// recordConnectionLost keeps the target from getting work until a poll shows whether
+// it has restarted. Unlike a single lost answer, this does not happen to a target that
+// goes on.
+func (t *target) recordConnectionLost(now time.Time) {
+	t.synced = false
+	if next := now.Add(reconnectPause); t.nextPoll.Before(next) {
+		t.nextPoll = next
+	}
+}
+
 // recordAnswer records that the target has answered a request.
 func (t *target) recordAnswer(now time.Time) {
 	t.lastContact = now
@@ -126,14 +142,14 @@
 
 // pollAnswered processes the answer to a poll.
 func (s *Scheduler) pollAnswered(t *target, ev PollReturned) {
-	if ev.Incarnation != 0 && t.Incarnation != 0 && ev.Incarnation != t.Incarnation {
-		s.resetTarget(t, ev.Incarnation)
+	if ev.Incarnation != 0 && t.incarnation != 0 && ev.Incarnation != t.incarnation {
+		s.resetTarget(t)
 	}
 	t.updateClock(ev.ClockMS, s.now)
 	t.recordAnswer(s.now)
 	t.nextPoll = s.now
 	if ev.Incarnation != 0 {
-		t.Incarnation = ev.Incarnation
+		t.incarnation = ev.Incarnation
 	}
 	t.acknowledged = max(t.acknowledged, t.ackInFlight)
 	running := map[RunID]bool{}
@@ -153,7 +169,11 @@
 	s.stopForeign(t, ev.Running)
 	t.synced = !t.hasForeign()
 	s.resendStops(t)
-	if len(t.runs) == 0 {
+	switch {
+	case len(t.runs) > 0:
+	case !t.described():
+		t.nextPoll = s.now.Add(minProbeInterval)
+	default:
 		t.nextPoll = s.now.Add(acknowledgeAfter)
 	}
 }
--- a/core/scheduler/status.go
+++ b/core/scheduler/status.go
@@ -54,6 +54,8 @@
 		return "releasing"
 	case !t.synced:
 		return "unknown"
+	case !t.described():
+		return "restarted"
 	case !t.ejectedUntil.IsZero():
 		return "ejected"
 	}
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -58,6 +58,9 @@
 	// clock estimates the target's steady clock. It is never ahead: a lease that is
 	// too long would let a start take effect after its task was released.
 	clock remoteclock.Clock
+	// incarnation is the one that answered the last poll, or 0. Target.Incarnation is
+	// the one that the list describes.
+	incarnation int64
 	// bornAt is when the Scheduler learned of the current incarnation, or zero if
 	// there was no other before.
 	bornAt time.Time
@@ -92,7 +95,13 @@
 
 // acceptsWork reports whether the target accepts tasks of jobs that have started.
 func (t *target) acceptsWork() bool {
-	return t.synced && !t.removed && !t.Draining && !t.fenced && t.unanswered == 0
+	return t.synced && t.described() && !t.removed && !t.Draining && !t.fenced && t.unanswered == 0
+}
+
+// described reports whether the list describes the incarnation that answers the polls.
+// A target may restart as another kind, with other labels and another capacity.
+func (t *target) described() bool {
+	return t.Target.Incarnation == 0 || t.incarnation == 0 || t.Target.Incarnation == t.incarnation
 }
 
 func (s *Scheduler) changeTargets(all []Target) {
@@ -132,17 +141,14 @@
 }
 
 func (s *Scheduler) updateTarget(t *target, in Target) {
-	if in.Incarnation != t.Incarnation && t.Incarnation != 0 && in.Incarnation != 0 {
-		s.resetTarget(t, in.Incarnation)
-	}
 	t.free.add(capacity{in.CPU - t.CPU, in.MemoryMB - t.MemoryMB, in.Accelerators - t.Accelerators}, 1)
 	if in.Fence != t.Fence {
 		t.synced, t.fenced, t.nextPoll = false, false, s.now
 	}
-	incarnation := t.Incarnation
 	t.Target = in
-	if in.Incarnation == 0 {
-		t.Incarnation = incarnation
+	if !t.described() {
+		// The poll shows whether the target or the list is ahead.
+		t.nextPoll = s.now
 	}
 	t.removed = false
 }
@@ -150,8 +156,7 @@
 // resetTarget resets the state of a target that has restarted. Its earlier runs
 // no longer exist, but a start may already have reached the new incarnation, so
 // that the runs are only removed after the next poll.
-func (s *Scheduler) resetTarget(t *target, incarnation int64) {
-	t.Incarnation = incarnation
+func (s *Scheduler) resetTarget(t *target) {
 	t.lastCompletion, t.acknowledged, t.ackInFlight = 0, 0, 0
 	t.clock.Reset()
 	t.unanswered, t.consecutiveBadRuns, t.synced, t.nextPoll = 0, 0, false, s.now
