pool: a planned stop answers the jobs that wait at other owners

Cause: a draining instance refused only the jobs of its own scheduler. Jobs that waited at another owner went on waiting until the connections were closed.

Evidence: TestPlannedStopAnswersJobsThatWaitElsewhere failed before, with EOF for each job.

Change: shortly before the end of the grace period the heartbeats recall the jobs that have not started; owners refuse them, and the callers get 503 with a time to come back. Callers of jobs that run get 502 instead of a closed connection.

drain, the choice of owners and a test of the list moved to files of their own.

--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -106,6 +106,9 @@
 // Cancel stops a job and answers its requests.
 type Cancel struct{ Job string }
 
+// Recall refuses a job of which no task can have run. It does nothing to other jobs.
+type Recall struct{ Job string }
+
 // TargetsChanged replaces the list of targets that this instance owns.
 type TargetsChanged struct{ Targets []Target }
 
@@ -205,6 +208,7 @@
 func (Submit) event()         {}
 func (Withdraw) event()       {}
 func (Cancel) event()         {}
+func (Recall) event()         {}
 func (TargetsChanged) event() {}
 func (StartReturned) event()  {}
 func (StopReturned) event()   {}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -89,6 +89,8 @@
 		if j := s.jobs[ev.Job]; j != nil {
 			s.giveUp(j, ReasonCancelled)
 		}
+	case Recall:
+		s.recall(s.jobs[ev.Job])
 	case TargetsChanged:
 		s.changeTargets(ev.Targets)
 	case StartReturned:
@@ -198,8 +200,14 @@
 func (s *Scheduler) drain() {
 	s.draining = true
 	for _, j := range s.sortedJobs() {
-		if !j.mayHaveRun {
-			s.finish(j, Refused{Reason: ReasonDraining, RetryAfter: minRetryAfter})
-		}
+		s.recall(j)
+	}
+}
+
+// recall refuses a job because its sender or this instance shuts down, unless one of
+// its tasks may have run.
+func (s *Scheduler) recall(j *job) {
+	if j != nil && !j.mayHaveRun {
+		s.finish(j, Refused{Reason: ReasonDraining, RetryAfter: minRetryAfter})
 	}
 }
--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -3,11 +3,9 @@
 package frontend
 
 import (
-	"cmp"
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,30 +20,6 @@
 )
 
 const (
-	// maxLoadAge is the age up to which the load report of an owner counts when
-	// owners are compared.
-	maxLoadAge = 1500 * time.Millisecond
-	// crossZoneCost is added for an owner in another availability zone. It
-	// covers two round trips and the uncertainty of the owner's load report.
-	crossZoneCost = 10 * time.Millisecond
-	// costStep is the unit to which costs are rounded. Smaller differences are
-	// not significant, because the load reports are up to that old.
-	costStep = 4 * time.Millisecond
-	// shortageCost is added for an owner without any free processor for the
-	// job. If the owner lacks only a share of the processors, that share of the
-	// cost is added. The job waits at such an owner, or the owner declines it.
-	shortageCost = 40 * time.Millisecond
-	// overdueCost is added for an owner whose reply to a heartbeat is overdue. A
-	// job is sent there only if no other owner accepts it.
-	overdueCost = 2 * time.Second
-	// unresponsivePeriod is the time after an owner's last failure to reply in
-	// which it gets no jobs. Heartbeats to it continue, so that a live owner
-	// replies before.
-	unresponsivePeriod = 2 * time.Second
-	// maxFullReportAge is the age up to which a load report shows that an owner
-	// cannot start a job at once. Most tasks end within this time, so that an
-	// older report may be outdated.
-	maxFullReportAge = 100 * time.Millisecond
 	// maxStartNowOwners limits the owners that are asked to start a job at once.
 	maxStartNowOwners = 3
 	// ownerRetryInterval is the time between two attempts to find an owner while
@@ -81,6 +55,8 @@
 // Frontend implements port.Frontend.
 type Frontend struct {
 	cfg Config
+	// recalled is set once no further owner is asked to run a job.
+	recalled atomic.Bool
 
 	mu       sync.Mutex
 	inFlight map[string]*inFlightJob // by job ID
@@ -121,6 +97,23 @@
 	return true
 }
 
+// Recall ends the wait of the jobs of which no task can have run: they are refused. It
+// is called when the instance is about to end.
+func (f *Frontend) Recall() {
+	f.recalled.Store(true)
+	f.cfg.RelayClient.Recall()
+}
+
+// Abort ends the wait of all jobs. Their outcome is unknown.
+func (f *Frontend) Abort() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, job := range f.inFlight {
+		job.aborted = true
+		job.cancel()
+	}
+}
+
 // inFlightJob is a job that this instance has accepted and whose outcome is not
 // yet determined.
 type inFlightJob struct {
@@ -129,6 +122,8 @@
 	waiters int
 	// cancelled is set once the job has been cancelled by its ID.
 	cancelled bool
+	// aborted is set once the instance ends before the job.
+	aborted bool
 	// done is closed when outcome is set.
 	done    chan struct{}
 	outcome scheduler.Outcome
@@ -189,8 +184,11 @@
 	o, owner := f.run(ctx, &j)
 	f.mu.Lock()
 	delete(f.inFlight, j.ID)
-	if job.cancelled {
+	switch {
+	case job.cancelled:
 		o = scheduler.Unknown{Reason: scheduler.ReasonCancelled}
+	case job.aborted && isUnknown(o):
+		o = scheduler.Unknown{Reason: scheduler.ReasonDraining}
 	}
 	job.outcome = o
 	f.mu.Unlock()
@@ -204,7 +202,7 @@
 	for {
 		o, owner = f.runAtOwners(ctx, j)
 		next := f.cfg.Clock().Add(ownerRetryInterval)
-		if !lacksOwner(o) || !f.cfg.OwnersChanging() || next.After(j.LatestStart()) {
+		if !lacksOwner(o) || f.recalled.Load() || !f.cfg.OwnersChanging() || next.After(j.LatestStart()) {
 			return o, owner
 		}
 		select {
@@ -215,6 +213,11 @@
 	}
 }
 
+func isUnknown(o scheduler.Outcome) bool {
+	_, ok := o.(scheduler.Unknown)
+	return ok
+}
+
 // lacksOwner reports whether a job was refused because the owners that were asked
 // have no targets for it or shut down.
 func lacksOwner(o scheduler.Outcome) bool {
@@ -262,6 +265,9 @@
 
 // runAt runs the job at the owner with the address, which may be this instance.
 func (f *Frontend) runAt(ctx context.Context, address string, j *scheduler.Job) scheduler.Outcome {
+	if f.recalled.Load() {
+		return scheduler.Refused{Reason: scheduler.ReasonDraining, RetryAfter: time.Second}
+	}
 	if address != f.cfg.SelfAddress {
 		o := f.cfg.RelayClient.Run(ctx, address, j)
 		_, refused := o.(scheduler.Refused)
@@ -280,85 +286,6 @@
 	return scheduler.Refused{Reason: scheduler.ReasonOverloaded, RetryAfter: time.Second}
 }
 
-// candidate is an owner of targets of the job's service.
-type candidate struct {
-	address  string
-	sameZone bool
-	load     relay.Load
-}
-
-// cost returns the estimated delay at the owner for a job whose first tasks
-// need the given processors, in thousandths of a core.
-func (c candidate) cost(now time.Time, need int64) time.Duration {
-	cost := time.Duration(0)
-	if !c.sameZone {
-		cost += crossZoneCost
-	}
-	if c.load.Draining {
-		cost += time.Second
-	}
-	if c.load.Overdue {
-		cost += overdueCost
-	}
-	if now.Sub(c.load.ReportedAt) < maxLoadAge {
-		cost += c.load.ForecastWait
-		if short := need - c.load.FreeCPU; short > 0 {
-			cost += time.Duration(float64(shortageCost) * float64(short) / float64(need))
-		}
-	}
-	return cost.Round(costStep)
-}
-
-// cannotStartNow reports whether a recent load report of the owner shows that it
-// cannot start a job at once whose first tasks need the given processors, in
-// thousandths of a core.
-func (c candidate) cannotStartNow(now time.Time, need int64) bool {
-	return now.Sub(c.load.ReportedAt) < maxFullReportAge && (c.load.Queued > 0 || c.load.FreeCPU < need)
-}
-
-// rankedOwners returns the owners of targets of the job's service, the one with
-// the lowest cost first. It leaves out unresponsive owners, because the outcome of
-// a job that is sent to an owner behind a network partition is unknown.
-func (f *Frontend) rankedOwners(j *scheduler.Job) []candidate {
-	now, need := time.Now(), cpuToStart(j)
-	var all []candidate
-	for s, c := range f.cfg.ShardHolders(j.Service) {
-		i := slices.IndexFunc(all, func(o candidate) bool { return o.address == c.Address })
-		if i < 0 {
-			load := f.load(c.Address)
-			if now.Sub(load.UnresponsiveAt) < unresponsivePeriod {
-				continue
-			}
-			i = len(all)
-			all = append(all, candidate{address: c.Address, load: load})
-		}
-		all[i].sameZone = all[i].sameZone || s.Zone == f.cfg.Zone
-	}
-	// Owners of equal cost are in random order, which spreads the load.
-	rand.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
-	slices.SortStableFunc(all, func(a, b candidate) int { return cmp.Compare(a.cost(now, need), b.cost(now, need)) })
-	return all
-}
-
-// cpuToStart returns the processors that the tasks without predecessors need
-// together, in thousandths of a core.
-func cpuToStart(j *scheduler.Job) int64 {
-	need := int64(0)
-	for _, s := range j.Steps {
-		if len(s.After) == 0 {
-			need += int64(s.Count) * s.CPU
-		}
-	}
-	return need
-}
-
-func (f *Frontend) load(address string) relay.Load {
-	if address == f.cfg.SelfAddress {
-		return f.cfg.Load()
-	}
-	return f.cfg.RelayClient.Load(address)
-}
-
 // recordOutcome counts and logs the outcome of a job. The owner's log line for
 // the same job has the figures behind it.
 func (f *Frontend) recordOutcome(j *scheduler.Job, o scheduler.Outcome, owner string) {
--- a/pool/relay/heartbeat.go
+++ b/pool/relay/heartbeat.go
@@ -41,6 +41,14 @@
 	return c.heartbeat(ctx, o, c.nextHeartbeat(o))
 }
 
+// Recall makes the owners refuse all jobs of this instance of which no task can have
+// run, with their next heartbeats.
+func (c *Client) Recall() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recalled = true
+}
+
 // startHeartbeats starts the heartbeats to an owner unless they are active. The
 // caller holds the lock.
 func (c *Client) startHeartbeats(o *owner) {
@@ -93,7 +101,7 @@
 	o.heartbeatSent = time.Now()
 	in := &wire.BeatRequest{
 		Sender: c.name, Incarnation: c.incarnation, Configuration: version, Number: o.heartbeats, Last: c.lastID,
-		Sent: o.estimateTime(c.clock()),
+		Sent: o.estimateTime(c.clock()), Recall: c.recalled,
 	}
 	for id, job := range o.inFlight {
 		in.Jobs = append(in.Jobs, id)
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -98,6 +98,8 @@
 	owners map[string]*owner // by address
 	// lastID is the ID of the last job sent.
 	lastID uint64
+	// recalled is set once the owners have to refuse what has not started.
+	recalled bool
 }
 
 // owner is another instance that runs jobs for this one.
--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -39,6 +39,8 @@
 	Tracer *tracing.Tracer
 	// Submit runs a job on the targets of this instance.
 	Submit func(ctx context.Context, j scheduler.Job) (scheduler.Outcome, error)
+	// Recall refuses a job with an ID, unless one of its tasks may have run.
+	Recall func(job string)
 	// Clock returns the time. It must include suspensions of the machine.
 	Clock func() time.Time
 	// Load returns the load report of this instance's targets.
@@ -66,12 +68,18 @@
 type sender struct {
 	incarnation uint64
 	lastMessage time.Time
-	// jobs holds the function that stops each running job. The ledger holds the
-	// state of all jobs of the sender and the replies to those that have ended.
-	jobs   map[uint64]context.CancelFunc
+	// jobs holds the jobs without a reply. The ledger holds the state of all jobs of
+	// the sender and the replies to those that have ended.
+	jobs   map[uint64]senderJob
 	ledger *ledger.Ledger[*wire.RunReply]
 }
 
+// senderJob is a job that a sender awaits.
+type senderJob struct {
+	id     string
+	cancel context.CancelFunc
+}
+
 // NewServer returns a Server.
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{cfg: cfg, done: make(chan struct{}), senders: map[string]*sender{}}
@@ -188,7 +196,7 @@
 		s.cfg.Log.Info("A job arrived after its sender stopped waiting for it.", zap.String("job", in.Job), zap.String("sender", in.Sender))
 		return nil
 	}
-	p.jobs[in.Id] = cancel
+	p.jobs[in.Id] = senderJob{id: in.Job, cancel: cancel}
 	return p
 }
 
@@ -206,7 +214,7 @@
 			p.stopAll()
 		}
 		p = &sender{
-			incarnation: incarnation, jobs: map[uint64]context.CancelFunc{},
+			incarnation: incarnation, jobs: map[uint64]senderJob{},
 			ledger: ledger.New[*wire.RunReply](rand.Uint64()),
 		}
 		s.senders[name] = p
@@ -219,8 +227,8 @@
 
 // stopAll stops all jobs of the sender.
 func (p *sender) stopAll() {
-	for _, cancel := range p.jobs {
-		cancel()
+	for _, job := range p.jobs {
+		job.cancel()
 	}
 }
 
@@ -237,12 +245,21 @@
 func (s *Server) Beat(_ context.Context, in *wire.BeatRequest) (*wire.BeatReply, error) {
 	version, _ := s.cfg.Configuration()
 	out := &wire.BeatReply{Incarnation: s.cfg.Incarnation, Configuration: version, Load: s.cfg.Load(), Time: s.ownTime()}
+	for _, job := range s.reconcile(in, out) {
+		s.cfg.Recall(job)
+	}
+	return out, nil
+}
+
+// reconcile compares the jobs of a heartbeat with those of the sender here, and adds
+// the differences to the reply. It returns the jobs that the sender recalls.
+func (s *Server) reconcile(in *wire.BeatRequest, out *wire.BeatReply) (recalled []string) {
 	sent, _ := s.sentTime(in.Sent)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.recordMessage(in.Sender, in.Incarnation, sent)
 	if p == nil {
-		return out, nil
+		return nil
 	}
 	r := p.ledger.Reconcile(s.cfg.Clock(), ledger.SenderState{
 		Number: in.Number, LastID: in.Last, Awaited: in.Jobs, Overdue: in.Overdue,
@@ -251,13 +268,18 @@
 		out.Ended = append(out.Ended, &wire.EndedJob{Id: id, Reply: reply})
 	}
 	for _, id := range r.Orphans {
-		p.jobs[id]()
+		p.jobs[id].cancel()
 	}
 	if len(r.Orphans) > 0 {
 		s.cfg.Log.Info("Jobs that their sender no longer awaits are stopped.", zap.String("sender", in.Sender), zap.Int("jobs", len(r.Orphans)))
 	}
 	out.Missing, out.Epoch = r.Missing, p.ledger.Epoch()
-	return out, nil
+	if in.Recall {
+		for _, job := range p.jobs {
+			recalled = append(recalled, job.id)
+		}
+	}
+	return recalled
 }
 
 // FetchConfiguration implements wire.Pool.
--- /dev/null
+++ b/pool/run/drain.go
@@ -0,0 +1,56 @@
+package run
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/scheduler"
+)
+
+const (
+	// exitMargin is the part of the grace period that is kept for the exit of the
+	// process.
+	exitMargin = 500 * time.Millisecond
+	// readinessDelay is how long new connections of callers may still arrive after
+	// the instance has become unready. The load balancer needs two checks, a
+	// second apart, to notice it.
+	readinessDelay = 2200 * time.Millisecond
+	// releaseTimeout bounds the release of the instance's shards at shutdown.
+	releaseTimeout = 2200 * time.Millisecond
+	// recallBefore is how long before the end of the shutdown the jobs that wait at
+	// other owners are refused. Heartbeats, which carry this, are sent four times a
+	// second.
+	recallBefore = 750 * time.Millisecond
+	// abortBefore is how long before the end of the shutdown the callers of all other
+	// jobs are answered.
+	abortBefore = 150 * time.Millisecond
+)
+
+// drain shuts the instance down within the grace period: it releases the targets
+// for other instances, and waits for requests in flight. Jobs that wait at other owners
+// may still start there for most of that time. Shortly before its end they are refused,
+// and then the callers of the jobs that run are told that their outcome is unknown.
+func (in *Instance) drain() {
+	in.log.Info("The shutdown begins.")
+	end := time.Now().Add(in.cfg.Grace() - exitMargin)
+	noNewConnections := time.Now().Add(readinessDelay)
+	in.draining.Store(true)
+	in.claims.Drain()
+	in.loop.Post(scheduler.Drain{})
+	in.claims.ReleaseAll(time.Now().Add(releaseTimeout))
+	in.claims.Deregister()
+	in.log.Info("The targets are released.")
+	time.Sleep(time.Until(noNewConnections))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	defer time.AfterFunc(time.Until(end.Add(-recallBefore)), in.frontend.Recall).Stop()
+	defer time.AfterFunc(time.Until(end.Add(-abortBefore)), in.frontend.Abort).Stop()
+	if err := in.callerServer.Shutdown(ctx); err != nil {
+		in.log.Warn("Requests of callers were in flight at the end of the grace period.", zap.Error(err))
+	}
+	if err := in.relayServer.Close(ctx); err != nil {
+		in.log.Warn("Requests of other instances were in flight at the end of the grace period.", zap.Error(err))
+	}
+}
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -47,15 +47,6 @@
 	// time for which a connection of a caller may be idle.
 	headerTime = 3 * time.Second
 	idleTime   = time.Minute
-	// exitMargin is the part of the grace period that is kept for the exit of the
-	// process.
-	exitMargin = 500 * time.Millisecond
-	// readinessDelay is how long new connections of callers may still arrive after
-	// the instance has become unready. The load balancer needs two checks, a
-	// second apart, to notice it.
-	readinessDelay = 2200 * time.Millisecond
-	// releaseTimeout bounds the release of the instance's shards at shutdown.
-	releaseTimeout = 2200 * time.Millisecond
 	// reportEvery is the interval at which the gauges are set and the state of the
 	// owned targets is logged.
 	reportEvery = 2 * time.Second
@@ -165,6 +156,7 @@
 	in.relayClient = relay.NewClient(in.logger("relay"), in.tracer, cfg.Name, in.self.Incarnation, clock.Now, in.configuration.Version, in.fetchConfiguration)
 	in.relayServer = relay.NewServer(relay.ServerConfig{
 		Log: in.logger("relay"), Tracer: in.tracer, Submit: in.loop.Submit, Clock: clock.Now, Load: in.wireLoad,
+		Recall:        func(job string) { in.loop.Post(scheduler.Recall{Job: job}) },
 		Configuration: in.configuration.Value, Incarnation: in.self.Incarnation,
 	})
 	in.frontend = frontend.New(frontend.Config{
@@ -325,29 +317,6 @@
 	return err
 }
 
-// drain shuts the instance down within the grace period: it releases the targets
-// for other instances, and waits for requests in flight.
-func (in *Instance) drain() {
-	in.log.Info("The shutdown begins.")
-	end := time.Now().Add(in.cfg.Grace() - exitMargin)
-	noNewConnections := time.Now().Add(readinessDelay)
-	in.draining.Store(true)
-	in.claims.Drain()
-	in.loop.Post(scheduler.Drain{})
-	in.claims.ReleaseAll(time.Now().Add(releaseTimeout))
-	in.claims.Deregister()
-	in.log.Info("The targets are released.")
-	time.Sleep(time.Until(noNewConnections))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := in.callerServer.Shutdown(ctx); err != nil {
-		in.log.Warn("Requests of callers were in flight at the end of the grace period.", zap.Error(err))
-	}
-	if err := in.relayServer.Close(ctx); err != nil {
-		in.log.Warn("Requests of other instances were in flight at the end of the grace period.", zap.Error(err))
-	}
-}
-
 // reportState periodically sets the gauges and logs the state of the owned
 // targets, until ctx ends.
 func (in *Instance) reportState(ctx context.Context) {
