--- /dev/null
+++ b/core/scheduler/simulation_faults_test.go
@@ -0,0 +1,49 @@
+package scheduler
+
+import "time"
+
+// injectFault applies a random fault to a random target.
+func (sim *simulation) injectFault() {
+	t := sim.targets[sim.rng.IntN(len(sim.targets))]
+	switch sim.rng.IntN(4) {
+	case 0:
+		t.disconnected = true
+		sim.after(time.Duration(sim.rng.IntN(3000))*time.Millisecond, func() { t.disconnected = false })
+	case 1:
+		t.Incarnation++
+		t.running, t.highestAttempt, t.completions, t.lastCompletion = map[RunID]*simRun{}, map[TaskID]int{}, nil, 0
+		t.fence, t.lease, t.born = 0, time.Time{}, sim.now
+		sim.after(time.Second, sim.sendTargets)
+	case 2:
+		// Another owner takes the target over and stops its runs.
+		t.fence = max(t.fence, t.Fence) + 1
+		for id := range t.running {
+			t.complete(id, RunStopped)
+		}
+	case 3:
+		t.Draining = !t.Draining
+		sim.sendTargets()
+	}
+}
+
+// checkInvariants checks the runs on all targets.
+func (sim *simulation) checkInvariants() {
+	seen := map[TaskID]string{}
+	for _, t := range sim.targets {
+		var cpu int64
+		for id, r := range t.running {
+			if other, ok := seen[id.Task]; ok {
+				sim.t.Fatalf("%v: task %v runs on %s and %s", sim.now, id.Task, other, t.ID)
+			}
+			seen[id.Task] = t.ID
+			cpu += r.cpu
+			j := sim.jobs[id.Task.Job]
+			if j.answered != nil && sim.now.Sub(j.answeredAt) > 3*time.Second {
+				sim.t.Fatalf("%v: run %v on %s continues after its job was answered with %#v", sim.now, id, t.ID, j.answered)
+			}
+		}
+		if cpu > t.CPU {
+			sim.t.Fatalf("%v: target %s runs tasks with a CPU of %d, but has only %d", sim.now, t.ID, cpu, t.CPU)
+		}
+	}
+}
