pool/relay, core/scheduler: tests of the recall and of earlier versions

Cause: the recall of a planned stop was tested with real processes only, and messages without a time, as earlier versions send them, not at all. Change: tests only.

--- a/core/scheduler/rules_test.go
+++ b/core/scheduler/rules_test.go
@@ -302,3 +302,23 @@
 		t.Errorf("started %v", next.Run)
 	}
 }
+
+// Guards against a recall that refuses a job of which a task may have run, and against
+// one that leaves a waiting job in the queue.
+func TestRecallRefusesOnlyWhatHasNotStarted(t *testing.T) {
+	h := newHarness(t, testTarget("a"))
+	h.submit(1, testJob("started", 2))
+	starts := take[Start](h)
+	h.answerStart(starts[0], StartAccepted)
+	h.answerStart(starts[1], StartUnanswered)
+	h.submit(2, testJob("waiting", 1))
+	none[Start](h)
+	h.send(Recall{Job: "started"})
+	h.send(Recall{Job: "unknown"})
+	none[Reply](h)
+	h.send(Recall{Job: "waiting"})
+	r := one[Reply](h)
+	if o, ok := r.Outcome.(Refused); !ok || r.Job != "waiting" || o.Reason != ReasonDraining {
+		t.Errorf("the outcome of %s is %#v", r.Job, r.Outcome)
+	}
+}
--- a/pool/relay/stale_test.go
+++ b/pool/relay/stale_test.go
@@ -353,3 +353,18 @@
 	case <-time.After(100 * time.Millisecond):
 	}
 }
+
+// Guards against instances that refuse the jobs of earlier versions, which send no
+// time, while instances are replaced one after the other.
+func TestMessagesWithoutTimeAreTaken(t *testing.T) {
+	o := newTestOwner(t)
+	in := o.request(1, o.now())
+	in.Sent = nil
+	if _, ok := o.run(t, in); !ok {
+		t.Error("a job without a time is refused")
+	}
+	out, err := o.server.Beat(context.Background(), &wire.BeatRequest{Sender: "a", Incarnation: 1, Number: 1, Last: 1, Jobs: []uint64{1}})
+	if err != nil || len(out.Missing) > 0 || out.Time.GetIncarnation() != testIncarnation {
+		t.Errorf("the reply to a heartbeat without a time is %v (%v)", out, err)
+	}
+}
