core/scheduler: a target whose answers lack its clock is polled with pauses

Evidence: TestTargetWithoutClockIsNotPolledAllTheTime failed before, with 201 polls in 10 s of a simulated time that moves in steps of 50 ms.

Change: only a reading is refreshed. A target without one gets no work anyway.

Result: the tests of core/scheduler pass. Targets that answer as the platform says are polled as before.

--- a/core/scheduler/clock_test.go
+++ b/core/scheduler/clock_test.go
@@ -110,3 +110,12 @@
 		}
 	}
 }
+
+// Guards against polls without a pause of a target whose answers lack its clock.
+func TestTargetWithoutClockIsNotPolledAllTheTime(t *testing.T) {
+	h := newIdleTargetHarness(t, 0)
+	h.idle(10 * time.Second)
+	if most := 20; h.polls > most {
+		t.Errorf("an idle target was polled %d times in 10 s, want at most %d", h.polls, most)
+	}
+}
--- a/core/scheduler/poll.go
+++ b/core/scheduler/poll.go
@@ -50,7 +50,7 @@
 		return time.Time{}
 	case t.needsPoll():
 		return t.nextPoll
-	case t.acceptsWork():
+	case t.acceptsWork() && t.clock.Known():
 		return t.clock.ReadAt().Add(clockRefresh)
 	}
 	return time.Time{}
--- a/infra/stall/detector.go
+++ b/infra/stall/detector.go
@@ -13,9 +13,9 @@
 	tickEvery = 20 * time.Millisecond
 	// minStall is the shortest time without a tick that counts as a stall.
 	minStall = 200 * time.Millisecond
-	// aftermath is the time after a stall in which requests are read that arrived
+	// settleTime is the time after a stall in which requests are read that arrived
 	// during it.
-	aftermath = 100 * time.Millisecond
+	settleTime = 100 * time.Millisecond
 )
 
 // Detector records when the process last stalled. Its methods may be called
@@ -73,7 +73,7 @@
 	switch {
 	case now.Sub(r.tick) >= minStall:
 		return now.Sub(r.tick)
-	case !r.end.IsZero() && now.Sub(r.end) < aftermath:
+	case !r.end.IsZero() && now.Sub(r.end) < settleTime:
 		return now.Sub(r.begin)
 	}
 	return 0
--- a/infra/stall/detector_test.go
+++ b/infra/stall/detector_test.go
@@ -23,12 +23,12 @@
 		t.Errorf("before the first tick after a stall of 3 s, the age is %v", age)
 	}
 	d.tick()
-	now = now.Add(aftermath / 2)
+	now = now.Add(settleTime / 2)
 	d.tick()
-	if age := d.MaxAge(); age != 3*time.Second+aftermath/2 {
+	if age := d.MaxAge(); age != 3*time.Second+settleTime/2 {
 		t.Errorf("shortly after a stall of 3 s, the age is %v", age)
 	}
-	for range int(aftermath / tickEvery) {
+	for range int(settleTime / tickEvery) {
 		now = now.Add(tickEvery)
 		d.tick()
 	}
