core/scheduler: crashes of targets are reported, with the tasks that ran there

Nothing showed which runs a crash had taken along, so that tasks that crash their targets could not be told from the work beside them. The scheduler now reports each loss of a target with its tasks: suspected once its connections were closed and the lease has ended, confirmed when another incarnation answers or the entry has left the list, refuted when the same incarnation answers again. Targets that drain are left out. Decisions are unchanged.

--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -88,11 +88,15 @@
 	Fence   int64
 }
 
+// CrashFound reports a crash, for other owners and for logs.
+type CrashFound struct{ Crash Crash }
+
 func (Start) action()      {}
 func (Stop) action()       {}
 func (Poll) action()       {}
 func (Reply) action()      {}
 func (TargetLost) action() {}
+func (CrashFound) action() {}
 
 // Outcome is the result of a job: Completed, Failed, Refused or Unknown.
 type Outcome interface{ outcome() }
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -112,6 +112,10 @@
 // TargetsChanged replaces the list of targets that this instance owns.
 type TargetsChanged struct{ Targets []Target }
 
+// TargetGone reports that the platform has removed a target from its list, after
+// the target was silent or has left.
+type TargetGone struct{ Target string }
+
 // StartReturned reports the result of a Start action.
 type StartReturned struct {
 	Run    RunID
@@ -210,6 +214,7 @@
 func (Cancel) event()         {}
 func (Recall) event()         {}
 func (TargetsChanged) event() {}
+func (TargetGone) event()     {}
 func (StartReturned) event()  {}
 func (StopReturned) event()   {}
 func (PollReturned) event()   {}
--- a/core/scheduler/names.go
+++ b/core/scheduler/names.go
@@ -11,9 +11,17 @@
 // String returns the name of the result in logs.
 func (r StartResult) String() string { return startResults[r] }
 
+var crashStates = [...]string{CrashSuspected: "suspected", CrashConfirmed: "confirmed", CrashRefuted: "refuted"}
+
+// String returns the name of the state in logs.
+func (c CrashState) String() string { return crashStates[c] }
+
+// String returns the task as job.step.index.
+func (t TaskID) String() string { return fmt.Sprintf("%s.%d.%d", t.Job, t.Step, t.Index) }
+
 // String returns the run as job.step.index#attempt.
 func (r RunID) String() string {
-	return fmt.Sprintf("%s.%d.%d#%d", r.Task.Job, r.Task.Step, r.Task.Index, r.Attempt)
+	return fmt.Sprintf("%s#%d", r.Task, r.Attempt)
 }
 
 // String returns the state of the answer.
--- a/core/scheduler/poll.go
+++ b/core/scheduler/poll.go
@@ -84,6 +84,9 @@
 	case ev.Fenced:
 		s.targetFenced(t)
 	case !ev.Answered, ev.WrongTarget:
+		if ev.WrongTarget {
+			s.confirmEnd(t)
+		}
 		t.recordNoAnswer(s.now)
 		if ev.ConnectionLost {
 			t.recordConnectionLost(s.now)
@@ -115,7 +118,7 @@
 // it has restarted. Unlike a single lost answer, this does not happen to a target that
 // goes on.
 func (t *target) recordConnectionLost(now time.Time) {
-	t.synced = false
+	t.synced, t.connectionLost = false, true
 	if next := now.Add(reconnectPause); t.nextPoll.Before(next) {
 		t.nextPoll = next
 	}
@@ -142,8 +145,12 @@
 
 // pollAnswered processes the answer to a poll.
 func (s *Scheduler) pollAnswered(t *target, ev PollReturned) {
+	t.connectionLost = false
 	if ev.Incarnation != 0 && t.incarnation != 0 && ev.Incarnation != t.incarnation {
+		s.confirmSuspected(t)
 		s.resetTarget(t)
+	} else {
+		s.refuteSuspected(t)
 	}
 	t.updateClock(ev.ClockMS, s.now)
 	t.recordAnswer(s.now)
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -111,6 +111,7 @@
 // again.
 func (s *Scheduler) runLost(r *run) {
 	k := r.task
+	s.confirmRestartLoss(r)
 	s.removeRun(r)
 	if k != nil {
 		k.ran = true
@@ -344,6 +345,9 @@
 	if !s.hasDueRuns(t) {
 		return
 	}
+	if t.unreachableOrFenced() && !s.now.Before(s.leaseEnd(t)) {
+		s.suspectCrash(t)
+	}
 	for _, r := range t.sortedRuns() {
 		switch {
 		case t.unreachableOrFenced() && !s.now.Before(s.leaseEnd(t)):
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -34,6 +34,8 @@
 	requests      map[RequestID]*job
 	draining      bool
 	actions       []Action
+	// crashes holds the tasks of the crashes that were found during a call of Handle.
+	crashes map[foundCrash][]TaskID
 }
 
 // New returns a Scheduler without targets.
@@ -48,6 +50,7 @@
 		targets:  map[string]*target{},
 		jobs:     map[string]*job{},
 		requests: map[RequestID]*job{},
+		crashes:  map[foundCrash][]TaskID{},
 	}
 }
 
@@ -66,6 +69,7 @@
 	s.place()
 	s.refuseLateJobs()
 	s.sendDuePolls()
+	s.emitCrashes()
 	return s.actions
 }
 
@@ -93,6 +97,8 @@
 		s.recall(s.jobs[ev.Job])
 	case TargetsChanged:
 		s.changeTargets(ev.Targets)
+	case TargetGone:
+		s.targetGone(ev.Target)
 	case StartReturned:
 		s.startReturned(ev)
 	case StopReturned:
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -82,6 +82,16 @@
 	unanswered  int
 	lastContact time.Time
 
+	// connectionLost is set while the last poll without an answer has lost its
+	// connection. leaving is set once the list has shown the incarnation as draining.
+	connectionLost, leaving bool
+	// lostTasks holds the tasks under which the current incarnation has crashed or is
+	// suspected to have crashed. previous is the incarnation before it, and
+	// previousLeft is set if that one was draining.
+	lostTasks    map[TaskID]CrashState
+	previous     int64
+	previousLeft bool
+
 	// consecutiveBadRuns counts failures since the last success, and lastBadJob
 	// is the job of the last failure. See recordBadRun.
 	consecutiveBadRuns int
@@ -136,6 +146,7 @@
 func (s *Scheduler) newTarget(in Target) *target {
 	return &target{
 		Target: in, runs: map[RunID]*run{}, free: capacity{in.CPU, in.MemoryMB, in.Accelerators},
+		leaving: in.Draining, lostTasks: map[TaskID]CrashState{},
 		clock: remoteclock.New(s.cfg.MaxClockDrift), nextPoll: s.now,
 	}
 }
@@ -146,6 +157,9 @@
 		t.synced, t.fenced, t.nextPoll = false, false, s.now
 	}
 	t.Target = in
+	if in.Draining && t.described() {
+		t.leaving = true
+	}
 	if !t.described() {
 		// The poll shows whether the target or the list is ahead.
 		t.nextPoll = s.now
@@ -161,6 +175,8 @@
 	t.clock.Reset()
 	t.unanswered, t.consecutiveBadRuns, t.synced, t.nextPoll = 0, 0, false, s.now
 	t.bornAt = s.now
+	clear(t.lostTasks)
+	t.previous, t.previousLeft, t.leaving = t.incarnation, t.leaving, t.Draining && t.Target.Incarnation != t.incarnation
 	s.model.Forget(t.ID)
 }
 
--- a/pool/loop/loop.go
+++ b/pool/loop/loop.go
@@ -36,6 +36,7 @@
 	Stop       func(scheduler.Stop)
 	Poll       func(scheduler.Poll)
 	TargetLost func(scheduler.TargetLost)
+	CrashFound func(scheduler.CrashFound)
 	// Answered is called for each reply, before it is passed to the callers of
 	// Submit.
 	Answered func(scheduler.Reply)
@@ -213,6 +214,8 @@
 			l.handlers.Poll(a)
 		case scheduler.TargetLost:
 			l.handlers.TargetLost(a)
+		case scheduler.CrashFound:
+			l.handlers.CrashFound(a)
 		case scheduler.Reply:
 			l.reply(a)
 		default:
--- a/pool/metrics/metrics.go
+++ b/pool/metrics/metrics.go
@@ -22,6 +22,8 @@
 	"marigold_pool_answer_seconds":        "Time from a submission to its answer, in seconds, by state.",
 	"marigold_pool_asked_owners_total":    "Owners that were asked to run a job, by where they are and whether they took it.",
 	"marigold_pool_starts_total":          "Starts sent to targets, by result.",
+	"marigold_pool_crashes_total":         "Crashes of targets with running tasks, by what is known of them.",
+	"marigold_pool_crash_tasks_total":     "Tasks on targets that have crashed, by what is known of the crash.",
 	"marigold_pool_stops_total":           "Stops sent to targets, by result.",
 	"marigold_pool_looks_total":           "Looks at targets, by result.",
 	"marigold_pool_store_calls_total":     "Calls to the store, by kind and result.",
@@ -96,6 +98,13 @@
 	m.count("starts_total", map[string]string{"result": r.String()})
 }
 
+// Crash counts a crash of a target and the tasks that ran there.
+func (m *Metrics) Crash(c scheduler.Crash) {
+	tags := map[string]string{"state": c.State.String()}
+	m.count("crashes_total", tags)
+	m.scope.Tagged(tags).Counter("crash_tasks_total").Inc(int64(len(c.Tasks)))
+}
+
 // Stop counts a request to stop a run.
 func (m *Metrics) Stop(answered bool) {
 	m.count("stops_total", map[string]string{"result": result(answered)})
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -143,6 +143,7 @@
 		Stop:       func(a scheduler.Stop) { in.sender.Stop(a) },
 		Poll:       func(a scheduler.Poll) { in.sender.Poll(a) },
 		TargetLost: in.dropClaim,
+		CrashFound: in.recordCrash,
 		Answered:   in.logReply,
 	})
 	in.sender = sender.New(in.logger("sender"), in.tracer, p.Targets, in.metrics, in.loop.Post)
@@ -210,6 +211,14 @@
 		zap.Int("declined", m.RefusedStarts), zap.Stringers("open", m.Unfinished))
 }
 
+// recordCrash counts and logs the crash of a target.
+func (in *Instance) recordCrash(a scheduler.CrashFound) {
+	c := a.Crash
+	in.metrics.Crash(c)
+	logging.ForComponent(in.jobLog, "scheduler").Info("A target was lost with its runs.", zap.String("target", c.Target),
+		zap.Int64("born", c.Incarnation), zap.Stringer("crash", c.State), zap.Stringers("tasks", c.Tasks))
+}
+
 // dropClaim drops the claim of a target that has accepted another owner. It does
 // so in another goroutine, because the loop must not wait for the lock of the
 // claims, which may be held during a call to the store.
--- a/pool/sender/sender.go
+++ b/pool/sender/sender.go
@@ -88,7 +88,7 @@
 		s.metrics.Poll(ev.Answered)
 		if !ev.Answered || ev.Fenced || ev.WrongTarget {
 			s.log.Info("A poll failed.", zap.String("target", a.Target), zap.Int64("fence", a.Fence),
-				zap.Bool("answered", ev.Answered), zap.Bool("fenced", ev.Fenced), zap.Bool("moved", ev.WrongTarget))
+				zap.Bool("answered", ev.Answered), zap.Bool("fenced", ev.Fenced), zap.Bool("moved", ev.WrongTarget), zap.Bool("connection_lost", ev.ConnectionLost))
 		}
 		s.post(ev)
 	})
--- a/pool/targetlist/targetlist.go
+++ b/pool/targetlist/targetlist.go
@@ -214,6 +214,7 @@
 // applyAll applies changes of the list, removes targets that have been missing
 // for longer than removeAfter, and publishes the result.
 func (w *Watcher) applyAll(items []port.Item) {
+	var gone []string
 	w.mu.Lock()
 	for _, it := range items {
 		w.apply(it)
@@ -222,9 +223,13 @@
 		if !e.missingSince.IsZero() && w.clock().Sub(e.missingSince) > removeAfter {
 			w.log.Info("A target was removed from the list.", zap.String("target", e.ID))
 			delete(w.entries, key)
+			gone = append(gone, e.ID)
 		}
 	}
 	w.mu.Unlock()
+	for _, id := range gone {
+		w.post(scheduler.TargetGone{Target: id})
+	}
 	w.publish()
 	w.reportTargetCounts()
 }
--- a/pool/targetlist/targetlist_test.go
+++ b/pool/targetlist/targetlist_test.go
@@ -156,6 +156,8 @@
 	mu          sync.Mutex
 	sent        map[string]scheduler.Target
 	clockOffset time.Duration
+	// gone holds the targets that were reported as gone.
+	gone []string
 	// nonDraining counts the targets passed to the scheduler that do not drain.
 	nonDraining int
 }
@@ -199,6 +201,10 @@
 func (f *fixture) post(ev scheduler.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if gone, ok := ev.(scheduler.TargetGone); ok {
+		f.gone = append(f.gone, gone.Target)
+		return
+	}
 	f.sent = map[string]scheduler.Target{}
 	for _, t := range ev.(scheduler.TargetsChanged).Targets {
 		f.sent[t.ID] = t
@@ -272,6 +278,11 @@
 			time.Sleep(maxDelay)
 			f.advance(removeAfter)
 			f.eventually("the target is dropped", func() bool { _, ok := f.current()["a"]; return !ok })
+			f.mu.Lock()
+			if !slices.Equal(f.gone, []string{"a"}) {
+				t.Errorf("the targets %q were reported as gone, want a", f.gone)
+			}
+			f.mu.Unlock()
 			if _, ok := f.current()["b"]; !ok {
 				t.Error("the other target is dropped as well")
 			}
