core/scheduler, pool/crashes: a task that crashes its targets is isolated and given up

Callers saw jobs that ran next to a task which crashes its target answered 504 or refused, because one task took target after target: a run that was lost with its target started again like any other, beside other work, and each submission of a job counted from zero.

Cause: the scheduler took the loss of a target for a fault of the target only, and kept no record of what ran there. Class: work that harms its target and the work beside it.

Now crashes are counted by task and by execution of a target. A task under which a target has crashed, or may have crashed, is suspect: it runs alone on its target, one suspect of a job at a time and on at most an eighth of the targets, so that a second crash is its own and takes nothing along. Two confirmed crashes fail the job. While two crashes are only suspected, the task waits. A job whose suspect can neither bring an answer of value nor show before the deadline whether it crashes its target is answered at once (unknown, target_lost). Owners write what they find to the store, under a lease of two minutes; all instances read it with the claims, so that a job which is sent again or runs at another owner goes on from there. A run on a target without contact no longer counts as hung.

A lost connection alone is no crash: targets that were silent or cut off are not counted, and a suspicion is withdrawn when the same incarnation answers.

--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -67,6 +67,9 @@
 	// starts that are known to have had no effect, for example because the
 	// target refused them.
 	Failed, Hung, Lost, RefusedStarts int
+	// Crashes counts the targets that have crashed, or may have crashed, under tasks
+	// of the job, also in earlier submissions.
+	Crashes int
 	// Unfinished lists some of the runs without a known end.
 	Unfinished []UnfinishedRun
 }
@@ -141,4 +144,7 @@
 	// ReasonOwnerLost ends a job whose owner no longer answers or was
 	// suspended.
 	ReasonOwnerLost Reason = "owner_lost"
+	// ReasonTargetLost ends a job of which a run was lost with its target, and whose
+	// task may be the cause.
+	ReasonTargetLost Reason = "target_lost"
 )
--- a/core/scheduler/crash.go
+++ b/core/scheduler/crash.go
@@ -4,6 +4,15 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
+)
+
+const (
+	// maxCrashes is the number of crashes under one task at which its job fails.
+	maxCrashes = 2
+	// crashRetention is how long a crash is remembered after it was last reported.
+	// Callers send a job again within seconds.
+	crashRetention = 2 * time.Minute
 )
 
 // Crash describes the loss of a target while tasks ran on it.
@@ -36,31 +45,172 @@
 	incarnation int64
 }
 
+// crashLog holds the crashes of the last crashRetention that this instance and
+// other owners have found.
+type crashLog struct {
+	tasks map[TaskID]map[targetLife]CrashState
+	lives map[targetLife]*lifeCrash
+	// reports holds the lives by the time of their reports, oldest first.
+	reports []lifeReport
+}
+
+// lifeCrash holds the tasks that were lost with one execution of a target.
+type lifeCrash struct {
+	tasks      []TaskID
+	reportedAt time.Time
+}
+
+type lifeReport struct {
+	life targetLife
+	at   time.Time
+}
+
+func newCrashLog() *crashLog {
+	return &crashLog{tasks: map[TaskID]map[targetLife]CrashState{}, lives: map[targetLife]*lifeCrash{}}
+}
+
+// record applies a state and reports whether anything has changed. A suspicion
+// does not replace a confirmation.
+func (l *crashLog) record(now time.Time, life targetLife, task TaskID, state CrashState) bool {
+	old, known := l.tasks[task][life]
+	switch {
+	case state == CrashRefuted:
+		if known {
+			l.remove(life, task)
+		}
+		return known
+	case known && old >= state:
+		return false
+	}
+	if l.tasks[task] == nil {
+		l.tasks[task] = map[targetLife]CrashState{}
+	}
+	l.tasks[task][life] = state
+	c := l.lives[life]
+	if c == nil {
+		c = &lifeCrash{}
+		l.lives[life] = c
+	}
+	if !known {
+		c.tasks = append(c.tasks, task)
+	}
+	if c.reportedAt != now {
+		c.reportedAt = now
+		l.reports = append(l.reports, lifeReport{life, now})
+	}
+	return true
+}
+
+func (l *crashLog) remove(life targetLife, task TaskID) {
+	delete(l.tasks[task], life)
+	if len(l.tasks[task]) == 0 {
+		delete(l.tasks, task)
+	}
+	c := l.lives[life]
+	c.tasks = slices.DeleteFunc(c.tasks, func(t TaskID) bool { return t == task })
+	if len(c.tasks) == 0 {
+		delete(l.lives, life)
+	}
+}
+
+// expire drops the crashes that were last reported before crashRetention.
+func (l *crashLog) expire(now time.Time) {
+	for len(l.reports) > 0 && now.Sub(l.reports[0].at) > crashRetention {
+		r := l.reports[0]
+		l.reports = l.reports[1:]
+		if c := l.lives[r.life]; c != nil && c.reportedAt == r.at {
+			for _, task := range slices.Clone(c.tasks) {
+				l.remove(r.life, task)
+			}
+		}
+	}
+}
+
+// count returns the number of confirmed crashes under a task, and that of all which
+// are not refuted.
+func (l *crashLog) count(task TaskID) (confirmed, all int) {
+	for _, state := range l.tasks[task] {
+		if state == CrashConfirmed {
+			confirmed++
+		}
+		all++
+	}
+	return confirmed, all
+}
+
+// livesOf returns the executions of a target that have crashed or may have crashed,
+// except the given one.
+func (l *crashLog) livesOf(target string, except int64) []targetLife {
+	var out []targetLife
+	for life := range l.lives {
+		if life.target == target && life.incarnation != except {
+			out = append(out, life)
+		}
+	}
+	slices.SortFunc(out, func(a, b targetLife) int { return cmp.Compare(a.incarnation, b.incarnation) })
+	return out
+}
+
 // foundCrash is the key of a Crash that Handle has not returned yet.
 type foundCrash struct {
 	life  targetLife
 	state CrashState
 }
 
-// recordCrash records what is known of the loss of a target under a task.
+// recordCrash records what this instance has found about the loss of a target under
+// a task.
 func (s *Scheduler) recordCrash(life targetLife, state CrashState, task TaskID) {
+	if !s.crashLog.record(s.now, life, task, state) {
+		return
+	}
 	key := foundCrash{life, state}
-	if !slices.Contains(s.crashes[key], task) {
-		s.crashes[key] = append(s.crashes[key], task)
+	s.foundCrashes[key] = append(s.foundCrashes[key], task)
+	s.applyCrashes(task)
+}
+
+// crashReported records what another owner has found.
+func (s *Scheduler) crashReported(c Crash) {
+	for _, task := range c.Tasks {
+		if s.crashLog.record(s.now, targetLife{c.Target, c.Incarnation}, task, c.State) {
+			s.applyCrashes(task)
+		}
+	}
+}
+
+// applyCrashes updates a task whose crashes have changed, if its job runs here.
+func (s *Scheduler) applyCrashes(id TaskID) {
+	j := s.jobs[id.Job]
+	if j == nil {
+		return
+	}
+	k := j.task(id)
+	if k == nil {
+		return
 	}
+	k.confirmedCrashes, k.crashes = s.crashLog.count(id)
+	j.suspected = j.suspected || k.suspect()
+	if k.crashedTooOften() {
+		s.finish(j, crashFailure)
+		return
+	}
+	s.enqueue(j)
 }
 
-// emitCrashes emits the crashes that were recorded during a call of Handle.
+// crashFailure is the outcome of a job under whose task maxCrashes targets have
+// crashed.
+var crashFailure = Failed{Reason: "targets have crashed under a task"}
+
+// emitCrashes emits the crashes that were found during a call of Handle.
 func (s *Scheduler) emitCrashes() {
-	if len(s.crashes) == 0 {
+	if len(s.foundCrashes) == 0 {
 		return
 	}
 	var all []Crash
-	for key, tasks := range s.crashes {
+	for key, tasks := range s.foundCrashes {
 		slices.SortFunc(tasks, compareTasks)
 		all = append(all, Crash{Target: key.life.target, Incarnation: key.life.incarnation, State: key.state, Tasks: tasks})
 	}
-	clear(s.crashes)
+	clear(s.foundCrashes)
 	slices.SortFunc(all, func(a, b Crash) int {
 		return cmp.Or(strings.Compare(a.Target, b.Target), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.State, b.State))
 	})
@@ -69,49 +219,67 @@
 	}
 }
 
+// mustSuspectCrash reports whether a crash of the target has to be suspected once the
+// lease on its runs has ended.
+func (s *Scheduler) mustSuspectCrash(t *target) bool {
+	if !t.connectionLost || t.fenced || t.leaving {
+		return false
+	}
+	for _, r := range t.runs {
+		if _, known := s.crashLog.tasks[r.id.Task][t.life()]; !known {
+			return true
+		}
+	}
+	return false
+}
+
 // suspectCrash records that the lease on the runs of a target has ended after the
 // target closed its connections. A target that leaves closes them as well.
 func (s *Scheduler) suspectCrash(t *target) {
-	if !t.connectionLost || t.fenced || t.leaving {
+	if !s.mustSuspectCrash(t) {
 		return
 	}
 	for _, r := range t.sortedRuns() {
-		if _, known := t.lostTasks[r.id.Task]; !known {
-			t.lostTasks[r.id.Task] = CrashSuspected
-			s.recordCrash(t.life(), CrashSuspected, r.id.Task)
-		}
+		s.recordCrash(t.life(), CrashSuspected, r.id.Task)
+	}
+}
+
+// confirmEnd records that the current process of a target has ended with its runs.
+func (s *Scheduler) confirmEnd(t *target) {
+	if t.leaving {
+		return
+	}
+	for _, r := range t.sortedRuns() {
+		s.recordCrash(t.life(), CrashConfirmed, r.id.Task)
 	}
+	s.confirmLife(t.life())
 }
 
-// confirmSuspected records that a target has crashed whose crash was suspected.
-func (s *Scheduler) confirmSuspected(t *target) {
-	for task, state := range t.lostTasks {
-		if state == CrashSuspected {
-			t.lostTasks[task] = CrashConfirmed
-			s.recordCrash(t.life(), CrashConfirmed, task)
+// confirmLife records that an execution of a target has ended whose crash was
+// suspected.
+func (s *Scheduler) confirmLife(life targetLife) {
+	if c := s.crashLog.lives[life]; c != nil {
+		for _, task := range slices.Clone(c.tasks) {
+			s.recordCrash(life, CrashConfirmed, task)
 		}
 	}
 }
 
 // refuteSuspected records that a target has not crashed whose crash was suspected.
 func (s *Scheduler) refuteSuspected(t *target) {
-	for task := range t.lostTasks {
-		s.recordCrash(t.life(), CrashRefuted, task)
+	if c := s.crashLog.lives[t.life()]; c != nil {
+		for _, task := range slices.Clone(c.tasks) {
+			s.recordCrash(t.life(), CrashRefuted, task)
+		}
 	}
-	clear(t.lostTasks)
 }
 
-// confirmEnd records that the process of the target has ended with its runs.
-func (s *Scheduler) confirmEnd(t *target) {
-	if t.leaving {
-		return
+// confirmEarlierLives records the end of the executions of a target before the one
+// that answers.
+func (s *Scheduler) confirmEarlierLives(t *target) {
+	for _, life := range s.crashLog.livesOf(t.ID, t.incarnation) {
+		s.confirmLife(life)
 	}
-	for _, r := range t.sortedRuns() {
-		if _, known := t.lostTasks[r.id.Task]; !known {
-			t.lostTasks[r.id.Task] = CrashSuspected
-		}
-	}
-	s.confirmSuspected(t)
 }
 
 // confirmRestartLoss records the loss of a run that was started on an earlier
@@ -126,9 +294,12 @@
 
 // targetGone handles the end of a target that its platform no longer lists.
 func (s *Scheduler) targetGone(id string) {
-	if t := s.targets[id]; t != nil && t.unanswered > 0 && t.connectionLost {
+	if t := s.targets[id]; t != nil && !t.leaving && t.unanswered > 0 && t.connectionLost {
 		s.confirmEnd(t)
 	}
+	for _, life := range s.crashLog.livesOf(id, 0) {
+		s.confirmLife(life)
+	}
 }
 
 func (t *target) life() targetLife { return targetLife{t.ID, t.incarnation} }
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -116,6 +116,9 @@
 // the target was silent or has left.
 type TargetGone struct{ Target string }
 
+// CrashReported reports a crash that another owner has found.
+type CrashReported struct{ Crash Crash }
+
 // StartReturned reports the result of a Start action.
 type StartReturned struct {
 	Run    RunID
@@ -215,6 +218,7 @@
 func (Recall) event()         {}
 func (TargetsChanged) event() {}
 func (TargetGone) event()     {}
+func (CrashReported) event()  {}
 func (StartReturned) event()  {}
 func (StopReturned) event()   {}
 func (PollReturned) event()   {}
--- /dev/null
+++ b/core/scheduler/isolation.go
@@ -0,0 +1,113 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// isolationShare is the part of the usable targets, at least one target, on which
+// suspect tasks may run at the same time.
+const isolationShare = 1.0 / 8
+
+// suspect reports whether a target has crashed, or may have crashed, under the
+// task. Such a task runs alone on its target: a second crash then shows that the
+// task is the cause, and takes no other work along.
+func (k *task) suspect() bool { return k.crashes > 0 }
+
+// crashedTooOften reports whether the task's job has failed.
+func (k *task) crashedTooOften() bool { return k.confirmedCrashes >= maxCrashes }
+
+// held reports whether the task must not start until more is known of the crashes
+// under it.
+func (k *task) held() bool { return k.crashes >= maxCrashes }
+
+// mayIsolate reports whether a suspect task may start. Until one suspect task of a
+// job has succeeded, only one runs at a time, because each may crash its target.
+func (s *Scheduler) mayIsolate(k *task) bool {
+	if k.held() {
+		return false
+	}
+	usable, isolated := 0, 0
+	for _, t := range s.sortedTargets {
+		if t.usable() {
+			usable++
+		}
+		isolated += t.isolatedRuns
+		if t.isolatedRuns > 0 && t.isolates(k.job) && !k.job.isolatedSuccess {
+			return false
+		}
+	}
+	return float64(isolated) < max(1, float64(usable)*isolationShare)
+}
+
+// isolates reports whether a suspect task of the job runs on the target.
+func (t *target) isolates(j *job) bool {
+	for _, r := range t.runs {
+		if r.isolated && r.task != nil && r.task.job == j {
+			return true
+		}
+	}
+	return false
+}
+
+// reserve keeps new work from the target that will be empty first, for a suspect
+// task that waits for an empty target.
+func (s *Scheduler) reserve(k *task) {
+	if s.reserved != nil || !s.mayIsolate(k) {
+		return
+	}
+	var best time.Time
+	for _, t := range s.sortedTargets {
+		if !s.isCandidate(t, k) || t.isolatedRuns > 0 {
+			continue
+		}
+		end := s.now
+		for _, r := range t.runs {
+			if e := r.end(); e.After(end) {
+				end = e
+			}
+		}
+		if s.reserved == nil || end.Before(best) {
+			s.reserved, best = t, end
+		}
+	}
+}
+
+// giveUpSuspects ends the jobs with a suspect task whose next start could neither
+// bring an answer of value nor show before the deadline whether it crashes its
+// target.
+func (s *Scheduler) giveUpSuspects() {
+	for _, j := range s.jobsWhere(func(j *job) bool {
+		return j.suspected && slices.ContainsFunc(j.suspects(), s.startIsFutile)
+	}) {
+		s.giveUp(j, ReasonTargetLost)
+	}
+}
+
+// startIsFutile reports whether a start of the suspect task can no longer be of use.
+func (s *Scheduler) startIsFutile(k *task) bool {
+	if k.held() || !k.waiting() {
+		return false
+	}
+	end := s.now.Add(s.baseRunTime(k))
+	return end.After(s.latestUsefulEnd(k.job)) && end.Add(s.lossDelay()).After(k.job.Deadline)
+}
+
+// lossDelay is the longest time from the last renewal of a lease until the loss of
+// its runs is known.
+func (s *Scheduler) lossDelay() time.Duration {
+	return time.Duration(float64(s.cfg.Lease)/(1-s.cfg.MaxClockDrift)) + leaseMargin
+}
+
+// suspects returns the suspect tasks of the job that are not done.
+func (j *job) suspects() []*task {
+	var out []*task
+	for _, ts := range j.tasks {
+		for _, k := range ts {
+			if k.suspect() && !k.done {
+				out = append(out, k)
+			}
+		}
+	}
+	return out
+}
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -34,6 +34,9 @@
 	// refuseAt is the earliest time at which a job without a start is refused.
 	refuseAt time.Time
 	queued   bool
+	// suspected is set once a task was suspect. isolatedSuccess is set once a suspect
+	// task has succeeded.
+	suspected, isolatedSuccess bool
 	// summary is updated while the job runs.
 	summary Summary
 }
@@ -61,6 +64,9 @@
 	refusals int
 	// hungRuns counts the runs that were stopped because they took too long.
 	hungRuns int
+	// confirmedCrashes and crashes count the crashes of targets under the task that
+	// are confirmed, and all that are not refuted.
+	confirmedCrashes, crashes int
 	// ran is set once a run of the task has ended or is given up as lost.
 	ran  bool
 	run  *run
@@ -96,6 +102,10 @@
 	s.jobs[j.ID] = j
 	s.requests[ev.Request] = j
 	j.summary.Backlog = s.forecastWait(j)
+	if j.anyTask((*task).crashedTooOften) {
+		s.finish(j, crashFailure)
+		return
+	}
 	if reason, ok := s.admit(j); !ok {
 		s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter()})
 		return
@@ -109,7 +119,10 @@
 		step := &j.Steps[i]
 		j.remaining[i] = step.Count
 		for k := range step.Count {
-			j.tasks[i] = append(j.tasks[i], &task{id: TaskID{Job: in.ID, Step: i, Index: k}, job: j, step: step})
+			t := &task{id: TaskID{Job: in.ID, Step: i, Index: k}, job: j, step: step}
+			t.confirmedCrashes, t.crashes = s.crashLog.count(t.id)
+			j.suspected = j.suspected || t.suspect()
+			j.tasks[i] = append(j.tasks[i], t)
 		}
 	}
 	j.criticalPath = in.criticalPath(func(estimate time.Duration) time.Duration {
@@ -148,6 +161,19 @@
 	return earliest(j.Arrived.Add(j.objective(path)), j.Deadline).Add(-path)
 }
 
+// task returns the task with an ID of the job, or nil if there is none.
+func (j *job) task(id TaskID) *task {
+	if id.Step < 0 || id.Step >= len(j.tasks) || id.Index < 0 || id.Index >= len(j.tasks[id.Step]) {
+		return nil
+	}
+	return j.tasks[id.Step][id.Index]
+}
+
+// anyTask reports whether a task of the job satisfies a condition.
+func (j *job) anyTask(ok func(*task) bool) bool {
+	return slices.ContainsFunc(j.tasks, func(ts []*task) bool { return slices.ContainsFunc(ts, ok) })
+}
+
 func (j *job) countUnplaced() {
 	j.unplaced = 0
 	for _, ts := range j.tasks {
@@ -270,6 +296,7 @@
 		for _, t := range ts {
 			m.Failed += t.failures
 			m.Hung += t.hungRuns
+			m.Crashes += t.crashes
 			if r := t.run; r != nil && len(m.Unfinished) < maxUnfinishedRuns {
 				m.Unfinished = append(m.Unfinished, UnfinishedRun{
 					Run: r.id, Target: r.target.ID, Age: s.now.Sub(r.started), Forecast: r.expected,
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -35,6 +35,7 @@
 
 // place starts tasks of the queued jobs, in the order of the queue.
 func (s *Scheduler) place() {
+	s.reserved = nil
 	if len(s.queue) == 0 {
 		return
 	}
@@ -79,6 +80,10 @@
 				break
 			}
 			t := s.chooseTarget(k)
+			if t == nil && k.suspect() {
+				s.reserve(k)
+				continue
+			}
 			if t == nil {
 				break
 			}
@@ -93,6 +98,9 @@
 // chooseTarget returns the best target for a task, or nil if none has free
 // capacity or it is better to wait for a faster one.
 func (s *Scheduler) chooseTarget(k *task) *target {
+	if k.suspect() && !s.mayIsolate(k) {
+		return nil
+	}
 	var best *target
 	var bestScore, bestValue float64
 	base, slownessWeight := s.baseRunTime(k), s.slownessWeight(k.job.Service)
@@ -114,7 +122,7 @@
 // worthWaiting reports whether the task's expected value exceeds a threshold on
 // a target that has no free capacity yet.
 func (s *Scheduler) worthWaiting(k *task, base time.Duration, threshold float64) bool {
-	if threshold >= 1 || len(k.avoid) > 0 {
+	if threshold >= 1 || len(k.avoid) > 0 || k.suspect() {
 		return false
 	}
 	return slices.ContainsFunc(s.sortedTargets, func(t *target) bool {
@@ -207,6 +215,9 @@
 // canStartNow reports whether a candidate has the capacity to start the task now.
 // After an ejection, a target runs one task at a time until a run succeeds.
 func (s *Scheduler) canStartNow(t *target, k *task) bool {
+	if k.suspect() && len(t.runs) > 0 || !k.suspect() && (t.isolatedRuns > 0 || t == s.reserved) {
+		return false
+	}
 	return t.free.fits(k.step.need()) && (t.consecutiveBadRuns < s.policy.EjectAfter || len(t.runs) == 0)
 }
 
@@ -264,6 +275,9 @@
 	if !slices.ContainsFunc(s.sortedTargets, func(t *target) bool { return t.usable() && t.Service == j.Service }) {
 		return ReasonNoTarget, false
 	}
+	if j.suspected && j.anyTask((*task).held) {
+		return ReasonTargetLost, false
+	}
 	if s.bestExpectedValue(j) < s.policy.MinExpectedValue {
 		return ReasonDeadline, false
 	}
--- a/core/scheduler/poll.go
+++ b/core/scheduler/poll.go
@@ -147,10 +147,7 @@
 func (s *Scheduler) pollAnswered(t *target, ev PollReturned) {
 	t.connectionLost = false
 	if ev.Incarnation != 0 && t.incarnation != 0 && ev.Incarnation != t.incarnation {
-		s.confirmSuspected(t)
 		s.resetTarget(t)
-	} else {
-		s.refuteSuspected(t)
 	}
 	t.updateClock(ev.ClockMS, s.now)
 	t.recordAnswer(s.now)
@@ -158,6 +155,8 @@
 	if ev.Incarnation != 0 {
 		t.incarnation = ev.Incarnation
 	}
+	s.refuteSuspected(t)
+	s.confirmEarlierLives(t)
 	t.acknowledged = max(t.acknowledged, t.ackInFlight)
 	running := map[RunID]bool{}
 	for _, id := range ev.Running {
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -42,6 +42,8 @@
 	// foreign is set for a run that the target reports, but that this Scheduler
 	// has no record of, for example one that an earlier owner started.
 	foreign bool
+	// isolated is set for the run of a suspect task, which has its target to itself.
+	isolated bool
 	// answered is set once the target has answered the start or the stop. A poll
 	// sent after answeredAt lists the run if it exists.
 	answered   bool
@@ -57,7 +59,7 @@
 	switch {
 	case r.state == stopping && r.target.unanswered == 0:
 		return r.resendStopAt
-	case r.state == running:
+	case r.state == running && r.target.inContact():
 		return s.overdueAt(r)
 	}
 	return time.Time{}
@@ -83,6 +85,10 @@
 		id: RunID{Task: k.id, Attempt: k.attempt}, task: k, target: t, need: k.step.need(), started: s.now,
 		expected: s.expectedRunTime(k, s.baseRunTime(k), t),
 	}
+	if k.suspect() {
+		r.isolated, r.need = true, t.free
+		t.isolatedRuns++
+	}
 	k.run = r
 	if !k.job.started {
 		k.job.summary.Waited = s.now.Sub(k.job.Arrived)
@@ -102,6 +108,9 @@
 func (s *Scheduler) removeRun(r *run) {
 	delete(r.target.runs, r.id)
 	r.target.free.add(r.need, 1)
+	if r.isolated {
+		r.target.isolatedRuns--
+	}
 	if r.task != nil {
 		r.task.run = nil
 	}
@@ -111,13 +120,13 @@
 // again.
 func (s *Scheduler) runLost(r *run) {
 	k := r.task
-	s.confirmRestartLoss(r)
 	s.removeRun(r)
 	if k != nil {
 		k.ran = true
 		k.job.summary.Lost++
 		s.enqueue(k.job)
 	}
+	s.confirmRestartLoss(r)
 }
 
 // releaseTask queues the task of a run again although the target has not
@@ -269,6 +278,7 @@
 	k.ran = true
 	switch result {
 	case RunSucceeded:
+		k.job.isolatedSuccess = k.job.isolatedSuccess || r.isolated
 		s.recordRunTime(k, t, s.now.Sub(r.started))
 		s.taskDone(k)
 	case RunFailed:
@@ -355,7 +365,7 @@
 			if t.fenced || t.removed && s.now.After(t.leaseSentAt.Add(maxStartDelay)) {
 				s.removeRun(r)
 			}
-		case r.state == running && r.task != nil && !s.now.Before(s.overdueAt(r)):
+		case r.state == running && t.inContact() && r.task != nil && !s.now.Before(s.overdueAt(r)):
 			s.stopHungRun(r)
 		case r.state == stopping && t.unanswered == 0 && !r.resendStopAt.IsZero() && !s.now.Before(r.resendStopAt):
 			s.sendStop(r)
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -34,8 +34,12 @@
 	requests      map[RequestID]*job
 	draining      bool
 	actions       []Action
-	// crashes holds the tasks of the crashes that were found during a call of Handle.
-	crashes map[foundCrash][]TaskID
+	crashLog      *crashLog
+	// foundCrashes holds the tasks of the crashes that were found during a call of
+	// Handle.
+	foundCrashes map[foundCrash][]TaskID
+	// reserved is kept free for a suspect task, or is nil.
+	reserved *target
 }
 
 // New returns a Scheduler without targets.
@@ -50,7 +54,7 @@
 		targets:  map[string]*target{},
 		jobs:     map[string]*job{},
 		requests: map[RequestID]*job{},
-		crashes:  map[foundCrash][]TaskID{},
+		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{},
 	}
 }
 
@@ -64,8 +68,10 @@
 	if suspended {
 		s.giveUpAfterSuspension()
 	}
+	s.crashLog.expire(s.now)
 	s.apply(ev)
 	s.expire()
+	s.giveUpSuspects()
 	s.place()
 	s.refuseLateJobs()
 	s.sendDuePolls()
@@ -97,6 +103,8 @@
 		s.recall(s.jobs[ev.Job])
 	case TargetsChanged:
 		s.changeTargets(ev.Targets)
+	case CrashReported:
+		s.crashReported(ev.Crash)
 	case TargetGone:
 		s.targetGone(ev.Target)
 	case StartReturned:
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -85,12 +85,12 @@
 	// connectionLost is set while the last poll without an answer has lost its
 	// connection. leaving is set once the list has shown the incarnation as draining.
 	connectionLost, leaving bool
-	// lostTasks holds the tasks under which the current incarnation has crashed or is
-	// suspected to have crashed. previous is the incarnation before it, and
-	// previousLeft is set if that one was draining.
-	lostTasks    map[TaskID]CrashState
+	// previous is the incarnation before the current one, and previousLeft is set if
+	// that one was draining.
 	previous     int64
 	previousLeft bool
+	// isolatedRuns counts the runs of suspect tasks.
+	isolatedRuns int
 
 	// consecutiveBadRuns counts failures since the last success, and lastBadJob
 	// is the job of the last failure. See recordBadRun.
@@ -108,6 +108,10 @@
 	return t.synced && t.described() && !t.removed && !t.Draining && !t.fenced && t.unanswered == 0
 }
 
+// inContact reports whether the runs on the target are known. A run on a target that
+// may have crashed does not count as hung.
+func (t *target) inContact() bool { return t.unanswered == 0 && !t.connectionLost }
+
 // described reports whether the list describes the incarnation that answers the polls.
 // A target may restart as another kind, with other labels and another capacity.
 func (t *target) described() bool {
@@ -146,8 +150,8 @@
 func (s *Scheduler) newTarget(in Target) *target {
 	return &target{
 		Target: in, runs: map[RunID]*run{}, free: capacity{in.CPU, in.MemoryMB, in.Accelerators},
-		leaving: in.Draining, lostTasks: map[TaskID]CrashState{},
-		clock: remoteclock.New(s.cfg.MaxClockDrift), nextPoll: s.now,
+		leaving: in.Draining,
+		clock:   remoteclock.New(s.cfg.MaxClockDrift), nextPoll: s.now,
 	}
 }
 
@@ -175,7 +179,6 @@
 	t.clock.Reset()
 	t.unanswered, t.consecutiveBadRuns, t.synced, t.nextPoll = 0, 0, false, s.now
 	t.bornAt = s.now
-	clear(t.lostTasks)
 	t.previous, t.previousLeft, t.leaving = t.incarnation, t.leaving, t.Draining && t.Target.Incarnation != t.incarnation
 	s.model.Forget(t.ID)
 }
@@ -198,8 +201,7 @@
 // leaseEnd returns when all runs on an unreachable target have lost their lease,
 // even if its clock runs slow by MaxClockDrift.
 func (s *Scheduler) leaseEnd(t *target) time.Time {
-	longest := time.Duration(float64(s.cfg.Lease) / (1 - s.cfg.MaxClockDrift))
-	return t.leaseSentAt.Add(longest + leaseMargin)
+	return t.leaseSentAt.Add(s.lossDelay())
 }
 
 // unreachableOrFenced reports whether the target does not answer or is held by
@@ -213,7 +215,7 @@
 	for _, r := range t.runs {
 		next = earliest(next, s.nextRunWake(r))
 	}
-	if t.unreachableOrFenced() && t.hasAwaitedRuns() {
+	if t.unreachableOrFenced() && (t.hasAwaitedRuns() || s.mustSuspectCrash(t)) {
 		next = earliest(next, s.leaseEnd(t))
 	}
 	if !t.ejectedUntil.IsZero() {
--- a/pool/claims/watch.go
+++ b/pool/claims/watch.go
@@ -1,15 +1,18 @@
 package claims
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/ownership"
+	"marigoldfront.dev/pool/crashes"
 	"marigoldfront.dev/pool/port"
 )
 
@@ -42,6 +45,7 @@
 	m.apply(items)
 	m.synced = true
 	m.mu.Unlock()
+	m.passReports(items)
 	m.wakeClaimLoop()
 	m.onChange()
 	return revision, nil
@@ -60,6 +64,7 @@
 	m.apply(items)
 	synced := m.synced
 	m.mu.Unlock()
+	m.passReports(items)
 	if len(items) > 0 {
 		m.onChange()
 	}
@@ -69,6 +74,20 @@
 	return revision, nil
 }
 
+// passReports passes on the reports of crashes among the items.
+func (m *Manager) passReports(items []port.Item) {
+	var reports []port.Item
+	for _, it := range items {
+		if strings.HasPrefix(it.Key, crashes.Prefix) {
+			reports = append(reports, it)
+		}
+	}
+	slices.SortFunc(reports, func(a, b port.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, it := range reports {
+		m.onReport(it)
+	}
+}
+
 // apply updates the members, claims and target counts from items of the store.
 // The caller holds the lock.
 func (m *Manager) apply(items []port.Item) {
--- /dev/null
+++ b/pool/crashes/crashes_test.go
@@ -0,0 +1,175 @@
+package crashes
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/pool/port"
+)
+
+// fakeStore keeps what is committed under leases. The other methods of port.Store
+// are not called.
+type fakeStore struct {
+	port.Store
+	mu     sync.Mutex
+	down   bool
+	leases map[int64]time.Duration
+	puts   []port.Put
+	grants int
+}
+
+var errDown = errors.New("the store is down")
+
+func (s *fakeStore) Grant(_ context.Context, ttl time.Duration) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, errDown
+	}
+	s.grants++
+	s.leases[int64(s.grants)] = ttl
+	return int64(s.grants), nil
+}
+
+func (s *fakeStore) Commit(_ context.Context, tx port.Transaction) (int64, bool, []port.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, false, nil, errDown
+	}
+	for _, p := range tx.Puts {
+		if _, ok := s.leases[p.Lease]; !ok {
+			return 0, false, nil, port.ErrLeaseNotFound
+		}
+	}
+	s.puts = append(s.puts, tx.Puts...)
+	return int64(len(s.puts)), true, nil, nil
+}
+
+func (s *fakeStore) items() []port.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []port.Item
+	for i, p := range s.puts {
+		out = append(out, port.Item{Key: p.Key, Value: p.Value, Revision: int64(i + 1)})
+	}
+	return out
+}
+
+func (s *fakeStore) set(change func(s *fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+// instance is a Reporter with the events that it has passed on.
+type instance struct {
+	*Reporter
+	events []scheduler.Event
+}
+
+func newInstance(t *testing.T, s port.Store, incarnation uint64) *instance {
+	in := &instance{}
+	in.Reporter = New(zap.NewNop(), s, "i", incarnation, time.Now, func(ev scheduler.Event) { in.events = append(in.events, ev) })
+	go in.Run()
+	t.Cleanup(in.Close)
+	return in
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not reached: " + what)
+		}
+	}
+}
+
+func testCrash(target string, state scheduler.CrashState) scheduler.Crash {
+	return scheduler.Crash{Target: target, Incarnation: 7, State: state, Tasks: []scheduler.TaskID{{Job: "j", Step: 1, Index: 2}, {Job: "k"}}}
+}
+
+// Guards against crashes that other instances do not learn of, because a call to the
+// store failed or the lease of the reports has ended.
+func TestCrashesReachOtherInstances(t *testing.T) {
+	s := &fakeStore{leases: map[int64]time.Duration{}}
+	reporting, other := newInstance(t, s, 1), newInstance(t, s, 2)
+	want := []scheduler.Crash{testCrash("a", scheduler.CrashSuspected), testCrash("b", scheduler.CrashConfirmed), testCrash("a", scheduler.CrashRefuted)}
+	s.set(func(s *fakeStore) { s.down = true })
+	reporting.Report(want[0])
+	time.Sleep(2 * reportInterval)
+	s.set(func(s *fakeStore) { s.down = false })
+	eventually(t, "the report after the outage", func() bool { return len(s.items()) == 1 })
+	s.set(func(s *fakeStore) { clear(s.leases) })
+	reporting.Report(want[1])
+	reporting.Report(want[2])
+	eventually(t, "the report under a new lease", func() bool { return len(s.items()) == 2 })
+	for _, it := range s.items() {
+		reporting.Apply(it)
+		other.Apply(it)
+	}
+	if len(reporting.events) != 0 {
+		t.Errorf("the instance has passed on its own reports: %+v", reporting.events)
+	}
+	var got []scheduler.Crash
+	for _, ev := range other.events {
+		got = append(got, ev.(scheduler.CrashReported).Crash)
+	}
+	equal := func(a, b scheduler.Crash) bool {
+		return a.Target == b.Target && a.Incarnation == b.Incarnation && a.State == b.State && slices.Equal(a.Tasks, b.Tasks)
+	}
+	if !slices.EqualFunc(got, want, equal) {
+		t.Errorf("the other instance has got %+v, want %+v", got, want)
+	}
+	for lease, ttl := range s.leases {
+		if ttl != retention {
+			t.Errorf("the lease %d of the reports lasts %v, want %v", lease, ttl, retention)
+		}
+	}
+}
+
+// Guards against a call to the store for each crash, and against reports without
+// bound.
+func TestReportsAreFewAndBounded(t *testing.T) {
+	s := &fakeStore{leases: map[int64]time.Duration{}, down: true}
+	in := newInstance(t, s, 1)
+	for range 2 * queueSize {
+		in.Report(testCrash("a", scheduler.CrashSuspected))
+	}
+	s.set(func(s *fakeStore) { s.down = false })
+	eventually(t, "the queue is empty", func() bool { return len(in.queue) == 0 && len(s.items()) > 0 })
+	time.Sleep(2 * reportInterval)
+	items := s.items()
+	if most := (queueSize+maxReported)/maxReported + 1; len(items) > most {
+		t.Errorf("%d reports were written, want at most %d", len(items), most)
+	}
+	for _, it := range items {
+		if n := strings.Count(string(it.Value), `"target"`); n > maxReported {
+			t.Errorf("a report has %d crashes, want at most %d", n, maxReported)
+		}
+	}
+}
+
+// Guards against a report of another writer that ends the process.
+func TestOddReportsAreIgnored(t *testing.T) {
+	in := newInstance(t, &fakeStore{leases: map[int64]time.Duration{}}, 1)
+	for _, value := range []string{
+		"", "null", "[]", "{", `{"reporter":"x"}`, `{"crashes":{}}`, `{"reporter":"2","crashes":[null]}`,
+		`{"reporter":"2","crashes":[{"target":"a","state":"unknown","tasks":[{"job":"j"}]}]}`,
+		`{"reporter":"2","crashes":[{"target":"a","state":"confirmed","tasks":[{"job":"j","step":1e99}]}]}`,
+	} {
+		in.Apply(port.Item{Key: Prefix + "x", Value: []byte(value)})
+	}
+	in.Apply(port.Item{Key: Prefix + "x", Deleted: true})
+	if len(in.events) != 0 {
+		t.Errorf("passed on: %+v", in.events)
+	}
+}
--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -256,11 +256,11 @@
 }
 
 // isFinal reports whether the job must not be sent to another owner, because it
-// may have run or was cancelled. Other refusals are not final: a job that fits
+// may have run, was cancelled or may crash its targets. Other refusals are not final: a job that fits
 // no target of one owner may fit a target of another.
 func isFinal(o scheduler.Outcome) bool {
 	r, ok := o.(scheduler.Refused)
-	return !ok || r.Reason == scheduler.ReasonCancelled
+	return !ok || r.Reason == scheduler.ReasonCancelled || r.Reason == scheduler.ReasonTargetLost
 }
 
 // runAt runs the job at the owner with the address, which may be this instance.
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -26,6 +26,7 @@
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/pool/claims"
 	"marigoldfront.dev/pool/configuration"
+	"marigoldfront.dev/pool/crashes"
 	"marigoldfront.dev/pool/frontend"
 	"marigoldfront.dev/pool/loop"
 	"marigoldfront.dev/pool/metrics"
@@ -83,6 +84,7 @@
 	sender        *sender.Sender
 	claims        *claims.Manager
 	targets       *targetlist.Watcher
+	crashes       *crashes.Reporter
 	configuration *configuration.Watcher
 	relayClient   *relay.Client
 	relayServer   *relay.Server
@@ -149,7 +151,9 @@
 	in.sender = sender.New(in.logger("sender"), in.tracer, p.Targets, in.metrics, in.loop.Post)
 	in.claims = claims.New(in.logger("owner"), store, in.self, cfg.AvailabilityZones, cfg.Shards, clock.Now,
 		func() { in.targets.Refresh() }, in.busy, reachability.New(in.logger("contact"), store, p.Formats, p.Targets).Reachable,
-		func(address string, incarnation uint64) bool { return in.relayClient.Serving(address, incarnation) })
+		func(address string, incarnation uint64) bool { return in.relayClient.Serving(address, incarnation) },
+		func(it port.Item) { in.crashes.Apply(it) })
+	in.crashes = crashes.New(in.logger("crashes"), store, cfg.Name, in.self.Incarnation, clock.Now, in.loop.Post)
 	in.targets = targetlist.New(in.logger("listing"), store, p.Formats, in.claims, cfg.Shards, clock.Now, in.loop.Post)
 	in.configuration = configuration.New(in.logger("configuration"), store, p.Formats, func(c *catalog.Catalog) {
 		in.claims.SetServices(c.Services)
@@ -208,13 +212,15 @@
 		zap.Duration("waited", m.Waited), zap.Duration("backlog", m.Backlog), zap.Duration("forecast", m.Forecast),
 		zap.Duration("objective", m.Objective), zap.Int("tasks", m.Tasks), zap.Int("starts", m.Starts),
 		zap.Int("failed", m.Failed), zap.Int("hung", m.Hung), zap.Int("lost", m.Lost),
-		zap.Int("declined", m.RefusedStarts), zap.Stringers("open", m.Unfinished))
+		zap.Int("crashes", m.Crashes), zap.Int("declined", m.RefusedStarts), zap.Stringers("open", m.Unfinished))
 }
 
-// recordCrash counts and logs the crash of a target.
+// recordCrash counts and logs the crash of a target, and reports it to the other
+// instances.
 func (in *Instance) recordCrash(a scheduler.CrashFound) {
 	c := a.Crash
 	in.metrics.Crash(c)
+	in.crashes.Report(c)
 	logging.ForComponent(in.jobLog, "scheduler").Info("A target was lost with its runs.", zap.String("target", c.Target),
 		zap.Int64("born", c.Incarnation), zap.Stringer("crash", c.State), zap.Stringers("tasks", c.Tasks))
 }
@@ -308,6 +314,7 @@
 	in.wg.Go(in.loop.Run)
 	in.wg.Go(in.claims.Run)
 	in.wg.Go(in.targets.Run)
+	in.wg.Go(in.crashes.Run)
 	in.wg.Go(in.configuration.Run)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -370,6 +377,7 @@
 	in.configuration.Close()
 	in.targets.Close()
 	in.claims.Close()
+	in.crashes.Close()
 	in.sender.Close()
 	in.loop.Close()
 	in.wg.Wait()
