core/scheduler: crashes count also when a target drains, is taken over or restarts at once

Four gaps in the count:

- a target that the list had just shown as draining was taken for one that leaves.
A target serves for at least a second after that, so that an earlier end is a crash
- a target that was drained once and is ready again stayed excepted
- another owner took the target over before the lease had ended
- the target crashed before it answered the start and was back before the start timed out

--- a/core/scheduler/crash.go
+++ b/core/scheduler/crash.go
@@ -49,7 +49,8 @@
 // other owners have found.
 type crashLog struct {
 	tasks map[TaskID]map[targetLife]CrashState
-	lives map[targetLife]*lifeCrash
+	// lives holds the tasks by target and by incarnation.
+	lives map[string]map[int64]*lifeCrash
 	// reports holds the lives by the time of their reports, oldest first.
 	reports []lifeReport
 }
@@ -66,7 +67,7 @@
 }
 
 func newCrashLog() *crashLog {
-	return &crashLog{tasks: map[TaskID]map[targetLife]CrashState{}, lives: map[targetLife]*lifeCrash{}}
+	return &crashLog{tasks: map[TaskID]map[targetLife]CrashState{}, lives: map[string]map[int64]*lifeCrash{}}
 }
 
 // record applies a state and reports whether anything has changed. A suspicion
@@ -86,10 +87,13 @@
 		l.tasks[task] = map[targetLife]CrashState{}
 	}
 	l.tasks[task][life] = state
-	c := l.lives[life]
+	c := l.life(life)
 	if c == nil {
 		c = &lifeCrash{}
-		l.lives[life] = c
+		if l.lives[life.target] == nil {
+			l.lives[life.target] = map[int64]*lifeCrash{}
+		}
+		l.lives[life.target][life.incarnation] = c
 	}
 	if !known {
 		c.tasks = append(c.tasks, task)
@@ -106,19 +110,25 @@
 	if len(l.tasks[task]) == 0 {
 		delete(l.tasks, task)
 	}
-	c := l.lives[life]
+	c := l.life(life)
 	c.tasks = slices.DeleteFunc(c.tasks, func(t TaskID) bool { return t == task })
 	if len(c.tasks) == 0 {
-		delete(l.lives, life)
+		delete(l.lives[life.target], life.incarnation)
+		if len(l.lives[life.target]) == 0 {
+			delete(l.lives, life.target)
+		}
 	}
 }
 
+// life returns the record of one execution of a target, or nil.
+func (l *crashLog) life(life targetLife) *lifeCrash { return l.lives[life.target][life.incarnation] }
+
 // expire drops the crashes that were last reported before crashRetention.
 func (l *crashLog) expire(now time.Time) {
 	for len(l.reports) > 0 && now.Sub(l.reports[0].at) > crashRetention {
 		r := l.reports[0]
 		l.reports = l.reports[1:]
-		if c := l.lives[r.life]; c != nil && c.reportedAt == r.at {
+		if c := l.life(r.life); c != nil && c.reportedAt == r.at {
 			for _, task := range slices.Clone(c.tasks) {
 				l.remove(r.life, task)
 			}
@@ -142,9 +152,9 @@
 // except the given one.
 func (l *crashLog) livesOf(target string, except int64) []targetLife {
 	var out []targetLife
-	for life := range l.lives {
-		if life.target == target && life.incarnation != except {
-			out = append(out, life)
+	for incarnation := range l.lives[target] {
+		if incarnation != except {
+			out = append(out, targetLife{target, incarnation})
 		}
 	}
 	slices.SortFunc(out, func(a, b targetLife) int { return cmp.Compare(a.incarnation, b.incarnation) })
@@ -222,7 +232,7 @@
 // mustSuspectCrash reports whether a crash of the target has to be suspected once the
 // lease on its runs has ended.
 func (s *Scheduler) mustSuspectCrash(t *target) bool {
-	if !t.connectionLost || t.fenced || t.leaving {
+	if t.connectionLostAt.IsZero() || t.left(s.now) {
 		return false
 	}
 	for _, r := range t.runs {
@@ -246,7 +256,7 @@
 
 // confirmEnd records that the current process of a target has ended with its runs.
 func (s *Scheduler) confirmEnd(t *target) {
-	if t.leaving {
+	if t.left(s.now) {
 		return
 	}
 	for _, r := range t.sortedRuns() {
@@ -258,7 +268,7 @@
 // confirmLife records that an execution of a target has ended whose crash was
 // suspected.
 func (s *Scheduler) confirmLife(life targetLife) {
-	if c := s.crashLog.lives[life]; c != nil {
+	if c := s.crashLog.life(life); c != nil {
 		for _, task := range slices.Clone(c.tasks) {
 			s.recordCrash(life, CrashConfirmed, task)
 		}
@@ -267,7 +277,7 @@
 
 // refuteSuspected records that a target has not crashed whose crash was suspected.
 func (s *Scheduler) refuteSuspected(t *target) {
-	if c := s.crashLog.lives[t.life()]; c != nil {
+	if c := s.crashLog.life(t.life()); c != nil {
 		for _, task := range slices.Clone(c.tasks) {
 			s.recordCrash(t.life(), CrashRefuted, task)
 		}
@@ -282,19 +292,24 @@
 	}
 }
 
-// confirmRestartLoss records the loss of a run that was started on an earlier
-// incarnation of its target.
-func (s *Scheduler) confirmRestartLoss(r *run) {
-	t := r.target
-	if t.bornAt.IsZero() || !r.started.Before(t.bornAt) || t.previousLeft {
+// confirmRestart records that the current process of a target has ended with its
+// runs, except those that the next one lists.
+func (s *Scheduler) confirmRestart(t *target, next PollReturned) {
+	if t.left(s.now) {
 		return
 	}
-	s.recordCrash(targetLife{t.ID, t.previous}, CrashConfirmed, r.id.Task)
+	for _, r := range t.sortedRuns() {
+		completed := func(c Completion) bool { return c.Run == r.id }
+		if !slices.Contains(next.Running, r.id) && !slices.ContainsFunc(next.Completions, completed) {
+			s.recordCrash(t.life(), CrashConfirmed, r.id.Task)
+		}
+	}
+	s.confirmLife(t.life())
 }
 
 // targetGone handles the end of a target that its platform no longer lists.
 func (s *Scheduler) targetGone(id string) {
-	if t := s.targets[id]; t != nil && !t.leaving && t.unanswered > 0 && t.connectionLost {
+	if t := s.targets[id]; t != nil && t.unanswered > 0 && !t.connectionLostAt.IsZero() {
 		s.confirmEnd(t)
 	}
 	for _, life := range s.crashLog.livesOf(id, 0) {
--- a/core/scheduler/crash_test.go
+++ b/core/scheduler/crash_test.go
@@ -6,10 +6,13 @@
 	"time"
 )
 
+// lossAfter is the time until loseConnection takes effect.
+const lossAfter = 200 * time.Millisecond
+
 // loseConnection makes the poll in flight at a target fail with a lost connection,
 // and lets the lease on its runs end.
 func (h *harness) loseConnection(target string) {
-	h.now = h.now.Add(200 * time.Millisecond)
+	h.now = h.now.Add(lossAfter)
 	h.send(PollReturned{Target: target, ConnectionLost: true})
 	for range 200 {
 		h.now = h.now.Add(10 * time.Millisecond)
@@ -24,15 +27,17 @@
 // logs, and against tasks that a crash leaves out.
 func TestCrashesAreReported(t *testing.T) {
 	for name, tc := range map[string]struct {
-		draining bool
-		end      func(h *harness)
-		want     []CrashState
+		// drainingFor is how long the list has shown the target as draining, or 0.
+		drainingFor time.Duration
+		end         func(h *harness)
+		want        []CrashState
 	}{
-		"restarted":              {false, func(h *harness) { h.answerPoll("a", PollReturned{Incarnation: 2}) }, []CrashState{CrashSuspected, CrashConfirmed}},
-		"replaced":               {false, func(h *harness) { h.send(PollReturned{Target: "a", Answered: true, WrongTarget: true}) }, []CrashState{CrashSuspected, CrashConfirmed}},
-		"removed from the list":  {false, func(h *harness) { h.send(TargetGone{Target: "a"}) }, []CrashState{CrashSuspected, CrashConfirmed}},
-		"reachable again":        {false, func(h *harness) { h.answerPoll("a", PollReturned{}) }, []CrashState{CrashSuspected, CrashRefuted}},
-		"draining, then removed": {true, func(h *harness) { h.send(TargetGone{Target: "a"}) }, nil},
+		"restarted":              {0, func(h *harness) { h.answerPoll("a", PollReturned{Incarnation: 2}) }, []CrashState{CrashSuspected, CrashConfirmed}},
+		"replaced":               {0, func(h *harness) { h.send(PollReturned{Target: "a", Answered: true, WrongTarget: true}) }, []CrashState{CrashSuspected, CrashConfirmed}},
+		"removed from the list":  {0, func(h *harness) { h.send(TargetGone{Target: "a"}) }, []CrashState{CrashSuspected, CrashConfirmed}},
+		"reachable again":        {0, func(h *harness) { h.answerPoll("a", PollReturned{}) }, []CrashState{CrashSuspected, CrashRefuted}},
+		"draining, then removed": {minDrainTime, func(h *harness) { h.send(TargetGone{Target: "a"}) }, nil},
+		"crashed as it drains":   {minDrainTime / 2, func(h *harness) { h.send(TargetGone{Target: "a"}) }, []CrashState{CrashSuspected, CrashConfirmed}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, testTarget("a"))
@@ -43,10 +48,11 @@
 			for _, st := range starts {
 				h.answerStart(st, StartAccepted)
 			}
-			if tc.draining {
+			if tc.drainingFor > 0 {
 				draining := testTarget("a")
 				draining.Draining = true
 				h.send(TargetsChanged{Targets: []Target{draining, testTarget("b")}})
+				h.now = h.now.Add(tc.drainingFor - lossAfter)
 			}
 			h.loseConnection("a")
 			h.send(PollReturned{Target: "a", ConnectionLost: true})
@@ -66,3 +72,50 @@
 		})
 	}
 }
+
+// Guards against a crash that is not counted because the target crashed before it
+// answered the start, and restarted before the start timed out.
+func TestCrashBeforeTheAnswerToAStartCounts(t *testing.T) {
+	h := newHarness(t, testTarget("a"))
+	h.submit(1, h.longJob("j", 1))
+	st := one[Start](h)
+	h.answerPoll("a", PollReturned{Incarnation: 2})
+	h.answerStart(st, StartUnanswered)
+	found := one[CrashFound](h).Crash
+	if found.State != CrashConfirmed || found.Incarnation != 1 || !slices.Equal(found.Tasks, []TaskID{st.Run.Task}) {
+		t.Errorf("found %+v", found)
+	}
+}
+
+// Guards against a planned stop that is taken for the reason of a later crash.
+func TestCrashAfterDrainingWasCancelledCounts(t *testing.T) {
+	h := newHarness(t, testTarget("a"))
+	draining := testTarget("a")
+	draining.Draining = true
+	h.send(TargetsChanged{Targets: []Target{draining}})
+	h.advance(2 * minDrainTime)
+	h.send(TargetsChanged{Targets: []Target{testTarget("a")}})
+	h.submit(1, h.longJob("j", 1))
+	h.startAll()
+	h.answerPoll("a", PollReturned{Incarnation: 2})
+	if found := one[CrashFound](h).Crash; found.State != CrashConfirmed {
+		t.Errorf("found %+v", found)
+	}
+}
+
+// Guards against a crash that is not counted because another owner took the target
+// over before the lease on its runs had ended.
+func TestCrashOfTargetThatIsTakenOverCounts(t *testing.T) {
+	h := newHarness(t, testTarget("a"))
+	h.submit(1, h.longJob("j", 1))
+	h.startAll()
+	h.now = h.now.Add(lossAfter)
+	h.send(PollReturned{Target: "a", ConnectionLost: true})
+	h.now = h.now.Add(reconnectPause)
+	h.send(Tick{})
+	h.send(PollReturned{Target: "a", Answered: true, Fenced: true})
+	h.advance(2 * testLease)
+	if found := one[CrashFound](h).Crash; found.State != CrashSuspected {
+		t.Errorf("found %+v", found)
+	}
+}
--- a/core/scheduler/poll.go
+++ b/core/scheduler/poll.go
@@ -118,7 +118,10 @@
 // it has restarted. Unlike a single lost answer, this does not happen to a target that
 // goes on.
 func (t *target) recordConnectionLost(now time.Time) {
-	t.synced, t.connectionLost = false, true
+	t.synced = false
+	if t.connectionLostAt.IsZero() {
+		t.connectionLostAt = now
+	}
 	if next := now.Add(reconnectPause); t.nextPoll.Before(next) {
 		t.nextPoll = next
 	}
@@ -145,10 +148,11 @@
 
 // pollAnswered processes the answer to a poll.
 func (s *Scheduler) pollAnswered(t *target, ev PollReturned) {
-	t.connectionLost = false
 	if ev.Incarnation != 0 && t.incarnation != 0 && ev.Incarnation != t.incarnation {
+		s.confirmRestart(t, ev)
 		s.resetTarget(t)
 	}
+	t.connectionLostAt = time.Time{}
 	t.updateClock(ev.ClockMS, s.now)
 	t.recordAnswer(s.now)
 	t.nextPoll = s.now
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -126,7 +126,6 @@
 		k.job.summary.Lost++
 		s.enqueue(k.job)
 	}
-	s.confirmRestartLoss(r)
 }
 
 // releaseTask queues the task of a run again although the target has not
--- a/core/scheduler/simulation_faults_test.go
+++ b/core/scheduler/simulation_faults_test.go
@@ -5,15 +5,16 @@
 // injectFault applies a random fault to a random target.
 func (sim *simulation) injectFault() {
 	t := sim.targets[sim.rng.IntN(len(sim.targets))]
-	switch sim.rng.IntN(4) {
+	kinds := 4
+	if sim.resizes {
+		kinds++
+	}
+	switch sim.rng.IntN(kinds) {
 	case 0:
 		t.disconnected = true
 		sim.after(time.Duration(sim.rng.IntN(3000))*time.Millisecond, func() { t.disconnected = false })
 	case 1:
-		t.Incarnation++
-		t.running, t.highestAttempt, t.completions, t.lastCompletion = map[RunID]*simRun{}, map[TaskID]int{}, nil, 0
-		t.fence, t.lease, t.born = 0, time.Time{}, sim.now
-		sim.after(time.Second, sim.sendTargets)
+		t.crash(0)
 	case 2:
 		// Another owner takes the target over and stops its runs.
 		t.fence = max(t.fence, t.Fence) + 1
@@ -23,6 +24,8 @@
 	case 3:
 		t.Draining = !t.Draining
 		sim.sendTargets()
+	case 4:
+		t.resize([]int64{32_000, 64_000, 96_000}[sim.rng.IntN(3)])
 	}
 }
 
@@ -42,7 +45,7 @@
 				sim.t.Fatalf("%v: run %v on %s continues after its job was answered with %#v", sim.now, id, t.ID, j.answered)
 			}
 		}
-		if cpu > t.CPU {
+		if cpu > t.CPU && !sim.resizes {
 			sim.t.Fatalf("%v: target %s runs tasks with a CPU of %d, but has only %d", sim.now, t.ID, cpu, t.CPU)
 		}
 	}
--- a/core/scheduler/simulation_target_test.go
+++ b/core/scheduler/simulation_target_test.go
@@ -47,7 +47,10 @@
 	for _, r := range t.running {
 		used += r.cpu
 	}
-	if used > t.CPU {
+	switch {
+	case sim.resizes && used > t.largestSize():
+		sim.t.Fatalf("%v: %v brings %s to a CPU of %d, more than the %d of the last %v", sim.now, a.Run, t.ID, used, t.largestSize(), sizeNotice)
+	case !sim.resizes && used > t.CPU:
 		return StartNoCapacity
 	}
 	t.extendLease(a.LeaseMS)
@@ -56,6 +59,14 @@
 	}
 	j.ran = true
 	t.highestAttempt[a.Run.Task] = a.Run.Attempt
+	if j.deadly && a.Run.Task.Index == 0 && a.Run.Task.Step == 0 {
+		sim.after(time.Duration(1+sim.rng.IntN(30))*time.Millisecond, func() {
+			if t.running[a.Run] != nil {
+				j.crashes++
+				t.crash(time.Duration(sim.rng.IntN(3000)) * time.Millisecond)
+			}
+		})
+	}
 	took := time.Duration(float64(step.Estimate) * (0.5 + sim.rng.Float64()))
 	if sim.rng.Float64() < sim.faults/4 {
 		took = time.Hour
@@ -64,6 +75,36 @@
 	return StartAccepted
 }
 
+// crash ends the target's process. It restarts after a time, and is listed a second
+// later.
+func (t *simTarget) crash(downtime time.Duration) {
+	t.Incarnation++
+	t.running, t.highestAttempt, t.completions, t.lastCompletion = map[RunID]*simRun{}, map[TaskID]int{}, nil, 0
+	t.fence, t.lease, t.born = 0, time.Time{}, t.sim.now
+	t.downUntil = t.sim.now.Add(downtime)
+	t.sim.after(downtime+time.Second, t.sim.sendTargets)
+}
+
+func (t *simTarget) down() bool { return t.sim.now.Before(t.downUntil) }
+
+// largestSize returns the largest CPU of the target within sizeNotice.
+func (t *simTarget) largestSize() int64 {
+	largest := t.CPU
+	for _, s := range t.sizes {
+		if t.sim.now.Sub(s.until) < sizeNotice {
+			largest = max(largest, s.cpu)
+		}
+	}
+	return largest
+}
+
+// resize changes the capacity of the target. The list shows it within two seconds.
+func (t *simTarget) resize(cpu int64) {
+	t.sizes = append(t.sizes, simSize{t.CPU, t.sim.now})
+	t.CPU = cpu
+	t.sim.after(time.Duration(t.sim.rng.IntN(2000))*time.Millisecond, t.sim.sendTargets)
+}
+
 func (t *simTarget) complete(id RunID, result RunResult) {
 	if t.running[id] == nil {
 		return
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -23,6 +23,13 @@
 	lastRequest RequestID
 	faults      float64
 	starts      int
+	// resizes makes the targets change their capacity while they run. They then
+	// start whatever they are told to, without a check of their capacity.
+	resizes bool
+	// deadline is the time from the arrival of a job to its deadline.
+	deadline time.Duration
+	// deadly is the share of the jobs whose first task crashes its target.
+	deadly float64
 }
 
 // scheduledCall is a function that is called at a simulated time.
@@ -32,7 +39,10 @@
 }
 
 type simJob struct {
-	job      Job
+	job    Job
+	deadly bool
+	// crashes counts the targets that crashed under the job.
+	crashes  int
 	request  RequestID
 	answered Outcome
 	ran      bool
@@ -53,8 +63,21 @@
 	// clockRate is the speed of the target's steady clock, which starts at born.
 	clockRate float64
 	born      time.Time
+	// downUntil is when the target is back after a crash, or in the past.
+	downUntil time.Time
+	// sizes holds the capacities of the last sizeNotice, newest last.
+	sizes []simSize
 }
 
+// simSize is the CPU of a target until a time, or until now if that is zero.
+type simSize struct {
+	cpu   int64
+	until time.Time
+}
+
+// sizeNotice is the time after which a smaller capacity of a target must be obeyed.
+const sizeNotice = 4500 * time.Millisecond
+
 type simRun struct {
 	cpu   int64
 	until time.Time
@@ -87,8 +110,9 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	sim := &simulation{
 		t: t, rng: rng, now: time.Unix(1000, 0), jobs: map[string]*simJob{},
-		s:      New(Config{Lease: testLease, MaxClockDrift: testClockDrift, RemoteRackFactor: 2}),
-		faults: []float64{0, 0.01, 0.05, 0.2}[seed%4],
+		s:        New(Config{Lease: testLease, MaxClockDrift: testClockDrift, RemoteRackFactor: 2}),
+		faults:   []float64{0, 0.01, 0.05, 0.2}[seed%4],
+		deadline: 1500 * time.Millisecond,
 	}
 	for i := range 2 + rng.IntN(4) {
 		target := testTarget(fmt.Sprint("t", i))
@@ -112,7 +136,7 @@
 	}
 	end := idleUntil.Add(8 * time.Second)
 	nextJob, nextFault := sim.now, sim.now
-	for sim.now.Before(end.Add(4 * time.Second)) {
+	for sim.now.Before(end.Add(sim.deadline + 2500*time.Millisecond)) {
 		sim.now = sim.now.Add(5 * time.Millisecond)
 		sim.runDueCalls()
 		for _, t := range sim.targets {
@@ -238,7 +262,7 @@
 		return
 	}
 	sim.after(sim.latency(), func() {
-		if t.disconnected {
+		if t.disconnected || t.down() {
 			return
 		}
 		reply := do()
@@ -246,7 +270,7 @@
 			return
 		}
 		sim.after(sim.latency(), func() {
-			if !*answered && !t.disconnected {
+			if !*answered && !t.disconnected && t.Incarnation == incarnation {
 				*answered = true
 				reply()
 			}
@@ -305,6 +329,19 @@
 	}
 	wait := a.MaxWait
 	answered := false
+	incarnation := t.Incarnation
+	var watch func()
+	watch = func() {
+		switch {
+		case answered:
+		case t.down() || t.Incarnation != incarnation:
+			answered = true
+			sim.send(PollReturned{Target: a.Target, Sent: a.Sent, ConnectionLost: true})
+		default:
+			sim.after(5*time.Millisecond, watch)
+		}
+	}
+	sim.after(sim.latency(), watch)
 	sim.requestWithLateReply(t, wait+250*time.Millisecond, func() func() {
 		reply := poll()
 		if wait == 0 || len(t.completions) > 0 || reply == nil {
@@ -313,7 +350,7 @@
 		// The target waits for a completion.
 		var again func()
 		again = func() {
-			if t.disconnected {
+			if t.disconnected || t.Incarnation != incarnation {
 				return
 			}
 			if len(t.completions) > 0 || sim.now.Sub(asked) >= wait {
@@ -340,10 +377,10 @@
 	if sim.rng.IntN(4) == 0 {
 		j.Steps = append(j.Steps, Step{Count: 1, CPU: 10_000, Estimate: 50 * time.Millisecond, After: []int{0}})
 	}
-	j.Arrived, j.Deadline = sim.now, sim.now.Add(1500*time.Millisecond)
+	j.Arrived, j.Deadline = sim.now, sim.now.Add(sim.deadline)
 	sim.lastRequest++
 	request := sim.lastRequest
-	sim.jobs[id] = &simJob{job: j, request: request}
+	sim.jobs[id] = &simJob{job: j, request: request, deadly: sim.rng.Float64() < sim.deadly}
 	sim.send(Submit{Request: request, Job: j})
 	if sim.rng.Float64() < 0.1 {
 		sim.after(time.Duration(sim.rng.IntN(300))*time.Millisecond, func() {
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -21,6 +21,9 @@
 	// gets no work.
 	minEjection = 2 * time.Second
 	maxEjection = 16 * time.Second
+	// minDrainTime is the shortest time that a target serves after the list has shown
+	// it as draining. The list lags by up to a second.
+	minDrainTime = time.Second
 	// unhealthyPause is the time for which a target gets no start after it
 	// refused one as unhealthy or invalid.
 	unhealthyPause = 250 * time.Millisecond
@@ -82,13 +85,10 @@
 	unanswered  int
 	lastContact time.Time
 
-	// connectionLost is set while the last poll without an answer has lost its
-	// connection. leaving is set once the list has shown the incarnation as draining.
-	connectionLost, leaving bool
-	// previous is the incarnation before the current one, and previousLeft is set if
-	// that one was draining.
-	previous     int64
-	previousLeft bool
+	// connectionLostAt is when a poll lost its connection, or zero if one was answered
+	// since. drainingSince is when the list began to show the incarnation as draining,
+	// or zero.
+	connectionLostAt, drainingSince time.Time
 	// isolatedRuns counts the runs of suspect tasks.
 	isolatedRuns int
 
@@ -110,7 +110,15 @@
 
 // inContact reports whether the runs on the target are known. A run on a target that
 // may have crashed does not count as hung.
-func (t *target) inContact() bool { return t.unanswered == 0 && !t.connectionLost }
+func (t *target) inContact() bool { return t.unanswered == 0 && t.connectionLostAt.IsZero() }
+
+// left reports whether the target has left rather than crashed, if it is gone now.
+func (t *target) left(now time.Time) bool {
+	if !t.connectionLostAt.IsZero() {
+		now = t.connectionLostAt
+	}
+	return !t.drainingSince.IsZero() && now.Sub(t.drainingSince) >= minDrainTime
+}
 
 // described reports whether the list describes the incarnation that answers the polls.
 // A target may restart as another kind, with other labels and another capacity.
@@ -150,9 +158,16 @@
 func (s *Scheduler) newTarget(in Target) *target {
 	return &target{
 		Target: in, runs: map[RunID]*run{}, free: capacity{in.CPU, in.MemoryMB, in.Accelerators},
-		leaving: in.Draining,
-		clock:   remoteclock.New(s.cfg.MaxClockDrift), nextPoll: s.now,
+		clock: remoteclock.New(s.cfg.MaxClockDrift), nextPoll: s.now, drainingSince: s.drainStart(in),
+	}
+}
+
+// drainStart returns the current time if the target is draining, or zero.
+func (s *Scheduler) drainStart(in Target) time.Time {
+	if in.Draining {
+		return s.now
 	}
+	return time.Time{}
 }
 
 func (s *Scheduler) updateTarget(t *target, in Target) {
@@ -161,8 +176,8 @@
 		t.synced, t.fenced, t.nextPoll = false, false, s.now
 	}
 	t.Target = in
-	if in.Draining && t.described() {
-		t.leaving = true
+	if t.described() && (!in.Draining || t.drainingSince.IsZero()) {
+		t.drainingSince = s.drainStart(in)
 	}
 	if !t.described() {
 		// The poll shows whether the target or the list is ahead.
@@ -179,7 +194,7 @@
 	t.clock.Reset()
 	t.unanswered, t.consecutiveBadRuns, t.synced, t.nextPoll = 0, 0, false, s.now
 	t.bornAt = s.now
-	t.previous, t.previousLeft, t.leaving = t.incarnation, t.leaving, t.Draining && t.Target.Incarnation != t.incarnation
+	t.drainingSince = time.Time{}
 	s.model.Forget(t.ID)
 }
 
