core/scheduler, pool/crashes: fewer polls and reports after a crash

A target that had closed its connection was polled each 4 ms for 150 ms, because requests without an answer do not count so soon after the last answer (79 polls in the first second in TestCrashedTargetIsPolledWithPauses, 12 at most now). The pause now doubles. Reports of crashes to the store are 0.5 s apart instead of 0.2 s: each wakes the watch of every instance, and callers send a job again after 1.3 s.

--- a/core/scheduler/crash_test.go
+++ b/core/scheduler/crash_test.go
@@ -119,3 +119,22 @@
 		t.Errorf("found %+v", found)
 	}
 }
+
+// Guards against polls without pause of a target that has crashed.
+func TestCrashedTargetIsPolledWithPauses(t *testing.T) {
+	h := newHarness(t, testTarget("a"))
+	h.submit(1, h.longJob("j", 1))
+	h.startAll()
+	polls := 0
+	for range 1000 {
+		for _, p := range take[Poll](h) {
+			polls++
+			h.send(PollReturned{Target: "a", Sent: p.Sent, ConnectionLost: true})
+		}
+		h.now = h.now.Add(time.Millisecond)
+		h.send(Tick{})
+	}
+	if polls > 12 {
+		t.Errorf("%d polls in a second", polls)
+	}
+}
--- a/core/scheduler/poll.go
+++ b/core/scheduler/poll.go
@@ -18,7 +18,7 @@
 	// not count against the target.
 	recentContact = 150 * time.Millisecond
 	// reconnectPause is the time before a target is polled again whose connection was
-	// lost.
+	// lost. It doubles with each further poll without an answer.
 	reconnectPause = 2 * time.Millisecond
 	// acknowledgeAfter delays the poll that acknowledges the last completions of
 	// an idle target. A start within this time makes the extra poll unnecessary.
@@ -122,7 +122,9 @@
 	if t.connectionLostAt.IsZero() {
 		t.connectionLostAt = now
 	}
-	if next := now.Add(reconnectPause); t.nextPoll.Before(next) {
+	pause := min(reconnectPause<<min(t.reconnects, 10), minProbeInterval)
+	t.reconnects++
+	if next := now.Add(pause); t.nextPoll.Before(next) {
 		t.nextPoll = next
 	}
 }
@@ -152,7 +154,7 @@
 		s.confirmRestart(t, ev)
 		s.resetTarget(t)
 	}
-	t.connectionLostAt = time.Time{}
+	t.connectionLostAt, t.reconnects = time.Time{}, 0
 	t.updateClock(ev.ClockMS, s.now)
 	t.recordAnswer(s.now)
 	t.nextPoll = s.now
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -89,6 +89,8 @@
 	// since. drainingSince is when the list began to show the incarnation as draining,
 	// or zero.
 	connectionLostAt, drainingSince time.Time
+	// reconnects counts the polls that have lost their connection since then.
+	reconnects int
 	// isolatedRuns counts the runs of suspect tasks.
 	isolatedRuns int
 
--- a/pool/crashes/crashes.go
+++ b/pool/crashes/crashes.go
@@ -29,7 +29,7 @@
 	// gatherTime is the wait for further crashes that have the same cause.
 	gatherTime = 10 * time.Millisecond
 	// reportInterval is the least time between two reports.
-	reportInterval = 200 * time.Millisecond
+	reportInterval = 500 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 800 * time.Millisecond
 	// queueSize bounds the crashes that wait for a report, for example while the
