core/scheduler: a queue whose tasks crash their targets runs apart, on part of them

Where many jobs of one queue each have a task that crashes its target at its first start, knowledge of tasks comes too late: the jobs of the other queues were lost beside them, and then refused, because up to half of the targets were away.

The scheduler now counts targets that closed their connections against the queues of their tasks. A queue that stands out (at least 1.5 targets within 5 s, 1.5 times as many as the next queue) is contained: its tasks and those of other queues keep apart where a target allows it, and its new jobs are refused as overloaded while a third of the targets is lost to it and other queues are in use. A target that answers again without a restart counts no longer.

--- /dev/null
+++ b/core/scheduler/containment.go
@@ -0,0 +1,124 @@
+package scheduler
+
+import (
+	"maps"
+	"time"
+)
+
+// The jobs of one queue may crash target after target, each by another task. Nothing
+// is known of a task before its first start, but a queue whose tasks were on most of
+// the targets that were lost can be kept apart from the others.
+const (
+	// lossWindow is how long a lost target counts against the queues of its tasks. It
+	// is about the time in which a crashed target returns.
+	lossWindow = 5 * time.Second
+	// minContainedLosses is the number of lost targets from which on a queue is
+	// contained. A target that ran tasks of several queues counts for each in part.
+	minContainedLosses = 1.5
+	// minBlameRatio is the ratio to the losses of the next queue from which on a queue
+	// is contained.
+	minBlameRatio = 1.5
+	// maxLostShare is the share of an owner's targets that a contained queue may have
+	// crashed when its new jobs are refused.
+	maxLostShare = 1.0 / 3
+	// mixingPenalty is the expected value that is given up to keep the tasks of a
+	// contained queue apart from those of other queues.
+	mixingPenalty = 0.2
+)
+
+// containment is the queue that is contained, if any.
+type containment struct {
+	queue string
+	// full is set while new jobs of the queue are refused.
+	full bool
+}
+
+// recordLoss records the queues of the runs on a target that closes its connections.
+func (s *Scheduler) recordLoss(t *target) {
+	t.lostAt, t.lostQueues = s.now, nil
+	for _, r := range t.runs {
+		if r.queue != "" && t.lostQueues[r.queue] == 0 {
+			if t.lostQueues == nil {
+				t.lostQueues = map[string]int{}
+			}
+			t.lostQueues[r.queue]++
+		}
+	}
+	if t.lostQueues != nil {
+		s.lastLossAt = s.now
+	}
+}
+
+// lossRefuted forgets the loss of a target that has answered again without a restart.
+func (t *target) lossRefuted() { t.lostQueues = nil }
+
+// updateContainment finds the queue whose tasks were on most of the targets lost.
+func (s *Scheduler) updateContainment() {
+	s.contained = containment{}
+	if s.lastLossAt.IsZero() || s.now.Sub(s.lastLossAt) > lossWindow {
+		return
+	}
+	losses := map[string]float64{}
+	lost, usable := 0, 0
+	for _, t := range s.sortedTargets {
+		if t.usable() {
+			usable++
+		}
+		if len(t.lostQueues) == 0 || s.now.Sub(t.lostAt) > lossWindow {
+			continue
+		}
+		lost++
+		for queue := range t.lostQueues {
+			losses[queue] += 1 / float64(len(t.lostQueues))
+		}
+	}
+	var first, second float64
+	var queue string
+	for q, n := range losses {
+		switch {
+		case n > first || n == first && q < queue:
+			first, second, queue = n, first, q
+		case n > second:
+			second = n
+		}
+	}
+	if first < minContainedLosses || first < minBlameRatio*second {
+		return
+	}
+	s.contained = containment{
+		queue: queue, full: first >= maxLostShare*float64(usable+lost) && s.otherQueuesInUse(queue),
+	}
+}
+
+// otherQueuesInUse reports whether jobs of other queues have arrived within lossWindow.
+// It forgets those that are no longer in use.
+func (s *Scheduler) otherQueuesInUse(queue string) bool {
+	maps.DeleteFunc(s.lastSubmit, func(_ string, at time.Time) bool { return s.now.Sub(at) > lossWindow })
+	for q := range s.lastSubmit {
+		if q != queue {
+			return true
+		}
+	}
+	return false
+}
+
+// mixes reports whether a start of the task would bring tasks of the contained queue
+// together with those of others.
+func (s *Scheduler) mixes(t *target, k *task) bool {
+	if s.contained.queue == "" {
+		return false
+	}
+	inside := k.job.Queue == s.contained.queue
+	for _, r := range t.runs {
+		if (r.queue == s.contained.queue) != inside {
+			return true
+		}
+	}
+	return false
+}
+
+// refusesQueue reports whether new jobs of the queue are refused because its tasks
+// have crashed too many targets.
+func (s *Scheduler) refusesQueue(queue string) bool {
+	return s.contained.full && s.contained.queue == queue
+}
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -97,6 +97,7 @@
 		s.requests[ev.Request] = j
 		return
 	}
+	s.lastSubmit[ev.Job.Queue] = s.now
 	j := s.newJob(ev.Job)
 	j.waiters = []RequestID{ev.Request}
 	s.jobs[j.ID] = j
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -98,7 +98,7 @@
 // chooseTarget returns the best target for a task, or nil if none has free
 // capacity or it is better to wait for a faster one.
 func (s *Scheduler) chooseTarget(k *task) *target {
-	if k.suspect() && !s.mayIsolate(k) {
+	if k.suspect() && !s.mayIsolate(k) || !k.job.started && s.refusesQueue(k.job.Queue) {
 		return nil
 	}
 	var best *target
@@ -109,7 +109,11 @@
 			continue
 		}
 		value := s.expectedValue(k, base, t, 0)
-		if score := value + s.preference(k, t, slownessWeight); best == nil || score > bestScore {
+		score := value + s.preference(k, t, slownessWeight)
+		if s.mixes(t, k) {
+			score -= mixingPenalty
+		}
+		if best == nil || score > bestScore {
 			best, bestScore, bestValue = t, score, value
 		}
 	}
@@ -275,6 +279,9 @@
 	if !slices.ContainsFunc(s.sortedTargets, func(t *target) bool { return t.usable() && t.Service == j.Service }) {
 		return ReasonNoTarget, false
 	}
+	if s.refusesQueue(j.Queue) {
+		return ReasonOverloaded, false
+	}
 	if j.suspected && j.anyTask((*task).held) {
 		return ReasonTargetLost, false
 	}
--- a/core/scheduler/poll.go
+++ b/core/scheduler/poll.go
@@ -89,6 +89,9 @@
 		}
 		t.recordNoAnswer(s.now)
 		if ev.ConnectionLost {
+			if t.connectionLostAt.IsZero() {
+				s.recordLoss(t)
+			}
 			t.recordConnectionLost(s.now)
 		}
 	default:
@@ -153,6 +156,8 @@
 	if ev.Incarnation != 0 && t.incarnation != 0 && ev.Incarnation != t.incarnation {
 		s.confirmRestart(t, ev)
 		s.resetTarget(t)
+	} else {
+		t.lossRefuted()
 	}
 	t.connectionLostAt, t.reconnects = time.Time{}, 0
 	t.updateClock(ev.ClockMS, s.now)
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -35,7 +35,8 @@
 // run is a start that may still have a run on the target.
 type run struct {
 	id     RunID
-	task   *task // nil once the job no longer needs the run
+	task   *task  // nil once the job no longer needs the run
+	queue  string // of the job, or empty if it is unknown
 	target *target
 	need   capacity
 	state  runState
@@ -82,7 +83,7 @@
 func (s *Scheduler) startTask(k *task, t *target) {
 	k.attempt++
 	r := &run{
-		id: RunID{Task: k.id, Attempt: k.attempt}, task: k, target: t, need: k.step.need(), started: s.now,
+		id: RunID{Task: k.id, Attempt: k.attempt}, task: k, queue: k.job.Queue, target: t, need: k.step.need(), started: s.now,
 		expected: s.expectedRunTime(k, s.baseRunTime(k), t),
 	}
 	if k.suspect() {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -40,6 +40,11 @@
 	foundCrashes map[foundCrash][]TaskID
 	// reserved is kept free for a suspect task, or is nil.
 	reserved *target
+	// lastLossAt is when a target with tasks was last lost.
+	lastLossAt time.Time
+	// lastSubmit holds when the last job of each queue has arrived.
+	lastSubmit map[string]time.Time
+	contained  containment
 }
 
 // New returns a Scheduler without targets.
@@ -54,7 +59,7 @@
 		targets:  map[string]*target{},
 		jobs:     map[string]*job{},
 		requests: map[RequestID]*job{},
-		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{},
+		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{}, lastSubmit: map[string]time.Time{},
 	}
 }
 
@@ -69,6 +74,7 @@
 		s.giveUpAfterSuspension()
 	}
 	s.crashLog.expire(s.now)
+	s.updateContainment()
 	s.apply(ev)
 	s.expire()
 	s.giveUpSuspects()
@@ -173,11 +179,18 @@
 	FreeCPU, CPU int64
 	// ForecastWait is the forecast time until a new task starts.
 	ForecastWait time.Duration
+	// Contained is the queue whose tasks crash their targets and run apart from
+	// others, or empty. ContainedFull is set while its new jobs are refused.
+	Contained     string
+	ContainedFull bool
 }
 
 // Stats returns the current state.
 func (s *Scheduler) Stats() Stats {
-	st := Stats{Jobs: len(s.jobs), Queued: len(s.queue), Targets: len(s.sortedTargets)}
+	st := Stats{
+		Jobs: len(s.jobs), Queued: len(s.queue), Targets: len(s.sortedTargets),
+		Contained: s.contained.queue, ContainedFull: s.contained.full,
+	}
 	for _, t := range s.sortedTargets {
 		st.Running += len(t.runs)
 		if t.usable() {
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -91,6 +91,10 @@
 	connectionLostAt, drainingSince time.Time
 	// reconnects counts the polls that have lost their connection since then.
 	reconnects int
+	// lostAt is when the target last lost its connection, and lostQueues holds the
+	// queues of its runs at that time.
+	lostAt     time.Time
+	lostQueues map[string]int
 	// isolatedRuns counts the runs of suspect tasks.
 	isolatedRuns int
 
