core/scheduler: started jobs use ejected and just draining targets where there are no others

Two causes of one class, a job given up while a target could serve it: - tasks of a few jobs that fail ejected every target of the owner for 2 s to 16 s. If all targets of a service are ejected, the failing jobs are the more likely cause; the targets are now used, one task at a time until one succeeds. The pause after a refused start is kept apart from that - a started job was given up in the moment in which the list showed its last target as draining. Its waiting tasks may now start there for half a second after that, well within the two seconds that the platform allows

TestTargetsAreUsedWhenAllAreEjected and TestStartedJobUsesTargetThatHasJustBegunToDrain fail without the change.

--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -61,7 +61,7 @@
 func (s *Scheduler) maxFreeCPU() int64 {
 	most := int64(-1)
 	for _, t := range s.sortedTargets {
-		if t.acceptsWork() {
+		if t.acceptsWork() || t.serving() && t.hasJustBegunToDrain(s.now) {
 			most = max(most, t.free.cpu)
 		}
 	}
@@ -206,7 +206,7 @@
 // isCandidate reports whether the task may start on the target once it has free
 // capacity.
 func (s *Scheduler) isCandidate(t *target, k *task) bool {
-	if !t.acceptsWork() || t.Releasing && !k.job.started || !t.ejectedUntil.IsZero() || !t.clock.Known() || t.Service != k.job.Service {
+	if t.Service != k.job.Service || !t.clock.Known() || !s.acceptsTask(t, k) || s.resting(t) {
 		return false
 	}
 	whole := capacity{t.CPU, t.MemoryMB, t.Accelerators}
--- a/core/scheduler/release_test.go
+++ b/core/scheduler/release_test.go
@@ -42,7 +42,8 @@
 }
 
 // Guards against jobs that wait although all targets are draining or owned by
-// other instances.
+// other instances. A job that has started may use a target that has just begun to
+// drain.
 func TestJobsWithoutTargetsAreAnsweredAtOnce(t *testing.T) {
 	draining := testTarget("a")
 	draining.Draining = true
@@ -62,6 +63,13 @@
 	for _, r := range take[Reply](h) {
 		got[r.Job] = r.Outcome
 	}
+	if len(left) > 0 {
+		if o := got["started"]; o != nil {
+			t.Errorf("the started job is answered before its targets leave: %v", o)
+		}
+		h.advance(drainStartTime)
+		got["started"] = one[Reply](h).Outcome
+	}
 	if o, ok := got["started"].(Unknown); !ok || o.Reason != ReasonNoTarget {
 		t.Errorf("the outcome of the started job is %v", got["started"])
 	}
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -215,9 +215,7 @@
 		t.recordNoAnswer(s.now)
 	case StartUnhealthy, StartInvalid:
 		s.recordBadRun(t, r.id.Task.Job)
-		if t.ejectedUntil.IsZero() {
-			t.ejectedUntil = s.now.Add(unhealthyPause)
-		}
+		t.pausedUntil = s.now.Add(unhealthyPause)
 	case StartNoCapacity:
 		// The target has runs that this instance has no record of.
 		t.synced, t.nextPoll = false, s.now
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -24,6 +24,10 @@
 	// minDrainTime is the shortest time that a target serves after the list has shown
 	// it as draining. The list lags by up to a second.
 	minDrainTime = time.Second
+	// drainStartTime is how long after the list has begun to show a target as draining
+	// a task of a started job may start on it. The platform allows two seconds since
+	// the target's announcement, which the list shows within one.
+	drainStartTime = 500 * time.Millisecond
 	// unhealthyPause is the time for which a target gets no start after it
 	// refused one as unhealthy or invalid.
 	unhealthyPause = 250 * time.Millisecond
@@ -104,14 +108,47 @@
 	lastBadJob         string
 	ejections          int
 	ejectedUntil       time.Time
+	// pausedUntil is until when the target gets no start after it refused one as
+	// unhealthy or invalid.
+	pausedUntil time.Time
 }
 
 // usable reports whether the target accepts tasks of new jobs.
 func (t *target) usable() bool { return t.acceptsWork() && !t.Releasing }
 
 // acceptsWork reports whether the target accepts tasks of jobs that have started.
-func (t *target) acceptsWork() bool {
-	return t.synced && t.described() && !t.removed && !t.Draining && !t.fenced && t.unanswered == 0
+func (t *target) acceptsWork() bool { return t.serving() && !t.Draining }
+
+// serving reports whether the target accepts tasks, unless it drains.
+func (t *target) serving() bool {
+	return t.synced && t.described() && !t.removed && !t.fenced && t.unanswered == 0
+}
+
+// resting reports whether the target gets no work because it is ejected or paused. If
+// all targets of its service are ejected, failing jobs are the more likely cause, and
+// these targets are used one task at a time.
+func (s *Scheduler) resting(t *target) bool {
+	return s.now.Before(t.pausedUntil) || !t.ejectedUntil.IsZero() && slices.ContainsFunc(s.sortedTargets, func(o *target) bool {
+		return o.Service == t.Service && o.acceptsWork() && o.ejectedUntil.IsZero()
+	})
+}
+
+// hasJustBegunToDrain reports whether the target has been draining for less than
+// drainStartTime.
+func (t *target) hasJustBegunToDrain(now time.Time) bool {
+	return t.Draining && now.Sub(t.drainingSince) < drainStartTime
+}
+
+// acceptsTask reports whether the target accepts a task. Where all targets of its
+// service drain, a job that has started may still use those that have just begun to.
+func (s *Scheduler) acceptsTask(t *target, k *task) bool {
+	switch {
+	case t.acceptsWork():
+		return !t.Releasing || k.job.started
+	case k.job.started && t.serving() && t.hasJustBegunToDrain(s.now):
+		return !slices.ContainsFunc(s.sortedTargets, func(o *target) bool { return o.Service == t.Service && o.acceptsWork() })
+	}
+	return false
 }
 
 // inContact reports whether the runs on the target are known. A run on a target that
@@ -242,6 +279,12 @@
 	if !t.ejectedUntil.IsZero() {
 		next = earliest(next, t.ejectedUntil)
 	}
+	if s.now.Before(t.pausedUntil) {
+		next = earliest(next, t.pausedUntil)
+	}
+	if t.hasJustBegunToDrain(s.now) {
+		next = earliest(next, t.drainingSince.Add(drainStartTime))
+	}
 	return next
 }
 
