core/scheduler: a run counts for one crash, and only if it was accepted for a certain one

Cause: a run whose start was not answered stays open until a stop is answered; when its target restarted twice meanwhile, the run counted for both incarnations.

A run now counts for one incarnation. A target that was lost before it answered the start counts as a possible crash: the task is isolated and held as before, but its job does not fail because of it.

TestRunIsLostWithOneIncarnationOnly fails without the change.

--- a/core/scheduler/crash.go
+++ b/core/scheduler/crash.go
@@ -30,9 +30,12 @@
 
 // The states of a Crash.
 const (
+	// CrashPossible means that the target was lost like in the states below, but that
+	// it has not answered the start, so that the task may not have run there.
+	CrashPossible CrashState = iota
 	// CrashSuspected means that the target has closed its connections and that the
 	// lease on its runs has ended since. It may have been disconnected only.
-	CrashSuspected CrashState = iota
+	CrashSuspected
 	// CrashConfirmed means that the process of the target has ended.
 	CrashConfirmed
 	// CrashRefuted means that a target whose crash was suspected has answered again.
@@ -236,13 +239,26 @@
 		return false
 	}
 	for _, r := range t.runs {
-		if _, known := s.crashLog.tasks[r.id.Task][t.life()]; !known {
+		if !r.crashRecorded {
 			return true
 		}
 	}
 	return false
 }
 
+// recordRunLoss records the loss of a target under a run. Each run counts for one
+// execution of the target only.
+func (s *Scheduler) recordRunLoss(r *run, state CrashState) {
+	if r.crashRecorded {
+		return
+	}
+	r.crashRecorded = true
+	if !r.accepted && !r.foreign {
+		state = CrashPossible
+	}
+	s.recordCrash(r.target.life(), state, r.id.Task)
+}
+
 // suspectCrash records that the lease on the runs of a target has ended after the
 // target closed its connections. A target that leaves closes them as well.
 func (s *Scheduler) suspectCrash(t *target) {
@@ -250,7 +266,7 @@
 		return
 	}
 	for _, r := range t.sortedRuns() {
-		s.recordCrash(t.life(), CrashSuspected, r.id.Task)
+		s.recordRunLoss(r, CrashSuspected)
 	}
 }
 
@@ -260,7 +276,7 @@
 		return
 	}
 	for _, r := range t.sortedRuns() {
-		s.recordCrash(t.life(), CrashConfirmed, r.id.Task)
+		s.recordRunLoss(r, CrashConfirmed)
 	}
 	s.confirmLife(t.life())
 }
@@ -270,17 +286,24 @@
 func (s *Scheduler) confirmLife(life targetLife) {
 	if c := s.crashLog.life(life); c != nil {
 		for _, task := range slices.Clone(c.tasks) {
-			s.recordCrash(life, CrashConfirmed, task)
+			if s.crashLog.tasks[task][life] == CrashSuspected {
+				s.recordCrash(life, CrashConfirmed, task)
+			}
 		}
 	}
 }
 
 // refuteSuspected records that a target has not crashed whose crash was suspected.
 func (s *Scheduler) refuteSuspected(t *target) {
-	if c := s.crashLog.life(t.life()); c != nil {
-		for _, task := range slices.Clone(c.tasks) {
-			s.recordCrash(t.life(), CrashRefuted, task)
-		}
+	c := s.crashLog.life(t.life())
+	if c == nil {
+		return
+	}
+	for _, task := range slices.Clone(c.tasks) {
+		s.recordCrash(t.life(), CrashRefuted, task)
+	}
+	for _, r := range t.runs {
+		r.crashRecorded = false
 	}
 }
 
@@ -301,7 +324,7 @@
 	for _, r := range t.sortedRuns() {
 		completed := func(c Completion) bool { return c.Run == r.id }
 		if !slices.Contains(next.Running, r.id) && !slices.ContainsFunc(next.Completions, completed) {
-			s.recordCrash(t.life(), CrashConfirmed, r.id.Task)
+			s.recordRunLoss(r, CrashConfirmed)
 		}
 	}
 	s.confirmLife(t.life())
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -45,6 +45,9 @@
 	foreign bool
 	// isolated is set for the run of a suspect task, which has its target to itself.
 	isolated bool
+	// accepted is set once the target has answered the start. crashRecorded is set once
+	// the run was lost with its target.
+	accepted, crashRecorded bool
 	// answered is set once the target has answered the start or the stop. A poll
 	// sent after answeredAt lists the run if it exists.
 	answered   bool
@@ -190,6 +193,7 @@
 	}
 	switch ev.Result {
 	case StartAccepted:
+		r.accepted = true
 		r.answered, r.answeredAt = true, s.now
 		if r.state == starting {
 			r.state = running
--- a/pool/crashes/crashes.go
+++ b/pool/crashes/crashes.go
@@ -193,6 +193,7 @@
 }
 
 var states = map[string]scheduler.CrashState{
+	scheduler.CrashPossible.String():  scheduler.CrashPossible,
 	scheduler.CrashSuspected.String(): scheduler.CrashSuspected,
 	scheduler.CrashConfirmed.String(): scheduler.CrashConfirmed,
 	scheduler.CrashRefuted.String():   scheduler.CrashRefuted,
