pool/notices: a job is cancelled although the request reaches another instance

Cause: an instance looked only at the jobs that it had received itself.

Such an instance now sends a notice to all others through the store, as owners do for crashes; pool/crashes becomes pool/notices for both. The answer stays 410: the instance does not know whether there is such a job.

--- a/pool/claims/watch.go
+++ b/pool/claims/watch.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/ownership"
-	"marigoldfront.dev/pool/crashes"
+	"marigoldfront.dev/pool/notices"
 	"marigoldfront.dev/pool/port"
 )
 
@@ -45,7 +45,7 @@
 	m.apply(items)
 	m.synced = true
 	m.mu.Unlock()
-	m.passReports(items)
+	m.passNotices(items)
 	m.wakeClaimLoop()
 	m.onChange()
 	return revision, nil
@@ -64,7 +64,7 @@
 	m.apply(items)
 	synced := m.synced
 	m.mu.Unlock()
-	m.passReports(items)
+	m.passNotices(items)
 	if len(items) > 0 {
 		m.onChange()
 	}
@@ -74,17 +74,17 @@
 	return revision, nil
 }
 
-// passReports passes on the reports of crashes among the items.
-func (m *Manager) passReports(items []port.Item) {
-	var reports []port.Item
+// passNotices passes on the notices among the items.
+func (m *Manager) passNotices(items []port.Item) {
+	var found []port.Item
 	for _, it := range items {
-		if strings.HasPrefix(it.Key, crashes.Prefix) {
-			reports = append(reports, it)
+		if strings.HasPrefix(it.Key, notices.Prefix) {
+			found = append(found, it)
 		}
 	}
-	slices.SortFunc(reports, func(a, b port.Item) int { return cmp.Compare(a.Revision, b.Revision) })
-	for _, it := range reports {
-		m.onReport(it)
+	slices.SortFunc(found, func(a, b port.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, it := range found {
+		m.onNotice(it)
 	}
 }
 
--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -50,6 +50,8 @@
 	Load        func() relay.Load
 	WaitingJobs func(queue string) int
 	Draining    func() bool
+	// CancelElsewhere passes the cancellation of a job on to the other instances.
+	CancelElsewhere func(job string)
 }
 
 // Frontend implements port.Frontend.
@@ -83,9 +85,19 @@
 // Draining implements port.Frontend.
 func (f *Frontend) Draining() bool { return f.cfg.Draining() }
 
-// Cancel implements port.Frontend. It also withdraws the job from the owner that
-// runs it.
+// Cancel implements port.Frontend. A job that this instance has not received may be in
+// flight at another one.
 func (f *Frontend) Cancel(id string) bool {
+	if f.CancelOwn(id) {
+		return true
+	}
+	f.cfg.CancelElsewhere(id)
+	return false
+}
+
+// CancelOwn cancels a job that this instance has received, and withdraws it from the
+// owner that runs it. It returns false if no such job is in flight.
+func (f *Frontend) CancelOwn(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	job := f.inFlight[id]
--- a/pool/frontend/frontend_test.go
+++ b/pool/frontend/frontend_test.go
@@ -27,6 +27,7 @@
 			return map[ownership.Shard]ownership.Claim{{Service: "s", Zone: "a"}: {Holder: "self", Address: "self:1"}}
 		},
 		Load: func() relay.Load { return relay.Load{} }, OwnersChanging: func() bool { return false },
+		CancelElsewhere: func(string) {},
 	})
 }
 
@@ -116,8 +117,10 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	})
-	if d.Cancel("j") {
-		t.Error("an unknown job was cancelled")
+	var elsewhere []string
+	d.cfg.CancelElsewhere = func(job string) { elsewhere = append(elsewhere, job) }
+	if d.Cancel("j") || d.CancelOwn("k") || !slices.Equal(elsewhere, []string{"j"}) {
+		t.Errorf("an unknown job was cancelled, or not passed on to the other instances: %q", elsewhere)
 	}
 	time.AfterFunc(20*time.Millisecond, func() { d.Cancel("j") })
 	want := scheduler.Unknown{Reason: scheduler.ReasonCancelled}
--- a/pool/crashes/crashes_test.go
+++ b/pool/notices/notices_test.go
@@ -1,4 +1,4 @@
-package crashes
+package notices
 
 import (
 	"context"
@@ -70,15 +70,17 @@
 	change(s)
 }
 
-// instance is a Reporter with the events that it has passed on.
+// instance is a Board with what it has passed on.
 type instance struct {
-	*Reporter
-	events []scheduler.Event
+	*Board
+	events    []scheduler.Event
+	cancelled []string
 }
 
 func newInstance(t *testing.T, s port.Store, incarnation uint64) *instance {
 	in := &instance{}
-	in.Reporter = New(zap.NewNop(), s, "i", incarnation, time.Now, func(ev scheduler.Event) { in.events = append(in.events, ev) })
+	in.Board = New(zap.NewNop(), s, "i", incarnation, time.Now, func(ev scheduler.Event) { in.events = append(in.events, ev) },
+		func(job string) { in.cancelled = append(in.cancelled, job) })
 	go in.Run()
 	t.Cleanup(in.Close)
 	return in
@@ -97,27 +99,31 @@
 	return scheduler.Crash{Target: target, Incarnation: 7, State: state, Tasks: []scheduler.TaskID{{Job: "j", Step: 1, Index: 2}, {Job: "k"}}}
 }
 
-// Guards against crashes that other instances do not learn of, because a call to the
-// store failed or the lease of the reports has ended.
-func TestCrashesReachOtherInstances(t *testing.T) {
+// Guards against notices that do not reach other instances, because a call to the
+// store failed or their lease has ended.
+func TestNoticesReachOtherInstances(t *testing.T) {
 	s := &fakeStore{leases: map[int64]time.Duration{}}
 	reporting, other := newInstance(t, s, 1), newInstance(t, s, 2)
 	want := []scheduler.Crash{testCrash("a", scheduler.CrashSuspected), testCrash("b", scheduler.CrashConfirmed), testCrash("a", scheduler.CrashRefuted)}
 	s.set(func(s *fakeStore) { s.down = true })
-	reporting.Report(want[0])
-	time.Sleep(2 * reportInterval)
+	reporting.ReportCrash(want[0])
+	time.Sleep(2 * writeInterval)
 	s.set(func(s *fakeStore) { s.down = false })
 	eventually(t, "the report after the outage", func() bool { return len(s.items()) == 1 })
 	s.set(func(s *fakeStore) { clear(s.leases) })
-	reporting.Report(want[1])
-	reporting.Report(want[2])
+	reporting.ReportCrash(want[1])
+	reporting.ReportCrash(want[2])
+	reporting.CancelJob("j")
 	eventually(t, "the report under a new lease", func() bool { return len(s.items()) == 2 })
 	for _, it := range s.items() {
 		reporting.Apply(it)
 		other.Apply(it)
 	}
 	if len(reporting.events) != 0 {
-		t.Errorf("the instance has passed on its own reports: %+v", reporting.events)
+		t.Errorf("the instance has passed on its own notices: %+v", reporting.events)
+	}
+	if !slices.Equal(other.cancelled, []string{"j"}) || len(reporting.cancelled) != 0 {
+		t.Errorf("cancelled: %q at the other instance, %q at the one that sent the notice", other.cancelled, reporting.cancelled)
 	}
 	var got []scheduler.Crash
 	for _, ev := range other.events {
@@ -131,45 +137,45 @@
 	}
 	for lease, ttl := range s.leases {
 		if ttl != retention {
-			t.Errorf("the lease %d of the reports lasts %v, want %v", lease, ttl, retention)
+			t.Errorf("the lease %d of the notices lasts %v, want %v", lease, ttl, retention)
 		}
 	}
 }
 
-// Guards against a call to the store for each crash, and against reports without
+// Guards against a call to the store for each crash, and against writes without
 // bound.
-func TestReportsAreFewAndBounded(t *testing.T) {
+func TestWritesAreFewAndBounded(t *testing.T) {
 	s := &fakeStore{leases: map[int64]time.Duration{}, down: true}
 	in := newInstance(t, s, 1)
 	for range 2 * queueSize {
-		in.Report(testCrash("a", scheduler.CrashSuspected))
+		in.ReportCrash(testCrash("a", scheduler.CrashSuspected))
 	}
 	s.set(func(s *fakeStore) { s.down = false })
 	eventually(t, "the queue is empty", func() bool { return len(in.queue) == 0 && len(s.items()) > 0 })
-	time.Sleep(2 * reportInterval)
+	time.Sleep(2 * writeInterval)
 	items := s.items()
-	if most := (queueSize+maxReported)/maxReported + 1; len(items) > most {
-		t.Errorf("%d reports were written, want at most %d", len(items), most)
+	if most := (queueSize+maxWritten)/maxWritten + 1; len(items) > most {
+		t.Errorf("%d writes were made, want at most %d", len(items), most)
 	}
 	for _, it := range items {
-		if n := strings.Count(string(it.Value), `"target"`); n > maxReported {
-			t.Errorf("a report has %d crashes, want at most %d", n, maxReported)
+		if n := strings.Count(string(it.Value), `"target"`); n > maxWritten {
+			t.Errorf("a write has %d notices, want at most %d", n, maxWritten)
 		}
 	}
 }
 
-// Guards against a report of another writer that ends the process.
-func TestOddReportsAreIgnored(t *testing.T) {
+// Guards against notices of another writer that end the process.
+func TestOddNoticesAreIgnored(t *testing.T) {
 	in := newInstance(t, &fakeStore{leases: map[int64]time.Duration{}}, 1)
 	for _, value := range []string{
-		"", "null", "[]", "{", `{"reporter":"x"}`, `{"crashes":{}}`, `{"reporter":"2","crashes":[null]}`,
-		`{"reporter":"2","crashes":[{"target":"a","state":"unknown","tasks":[{"job":"j"}]}]}`,
-		`{"reporter":"2","crashes":[{"target":"a","state":"confirmed","tasks":[{"job":"j","step":1e99}]}]}`,
+		"", "null", "[]", "{", `{"sender":"x"}`, `{"notices":{}}`, `{"sender":"2","notices":[null,{},{"crash":null}]}`,
+		`{"sender":"2","notices":[{"crash":{"target":"a","state":"unknown","tasks":[{"job":"j"}]}}]}`,
+		`{"sender":"2","notices":[{"cancel":"j"},{"crash":{"target":"a","state":"confirmed","tasks":[{"job":"j","step":1e99}]}}]}`,
 	} {
 		in.Apply(port.Item{Key: Prefix + "x", Value: []byte(value)})
 	}
 	in.Apply(port.Item{Key: Prefix + "x", Deleted: true})
-	if len(in.events) != 0 {
-		t.Errorf("passed on: %+v", in.events)
+	if len(in.events)+len(in.cancelled) != 0 {
+		t.Errorf("passed on: %+v %q", in.events, in.cancelled)
 	}
 }
--- a/pool/port/port.go
+++ b/pool/port/port.go
@@ -109,8 +109,8 @@
 	// job's deadline. When ctx ends, the call returns, and the job is withdrawn
 	// if no other call waits for it.
 	Submit(ctx context.Context, j scheduler.Job) scheduler.Outcome
-	// Cancel cancels a job that this instance has accepted. It returns false if
-	// no such job is in flight.
+	// Cancel cancels a job. It returns false if no such job is in flight at this
+	// instance; the other instances cancel it soon after.
 	Cancel(id string) bool
 	// WaitingJobs returns the number of jobs of the queue without a started task.
 	WaitingJobs(queue string) int
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -26,10 +26,10 @@
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/pool/claims"
 	"marigoldfront.dev/pool/configuration"
-	"marigoldfront.dev/pool/crashes"
 	"marigoldfront.dev/pool/frontend"
 	"marigoldfront.dev/pool/loop"
 	"marigoldfront.dev/pool/metrics"
+	"marigoldfront.dev/pool/notices"
 	"marigoldfront.dev/pool/port"
 	"marigoldfront.dev/pool/reachability"
 	"marigoldfront.dev/pool/relay"
@@ -84,7 +84,7 @@
 	sender        *sender.Sender
 	claims        *claims.Manager
 	targets       *targetlist.Watcher
-	crashes       *crashes.Reporter
+	notices       *notices.Board
 	configuration *configuration.Watcher
 	relayClient   *relay.Client
 	relayServer   *relay.Server
@@ -152,8 +152,9 @@
 	in.claims = claims.New(in.logger("owner"), store, in.self, cfg.AvailabilityZones, cfg.Shards, clock.Now,
 		func() { in.targets.Refresh() }, in.busy, reachability.New(in.logger("contact"), store, p.Formats, p.Targets).Reachable,
 		func(address string, incarnation uint64) bool { return in.relayClient.Serving(address, incarnation) },
-		func(it port.Item) { in.crashes.Apply(it) })
-	in.crashes = crashes.New(in.logger("crashes"), store, cfg.Name, in.self.Incarnation, clock.Now, in.loop.Post)
+		func(it port.Item) { in.notices.Apply(it) })
+	in.notices = notices.New(in.logger("notices"), store, cfg.Name, in.self.Incarnation, clock.Now, in.loop.Post,
+		func(job string) { in.frontend.CancelOwn(job) })
 	in.targets = targetlist.New(in.logger("listing"), store, p.Formats, in.claims, cfg.Shards, clock.Now, in.loop.Post)
 	in.configuration = configuration.New(in.logger("configuration"), store, p.Formats, func(c *catalog.Catalog) {
 		in.claims.SetServices(c.Services)
@@ -167,7 +168,7 @@
 	in.frontend = frontend.New(frontend.Config{
 		Log: jobLogger("desk"), Metrics: in.metrics, Tracer: in.tracer, Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.configuration.Catalog,
 		ShardHolders: in.claims.Holders, OwnersChanging: in.claims.Settling, RelayClient: in.relayClient, SelfAddress: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
-		WaitingJobs: in.waiting, Draining: in.draining.Load,
+		WaitingJobs: in.waiting, Draining: in.draining.Load, CancelElsewhere: in.notices.CancelJob,
 	})
 	in.callerServer = &http.Server{
 		Handler:           in.withTrace(p.Handler(in.frontend, clock.Now, in.logger("callers"))),
@@ -220,7 +221,7 @@
 func (in *Instance) recordCrash(a scheduler.CrashFound) {
 	c := a.Crash
 	in.metrics.Crash(c)
-	in.crashes.Report(c)
+	in.notices.ReportCrash(c)
 	logging.ForComponent(in.jobLog, "scheduler").Info("A target was lost with its runs.", zap.String("target", c.Target),
 		zap.Int64("born", c.Incarnation), zap.Stringer("crash", c.State), zap.Stringers("tasks", c.Tasks))
 }
@@ -314,7 +315,7 @@
 	in.wg.Go(in.loop.Run)
 	in.wg.Go(in.claims.Run)
 	in.wg.Go(in.targets.Run)
-	in.wg.Go(in.crashes.Run)
+	in.wg.Go(in.notices.Run)
 	in.wg.Go(in.configuration.Run)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -378,7 +379,7 @@
 	in.configuration.Close()
 	in.targets.Close()
 	in.claims.Close()
-	in.crashes.Close()
+	in.notices.Close()
 	in.sender.Close()
 	in.loop.Close()
 	in.wg.Wait()
