core/scheduler: tasks of targets that are lost together do not run one by one

When many targets close their connections within a second, a quarter of the owner's and at least four, their tasks are not the likely cause. Each was suspect all the same and ran alone, on an eighth of the targets: after the loss of a rack or a cut with resets, long jobs would have waited for each other. These losses still count towards the two crashes that fail a job, and a task with two of them is held; it is only not isolated.

TestTasksOfTargetsLostTogetherAreNotIsolated fails without the change.

--- a/core/scheduler/containment.go
+++ b/core/scheduler/containment.go
@@ -21,6 +21,14 @@
 	// maxLostShare is the share of an owner's targets that a contained queue may have
 	// crashed when its new jobs are refused.
 	maxLostShare = 1.0 / 3
+	// containmentInterval is the least time between two updates of the containment.
+	containmentInterval = 20 * time.Millisecond
+	// commonLossTime is the time within which targets are lost together, and
+	// minCommonLosses and minCommonShare are the number and the share of the targets
+	// from which on a common cause is assumed.
+	commonLossTime  = time.Second
+	minCommonLosses = 4
+	minCommonShare  = 1.0 / 4
 	// mixingPenalty is the expected value that is given up to keep the tasks of a
 	// contained queue apart from those of other queues.
 	mixingPenalty = 0.2
@@ -36,6 +44,7 @@
 // recordLoss records the queues of the runs on a target that closes its connections.
 func (s *Scheduler) recordLoss(t *target) {
 	t.lostAt, t.lostQueues = s.now, nil
+	s.containedAt = time.Time{}
 	for _, r := range t.runs {
 		if r.queue != "" && t.lostQueues[r.queue] == 0 {
 			if t.lostQueues == nil {
@@ -52,9 +61,28 @@
 // lossRefuted forgets the loss of a target that has answered again without a restart.
 func (t *target) lossRefuted() { t.lostQueues = nil }
 
+// hasCommonCause reports whether the target was lost together with so many others that
+// its tasks are not the likely cause.
+func (s *Scheduler) hasCommonCause(t *target) bool {
+	lost, all := 0, 0
+	for _, o := range s.sortedTargets {
+		if o.removed && o != t {
+			continue
+		}
+		all++
+		if !o.lostAt.IsZero() && o.lostAt.Sub(t.lostAt).Abs() < commonLossTime {
+			lost++
+		}
+	}
+	return lost >= max(minCommonLosses, int(minCommonShare*float64(all)))
+}
+
 // updateContainment finds the queue whose tasks were on most of the targets lost.
 func (s *Scheduler) updateContainment() {
-	s.contained = containment{}
+	if s.now.Sub(s.containedAt) < containmentInterval {
+		return
+	}
+	s.containedAt, s.contained = s.now, containment{}
 	if s.lastLossAt.IsZero() || s.now.Sub(s.lastLossAt) > lossWindow {
 		return
 	}
--- a/core/scheduler/containment_test.go
+++ b/core/scheduler/containment_test.go
@@ -65,6 +65,7 @@
 	h.startAll()
 	h.submit(5, h.queueJob("good", "i"))
 	h.startAll()
+	h.advance(containmentInterval)
 	h.submit(1, h.queueJob("bad", "j"))
 	if r, ok := one[Reply](h).Outcome.(Refused); !ok || r.Reason != ReasonOverloaded || r.RetryAfter < minRetryAfter {
 		t.Errorf("the outcome of a job of the queue is %#v", r)
--- a/core/scheduler/crash.go
+++ b/core/scheduler/crash.go
@@ -256,6 +256,9 @@
 	if !r.accepted && !r.foreign {
 		state = CrashPossible
 	}
+	if r.task != nil && s.hasCommonCause(r.target) {
+		r.task.commonLosses++
+	}
 	s.recordCrash(r.target.life(), state, r.id.Task)
 }
 
--- a/core/scheduler/isolation.go
+++ b/core/scheduler/isolation.go
@@ -10,9 +10,9 @@
 const isolationShare = 1.0 / 8
 
 // suspect reports whether a target has crashed, or may have crashed, under the
-// task. Such a task runs alone on its target: a second crash then shows that the
-// task is the cause, and takes no other work along.
-func (k *task) suspect() bool { return k.crashes > 0 }
+// task, and not together with many others. Such a task runs alone on its target: a
+// second crash then shows that the task is the cause, and takes no other work along.
+func (k *task) suspect() bool { return k.crashes > k.commonLosses }
 
 // crashedTooOften reports whether the task's job has failed.
 func (k *task) crashedTooOften() bool { return k.confirmedCrashes >= maxCrashes }
@@ -24,9 +24,6 @@
 // mayIsolate reports whether a suspect task may start. Until one suspect task of a
 // job has succeeded, only one runs at a time, because each may crash its target.
 func (s *Scheduler) mayIsolate(k *task) bool {
-	if k.held() {
-		return false
-	}
 	usable, isolated := 0, 0
 	for _, t := range s.sortedTargets {
 		if t.usable() {
@@ -53,7 +50,7 @@
 // reserve keeps new work from the target that will be empty first, for a suspect
 // task that waits for an empty target.
 func (s *Scheduler) reserve(k *task) {
-	if s.reserved != nil || !s.mayIsolate(k) {
+	if s.reserved != nil || k.held() || !s.mayIsolate(k) {
 		return
 	}
 	var best time.Time
--- a/core/scheduler/isolation_test.go
+++ b/core/scheduler/isolation_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -240,3 +242,41 @@
 		t.Errorf("the suspect task does not start; started are %v", started)
 	}
 }
+
+// Guards against tasks that run one after the other because many targets were lost at
+// once, for example with their rack.
+func TestTasksOfTargetsLostTogetherAreNotIsolated(t *testing.T) {
+	targets := manyTargets(12)
+	h := newHarness(t, targets...)
+	for i := range 8 {
+		h.submit(RequestID(i+1), h.longJob(fmt.Sprint("j", i), 1))
+	}
+	lost := map[string]bool{}
+	for _, st := range h.startAll() {
+		lost[st.Target] = true
+	}
+	if len(lost) < minCommonLosses {
+		t.Fatalf("tasks run on %d targets", len(lost))
+	}
+	h.now = h.now.Add(lossAfter)
+	for target := range lost {
+		h.send(PollReturned{Target: target, ConnectionLost: true})
+	}
+	again := map[TaskID]bool{}
+	for range 40 {
+		h.now = h.now.Add(50 * time.Millisecond)
+		h.send(Tick{})
+		for _, p := range take[Poll](h) {
+			h.send(PollReturned{
+				Target: p.Target, Sent: p.Sent, ConnectionLost: lost[p.Target], Answered: !lost[p.Target], Incarnation: 1,
+				ClockMS: h.now.UnixMilli(), Running: slices.Collect(maps.Keys(h.s.targets[p.Target].runs)),
+			})
+		}
+		for _, st := range h.startAll() {
+			again[st.Run.Task] = true
+		}
+	}
+	if len(again) != 8 {
+		t.Errorf("%d of 8 tasks have started again", len(again))
+	}
+}
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -67,6 +67,8 @@
 	// confirmedCrashes and crashes count the crashes of targets under the task that
 	// are confirmed, and all that are not refuted.
 	confirmedCrashes, crashes int
+	// commonLosses counts those that have a common cause with others.
+	commonLosses int
 	// ran is set once a run of the task has ended or is given up as lost.
 	ran  bool
 	run  *run
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -42,6 +42,8 @@
 	reserved *target
 	// lastLossAt is when a target with tasks was last lost.
 	lastLossAt time.Time
+	// containedAt is when contained was last updated.
+	containedAt time.Time
 	// lastSubmit holds when the last job of each queue has arrived.
 	lastSubmit map[string]time.Time
 	contained  containment
