core/scheduler: silent targets count once they are gone, and three hold a task

A task that takes the power of its target along closes no connection. Such a loss counted only if another incarnation answered under the same id; with a new id, as on the users' platform, the task started again each two seconds until the deadline.

A target that is silent until the lease on its runs has ended is now kept as a silent loss, by this owner only and without isolating the task. It is confirmed when the entry leaves the list or another incarnation answers, and withdrawn when the same one answers. From three lost targets on, silent ones included, the task waits for word of them. Whether a target that drains has left is decided by its last contact, not by the time at which its loss is noticed.

--- a/core/scheduler/crash.go
+++ b/core/scheduler/crash.go
@@ -10,6 +10,9 @@
 const (
 	// maxCrashes is the number of crashes under one task at which its job fails.
 	maxCrashes = 2
+	// maxLosses is the number of lost targets, silent ones included, from which on a
+	// task does not start until more is known of them.
+	maxLosses = 3
 	// crashRetention is how long a crash is remembered after it was last reported.
 	// Callers send a job again within seconds.
 	crashRetention = 2 * time.Minute
@@ -30,9 +33,12 @@
 
 // The states of a Crash.
 const (
+	// CrashSilent means that the target has not answered until the lease on its runs
+	// has ended. It may be cut off only. This state is not reported to other owners.
+	CrashSilent CrashState = iota
 	// CrashPossible means that the target was lost like in the states below, but that
 	// it has not answered the start, so that the task may not have run there.
-	CrashPossible CrashState = iota
+	CrashPossible
 	// CrashSuspected means that the target has closed its connections and that the
 	// lease on its runs has ended since. It may have been disconnected only.
 	CrashSuspected
@@ -73,18 +79,18 @@
 	return &crashLog{tasks: map[TaskID]map[targetLife]CrashState{}, lives: map[string]map[int64]*lifeCrash{}}
 }
 
-// record applies a state and reports whether anything has changed. A suspicion
-// does not replace a confirmation.
-func (l *crashLog) record(now time.Time, life targetLife, task TaskID, state CrashState) bool {
+// record applies a state, and returns the one before and whether anything has changed.
+// A suspicion does not replace a confirmation.
+func (l *crashLog) record(now time.Time, life targetLife, task TaskID, state CrashState) (old CrashState, changed bool) {
 	old, known := l.tasks[task][life]
 	switch {
 	case state == CrashRefuted:
 		if known {
 			l.remove(life, task)
 		}
-		return known
+		return old, known
 	case known && old >= state:
-		return false
+		return old, false
 	}
 	if l.tasks[task] == nil {
 		l.tasks[task] = map[targetLife]CrashState{}
@@ -105,7 +111,7 @@
 		c.reportedAt = now
 		l.reports = append(l.reports, lifeReport{life, now})
 	}
-	return true
+	return old, true
 }
 
 func (l *crashLog) remove(life targetLife, task TaskID) {
@@ -139,16 +145,21 @@
 	}
 }
 
-// count returns the number of confirmed crashes under a task, and that of all which
-// are not refuted.
-func (l *crashLog) count(task TaskID) (confirmed, all int) {
+// crashCount counts the crashes under a task that are not refuted.
+type crashCount struct{ all, silent, confirmed int }
+
+func (l *crashLog) count(task TaskID) crashCount {
+	var c crashCount
 	for _, state := range l.tasks[task] {
-		if state == CrashConfirmed {
-			confirmed++
+		c.all++
+		switch state {
+		case CrashSilent:
+			c.silent++
+		case CrashConfirmed:
+			c.confirmed++
 		}
-		all++
 	}
-	return confirmed, all
+	return c
 }
 
 // livesOf returns the executions of a target that have crashed or may have crashed,
@@ -173,18 +184,21 @@
 // recordCrash records what this instance has found about the loss of a target under
 // a task.
 func (s *Scheduler) recordCrash(life targetLife, state CrashState, task TaskID) {
-	if !s.crashLog.record(s.now, life, task, state) {
+	old, changed := s.crashLog.record(s.now, life, task, state)
+	if !changed {
 		return
 	}
-	key := foundCrash{life, state}
-	s.foundCrashes[key] = append(s.foundCrashes[key], task)
+	if state != CrashSilent && (state != CrashRefuted || old != CrashSilent) {
+		key := foundCrash{life, state}
+		s.foundCrashes[key] = append(s.foundCrashes[key], task)
+	}
 	s.applyCrashes(task)
 }
 
 // crashReported records what another owner has found.
 func (s *Scheduler) crashReported(c Crash) {
 	for _, task := range c.Tasks {
-		if s.crashLog.record(s.now, targetLife{c.Target, c.Incarnation}, task, c.State) {
+		if _, changed := s.crashLog.record(s.now, targetLife{c.Target, c.Incarnation}, task, c.State); changed {
 			s.applyCrashes(task)
 		}
 	}
@@ -200,7 +214,7 @@
 	if k == nil {
 		return
 	}
-	k.confirmedCrashes, k.crashes = s.crashLog.count(id)
+	k.crashes = s.crashLog.count(id)
 	j.suspected = j.suspected || k.suspect()
 	if k.crashedTooOften() {
 		s.finish(j, crashFailure)
@@ -233,13 +247,14 @@
 }
 
 // mustSuspectCrash reports whether a crash of the target has to be suspected once the
-// lease on its runs has ended.
+// lease on its runs has ended. A target that leaves, or that another owner has taken
+// over, does not answer either.
 func (s *Scheduler) mustSuspectCrash(t *target) bool {
-	if t.connectionLostAt.IsZero() || t.left(s.now) {
+	if t.left() || t.fenced && t.connectionLostAt.IsZero() {
 		return false
 	}
 	for _, r := range t.runs {
-		if !r.crashRecorded {
+		if !r.lost {
 			return true
 		}
 	}
@@ -249,33 +264,37 @@
 // recordRunLoss records the loss of a target under a run. Each run counts for one
 // execution of the target only.
 func (s *Scheduler) recordRunLoss(r *run, state CrashState) {
-	if r.crashRecorded {
+	if r.lost && r.lostWith != r.target.incarnation {
 		return
 	}
-	r.crashRecorded = true
-	if !r.accepted && !r.foreign {
+	r.lost, r.lostWith = true, r.target.incarnation
+	if state > CrashPossible && !r.accepted && !r.foreign {
 		state = CrashPossible
 	}
-	if r.task != nil && s.hasCommonCause(r.target) {
+	if state > CrashSilent && r.task != nil && !r.commonLoss && s.hasCommonCause(r.target) {
+		r.commonLoss = true
 		r.task.commonLosses++
 	}
 	s.recordCrash(r.target.life(), state, r.id.Task)
 }
 
-// suspectCrash records that the lease on the runs of a target has ended after the
-// target closed its connections. A target that leaves closes them as well.
+// suspectCrash records that the lease on the runs of a target has ended.
 func (s *Scheduler) suspectCrash(t *target) {
 	if !s.mustSuspectCrash(t) {
 		return
 	}
+	state := CrashSuspected
+	if t.connectionLostAt.IsZero() {
+		state = CrashSilent
+	}
 	for _, r := range t.sortedRuns() {
-		s.recordRunLoss(r, CrashSuspected)
+		s.recordRunLoss(r, state)
 	}
 }
 
 // confirmEnd records that the current process of a target has ended with its runs.
 func (s *Scheduler) confirmEnd(t *target) {
-	if t.left(s.now) {
+	if t.left() {
 		return
 	}
 	for _, r := range t.sortedRuns() {
@@ -306,7 +325,7 @@
 		s.recordCrash(t.life(), CrashRefuted, task)
 	}
 	for _, r := range t.runs {
-		r.crashRecorded = false
+		r.lost = false
 	}
 }
 
@@ -321,7 +340,7 @@
 // confirmRestart records that the current process of a target has ended with its
 // runs, except those that the next one lists.
 func (s *Scheduler) confirmRestart(t *target, next PollReturned) {
-	if t.left(s.now) {
+	if t.left() {
 		return
 	}
 	for _, r := range t.sortedRuns() {
@@ -335,7 +354,7 @@
 
 // targetGone handles the end of a target that its platform no longer lists.
 func (s *Scheduler) targetGone(id string) {
-	if t := s.targets[id]; t != nil && t.unanswered > 0 && !t.connectionLostAt.IsZero() {
+	if t := s.targets[id]; t != nil && t.unanswered > 0 && !t.fenced {
 		s.confirmEnd(t)
 	}
 	for _, life := range s.crashLog.livesOf(id, 0) {
--- a/core/scheduler/crash_test.go
+++ b/core/scheduler/crash_test.go
@@ -154,3 +154,33 @@
 	}
 	none[Reply](h)
 }
+
+// Guards against a task that takes one machine after the other along without a closed
+// connection: each target is silent, and leaves the list seconds later.
+func TestSilentTargetsCountOnceTheyAreGone(t *testing.T) {
+	targets := []Target{testTarget("a"), testTarget("b"), testTarget("c"), testTarget("d")}
+	h := newHarness(t, targets...)
+	h.submit(1, h.longJob("j", 1))
+	silent := map[string]bool{}
+	for range 3000 {
+		for _, st := range h.startAll() {
+			silent[st.Target] = true
+		}
+		h.now = h.now.Add(10 * time.Millisecond)
+		h.send(Tick{})
+		for _, p := range take[Poll](h) {
+			h.send(PollReturned{Target: p.Target, Sent: p.Sent, Answered: !silent[p.Target], Incarnation: 1, ClockMS: h.now.UnixMilli()})
+		}
+	}
+	if len(silent) != maxLosses {
+		t.Errorf("the task starts on %d silent targets, want %d", len(silent), maxLosses)
+	}
+	none[CrashFound](h)
+	none[Reply](h)
+	for target := range silent {
+		h.send(TargetGone{Target: target})
+	}
+	if o := one[Reply](h).Outcome; o != crashFailure {
+		t.Errorf("the outcome is %#v, want %#v", o, crashFailure)
+	}
+}
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -64,10 +64,9 @@
 	refusals int
 	// hungRuns counts the runs that were stopped because they took too long.
 	hungRuns int
-	// confirmedCrashes and crashes count the crashes of targets under the task that
-	// are confirmed, and all that are not refuted.
-	confirmedCrashes, crashes int
-	// commonLosses counts those that have a common cause with others.
+	// crashes counts the crashes of targets under the task, and commonLosses those
+	// among them that have a common cause with others.
+	crashes      crashCount
 	commonLosses int
 	// ran is set once a run of the task has ended or is given up as lost.
 	ran  bool
@@ -123,7 +122,7 @@
 		j.remaining[i] = step.Count
 		for k := range step.Count {
 			t := &task{id: TaskID{Job: in.ID, Step: i, Index: k}, job: j, step: step}
-			t.confirmedCrashes, t.crashes = s.crashLog.count(t.id)
+			t.crashes = s.crashLog.count(t.id)
 			j.suspected = j.suspected || t.suspect()
 			j.tasks[i] = append(j.tasks[i], t)
 		}
@@ -300,7 +299,7 @@
 		for _, t := range ts {
 			m.Failed += t.failures
 			m.Hung += t.hungRuns
-			m.Crashes += t.crashes
+			m.Crashes += t.crashes.all
 			if r := t.run; r != nil && len(m.Unfinished) < maxUnfinishedRuns {
 				m.Unfinished = append(m.Unfinished, UnfinishedRun{
 					Run: r.id, Target: r.target.ID, Age: s.now.Sub(r.started), Forecast: r.expected,
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -45,9 +45,11 @@
 	foreign bool
 	// isolated is set for the run of a suspect task, which has its target to itself.
 	isolated bool
-	// accepted is set once the target has answered the start. crashRecorded is set once
-	// the run was lost with its target.
-	accepted, crashRecorded bool
+	// accepted is set once the target has answered the start. lost is set once the run
+	// was lost with its target, whose incarnation lostWith is. commonLoss is set if
+	// many other targets were lost at the same time.
+	accepted, lost, commonLoss bool
+	lostWith                   int64
 	// answered is set once the target has answered the start or the stop. A poll
 	// sent after answeredAt lists the run if it exists.
 	answered   bool
--- a/core/scheduler/simulation_target_test.go
+++ b/core/scheduler/simulation_target_test.go
@@ -63,6 +63,7 @@
 		sim.after(time.Duration(1+sim.rng.IntN(30))*time.Millisecond, func() {
 			if t.running[a.Run] != nil {
 				j.crashes++
+				t.silent = j.silent
 				t.crash(time.Duration(sim.rng.IntN(3000)) * time.Millisecond)
 			}
 		})
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -156,11 +156,12 @@
 func (t *target) inContact() bool { return t.unanswered == 0 && t.connectionLostAt.IsZero() }
 
 // left reports whether the target has left rather than crashed, if it is gone now.
-func (t *target) left(now time.Time) bool {
-	if !t.connectionLostAt.IsZero() {
-		now = t.connectionLostAt
+func (t *target) left() bool {
+	end := t.connectionLostAt
+	if end.IsZero() {
+		end = t.lastContact
 	}
-	return !t.drainingSince.IsZero() && now.Sub(t.drainingSince) >= minDrainTime
+	return !t.drainingSince.IsZero() && end.Sub(t.drainingSince) >= minDrainTime
 }
 
 // described reports whether the list describes the incarnation that answers the polls.
