--- a/core/scheduler/containment.go
+++ b/core/scheduler/containment.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -46,14 +47,11 @@
 	t.lostAt, t.lostQueues = s.now, nil
 	s.containedAt = time.Time{}
 	for _, r := range t.runs {
-		if r.queue != "" && t.lostQueues[r.queue] == 0 {
-			if t.lostQueues == nil {
-				t.lostQueues = map[string]int{}
-			}
-			t.lostQueues[r.queue]++
+		if r.queue != "" && !slices.Contains(t.lostQueues, r.queue) {
+			t.lostQueues = append(t.lostQueues, r.queue)
 		}
 	}
-	if t.lostQueues != nil {
+	if len(t.lostQueues) > 0 {
 		s.lastLossAt = s.now
 	}
 }
@@ -96,7 +94,7 @@
 			continue
 		}
 		lost++
-		for queue := range t.lostQueues {
+		for _, queue := range t.lostQueues {
 			losses[queue] += 1 / float64(len(t.lostQueues))
 		}
 	}
--- a/core/scheduler/containment_test.go
+++ b/core/scheduler/containment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -113,8 +114,8 @@
 	st := h.startAll()[0]
 	h.now = h.now.Add(lossAfter)
 	h.send(PollReturned{Target: "a", ConnectionLost: true})
-	if h.s.targets["a"].lostQueues["q"] == 0 {
-		t.Error("the loss is not recorded")
+	if got := h.s.targets["a"].lostQueues; !slices.Equal(got, []string{"q"}) {
+		t.Errorf("the queues %q are held responsible, want q", got)
 	}
 	h.now = h.now.Add(reconnectPause)
 	h.send(Tick{})
--- a/core/scheduler/isolation.go
+++ b/core/scheduler/isolation.go
@@ -12,15 +12,15 @@
 // suspect reports whether a target has crashed, or may have crashed, under the
 // task, and not together with many others. Such a task runs alone on its target: a
 // second crash then shows that the task is the cause, and takes no other work along.
-func (k *task) suspect() bool { return k.crashes.all-k.crashes.silent > k.commonLosses }
+func (t *task) suspect() bool { return t.crashes.all-t.crashes.silent > t.commonLosses }
 
 // crashedTooOften reports whether the task's job has failed.
-func (k *task) crashedTooOften() bool { return k.crashes.confirmed >= maxCrashes }
+func (t *task) crashedTooOften() bool { return t.crashes.confirmed >= maxCrashes }
 
 // held reports whether the task must not start until more is known of the crashes
 // under it.
-func (k *task) held() bool {
-	return k.crashes.all-k.crashes.silent >= maxCrashes || k.crashes.all >= maxLosses
+func (t *task) held() bool {
+	return t.crashes.all-t.crashes.silent >= maxCrashes || t.crashes.all >= maxLosses
 }
 
 // mayIsolate reports whether a suspect task may start. Until one suspect task of a
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -98,7 +98,7 @@
 	// lostAt is when the target last lost its connection, and lostQueues holds the
 	// queues of its runs at that time.
 	lostAt     time.Time
-	lostQueues map[string]int
+	lostQueues []string
 	// isolatedRuns counts the runs of suspect tasks.
 	isolatedRuns int
 
