--- a/bench/poolrun/simulation.go
+++ b/bench/poolrun/simulation.go
@@ -17,6 +17,8 @@
 	service = "work"
 	// instanceDelay is the one-way network delay between two instances.
 	instanceDelay = time.Millisecond
+	// noticeDelay is the time until the other owners learn of a crash.
+	noticeDelay = 500 * time.Millisecond
 	// timerDelay is how late the timer of an instance fires.
 	timerDelay = time.Millisecond / 4
 	// maxStartOwners is the maximum number of owners that are asked, one after
@@ -238,6 +240,8 @@
 				delete(sim.replyHandlers, id)
 				sim.After(instanceDelay, func() { onReply(a.Outcome) })
 			}
+		case scheduler.CrashFound:
+			sim.reportCrash(o, a.Crash)
 		default:
 			panic(fmt.Sprintf("poolrun: unexpected action %T", a))
 		}
@@ -245,6 +249,15 @@
 	sim.scheduleWake(o, o.sched.NextWake())
 }
 
+// reportCrash passes a crash that an owner has found on to the others.
+func (sim *simulation) reportCrash(from *owner, c scheduler.Crash) {
+	for _, o := range sim.owners {
+		if o != from {
+			sim.After(noticeDelay, func() { sim.handle(o, scheduler.CrashReported{Crash: c}) })
+		}
+	}
+}
+
 // scheduleWake schedules a Tick of an owner timerDelay after next, or after now if
 // next has passed, unless an earlier Tick is scheduled.
 func (sim *simulation) scheduleWake(o *owner, next time.Time) {
