core/scheduler: a target that was draining before this instance got it takes no tasks

Half a second after the list shows a target as draining, a started job may use it if there is no other. A target that an instance has just claimed, or claimed back, may have been draining for much longer; it counted from the claim. Found by reading; TestStartedJobDoesNotUseDrainingTargetOfAnotherOwner fails without the change. The record of queues in use is bounded as well.

--- a/core/scheduler/containment.go
+++ b/core/scheduler/containment.go
@@ -30,6 +30,9 @@
 	commonLossTime  = time.Second
 	minCommonLosses = 4
 	minCommonShare  = 1.0 / 4
+	// maxRecordedQueues is the number of queues from which on those that are no longer
+	// in use are forgotten.
+	maxRecordedQueues = 256
 	// mixingPenalty is the expected value that is given up to keep the tasks of a
 	// contained queue apart from those of other queues.
 	mixingPenalty = 0.2
@@ -117,17 +120,24 @@
 }
 
 // otherQueuesInUse reports whether jobs of other queues have arrived within lossWindow.
-// It forgets those that are no longer in use.
 func (s *Scheduler) otherQueuesInUse(queue string) bool {
-	maps.DeleteFunc(s.lastSubmit, func(_ string, at time.Time) bool { return s.now.Sub(at) > lossWindow })
-	for q := range s.lastSubmit {
-		if q != queue {
+	for q, at := range s.lastSubmit {
+		if q != queue && s.now.Sub(at) <= lossWindow {
 			return true
 		}
 	}
 	return false
 }
 
+// recordSubmit records that a job of the queue has arrived. It forgets queues that are
+// no longer in use.
+func (s *Scheduler) recordSubmit(queue string) {
+	s.lastSubmit[queue] = s.now
+	if len(s.lastSubmit) > maxRecordedQueues {
+		maps.DeleteFunc(s.lastSubmit, func(_ string, at time.Time) bool { return s.now.Sub(at) > lossWindow })
+	}
+}
+
 // mixes reports whether a start of the task would bring tasks of the contained queue
 // together with those of others.
 func (s *Scheduler) mixes(t *target, k *task) bool {
--- a/core/scheduler/ejection_test.go
+++ b/core/scheduler/ejection_test.go
@@ -86,3 +86,27 @@
 		}
 	}
 }
+
+// Guards against tasks on targets that have been draining for long, which this instance
+// has just got from another owner, or back.
+func TestStartedJobDoesNotUseDrainingTargetOfAnotherOwner(t *testing.T) {
+	draining := testTarget("b")
+	draining.Draining = true
+	leaving := testTarget("a")
+	leaving.Draining = true
+	for name, before := range map[string][]Target{"new": {testTarget("a")}, "got back": {testTarget("a"), testTarget("b")}} {
+		h := newHarness(t, before...)
+		long := h.longJob("j", 6)
+		h.submit(1, long)
+		running := h.startAll()
+		h.send(TargetsChanged{Targets: []Target{testTarget("a")}})
+		h.send(TargetsChanged{Targets: []Target{leaving, draining}})
+		h.answerPoll("b", PollReturned{})
+		h.advance(50 * time.Millisecond)
+		for _, st := range take[Start](h) {
+			if st.Target == "b" {
+				t.Errorf("%s: %v starts on a target that was draining before (%d starts in all)", name, st.Run, len(running)+1)
+			}
+		}
+	}
+}
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -98,7 +98,7 @@
 		s.requests[ev.Request] = j
 		return
 	}
-	s.lastSubmit[ev.Job.Queue] = s.now
+	s.recordSubmit(ev.Job.Queue)
 	j := s.newJob(ev.Job)
 	j.waiters = []RequestID{ev.Request}
 	s.jobs[j.ID] = j
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -202,16 +202,20 @@
 func (s *Scheduler) newTarget(in Target) *target {
 	return &target{
 		Target: in, runs: map[RunID]*run{}, free: capacity{in.CPU, in.MemoryMB, in.Accelerators},
-		clock: remoteclock.New(s.cfg.MaxClockDrift), nextPoll: s.now, drainingSince: s.drainStart(in),
+		clock: remoteclock.New(s.cfg.MaxClockDrift), nextPoll: s.now, drainingSince: s.drainStart(in, true),
 	}
 }
 
-// drainStart returns the current time if the target is draining, or zero.
-func (s *Scheduler) drainStart(in Target) time.Time {
-	if in.Draining {
-		return s.now
+// drainStart returns when the target has begun to drain, or zero. A target that this
+// instance has just got may have been draining for longer than the list shows.
+func (s *Scheduler) drainStart(in Target, justGot bool) time.Time {
+	switch {
+	case !in.Draining:
+		return time.Time{}
+	case justGot:
+		return s.now.Add(-drainStartTime)
 	}
-	return time.Time{}
+	return s.now
 }
 
 func (s *Scheduler) updateTarget(t *target, in Target) {
@@ -221,7 +225,7 @@
 	}
 	t.Target = in
 	if t.described() && (!in.Draining || t.drainingSince.IsZero()) {
-		t.drainingSince = s.drainStart(in)
+		t.drainingSince = s.drainStart(in, t.removed)
 	}
 	if !t.described() {
 		// The poll shows whether the target or the list is ahead.
