--- a/core/scheduler/containment.go
+++ b/core/scheduler/containment.go
@@ -27,7 +27,7 @@
 	// commonLossTime is the time within which targets are lost together, and
 	// minCommonLosses and minCommonShare are the number and the share of the targets
 	// from which on a common cause is assumed.
-	commonLossTime  = time.Second
+	commonLossTime  = 100 * time.Millisecond
 	minCommonLosses = 4
 	minCommonShare  = 1.0 / 4
 	// maxRecordedQueues is the number of queues from which on those that are no longer
