pool/frontend: a job under which targets have crashed is not answered as not accepted

Cause: the scheduler refused a submission of which two crashes are suspected, and refusals speak of the submission only, not of the job, while the record of crashes knows better.

The scheduler now answers such a job as unknown, and the instance that the caller is connected to turns every refusal of a job with recorded losses into unknown.

--- a/core/scheduler/crash.go
+++ b/core/scheduler/crash.go
@@ -58,6 +58,8 @@
 // other owners have found.
 type crashLog struct {
 	tasks map[TaskID]map[targetLife]CrashState
+	// jobs counts the tasks by their job.
+	jobs map[string]int
 	// lives holds the tasks by target and by incarnation.
 	lives map[string]map[int64]*lifeCrash
 	// reports holds the lives by the time of their reports, oldest first.
@@ -76,7 +78,7 @@
 }
 
 func newCrashLog() *crashLog {
-	return &crashLog{tasks: map[TaskID]map[targetLife]CrashState{}, lives: map[string]map[int64]*lifeCrash{}}
+	return &crashLog{tasks: map[TaskID]map[targetLife]CrashState{}, jobs: map[string]int{}, lives: map[string]map[int64]*lifeCrash{}}
 }
 
 // record applies a state, and returns the one before and whether anything has changed.
@@ -94,6 +96,7 @@
 	}
 	if l.tasks[task] == nil {
 		l.tasks[task] = map[targetLife]CrashState{}
+		l.jobs[task.Job]++
 	}
 	l.tasks[task][life] = state
 	c := l.life(life)
@@ -118,6 +121,9 @@
 	delete(l.tasks[task], life)
 	if len(l.tasks[task]) == 0 {
 		delete(l.tasks, task)
+		if l.jobs[task.Job]--; l.jobs[task.Job] == 0 {
+			delete(l.jobs, task.Job)
+		}
 	}
 	c := l.life(life)
 	c.tasks = slices.DeleteFunc(c.tasks, func(t TaskID) bool { return t == task })
@@ -204,6 +210,10 @@
 	}
 }
 
+// MayHaveRun reports whether targets were lost under tasks of the job, here or at other
+// owners, within crashRetention. The job may have been submitted more than once.
+func (s *Scheduler) MayHaveRun(job string) bool { return s.crashLog.jobs[job] > 0 }
+
 // applyCrashes updates a task whose crashes have changed, if its job runs here.
 func (s *Scheduler) applyCrashes(id TaskID) {
 	j := s.jobs[id.Job]
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -104,9 +104,14 @@
 	s.jobs[j.ID] = j
 	s.requests[ev.Request] = j
 	j.summary.Backlog = s.forecastWait(j)
-	if j.anyTask((*task).crashedTooOften) {
+	switch {
+	case j.anyTask((*task).crashedTooOften):
 		s.finish(j, crashFailure)
 		return
+	case j.anyTask((*task).held):
+		// Tasks of an earlier submission have run.
+		s.finish(j, Unknown{Reason: ReasonTargetLost})
+		return
 	}
 	if reason, ok := s.admit(j); !ok {
 		s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter()})
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -282,9 +282,6 @@
 	if s.refusesQueue(j.Queue) {
 		return ReasonOverloaded, false
 	}
-	if j.suspected && j.anyTask((*task).held) {
-		return ReasonTargetLost, false
-	}
 	if s.bestExpectedValue(j) < s.policy.MinExpectedValue {
 		return ReasonDeadline, false
 	}
--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -50,6 +50,9 @@
 	Load        func() relay.Load
 	WaitingJobs func(queue string) int
 	Draining    func() bool
+	// MayHaveRun reports whether tasks of an earlier submission of a job are known to
+	// have run, or may have.
+	MayHaveRun func(job string) bool
 	// CancelElsewhere passes the cancellation of a job on to the other instances.
 	CancelElsewhere func(job string)
 }
@@ -194,6 +197,10 @@
 func (f *Frontend) complete(ctx context.Context, job *inFlightJob, j scheduler.Job) {
 	defer job.cancel()
 	o, owner := f.run(ctx, &j)
+	if r, ok := o.(scheduler.Refused); ok && f.cfg.MayHaveRun(j.ID) {
+		// A refusal would say that no task of the job has run.
+		o = scheduler.Unknown{Reason: r.Reason}
+	}
 	f.mu.Lock()
 	delete(f.inFlight, j.ID)
 	switch {
@@ -268,11 +275,11 @@
 }
 
 // isFinal reports whether the job must not be sent to another owner, because it
-// may have run, was cancelled or may crash its targets. Other refusals are not final: a job that fits
+// may have run or was cancelled. Other refusals are not final: a job that fits
 // no target of one owner may fit a target of another.
 func isFinal(o scheduler.Outcome) bool {
 	r, ok := o.(scheduler.Refused)
-	return !ok || r.Reason == scheduler.ReasonCancelled || r.Reason == scheduler.ReasonTargetLost
+	return !ok || r.Reason == scheduler.ReasonCancelled
 }
 
 // runAt runs the job at the owner with the address, which may be this instance.
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -169,6 +169,7 @@
 		Log: jobLogger("desk"), Metrics: in.metrics, Tracer: in.tracer, Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.configuration.Catalog,
 		ShardHolders: in.claims.Holders, OwnersChanging: in.claims.Settling, RelayClient: in.relayClient, SelfAddress: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
 		WaitingJobs: in.waiting, Draining: in.draining.Load, CancelElsewhere: in.notices.CancelJob,
+		MayHaveRun: in.mayHaveRun,
 	})
 	in.callerServer = &http.Server{
 		Handler:           in.withTrace(p.Handler(in.frontend, clock.Now, in.logger("callers"))),
@@ -250,6 +251,12 @@
 
 func (in *Instance) isReady() bool { return !in.draining.Load() && in.configuration.Catalog() != nil }
 
+func (in *Instance) mayHaveRun(job string) bool {
+	ran := false
+	in.loop.Inspect(func(s *scheduler.Scheduler) { ran = s.MayHaveRun(job) })
+	return ran
+}
+
 func (in *Instance) waiting(queue string) int {
 	n := 0
 	in.loop.Inspect(func(s *scheduler.Scheduler) { n = s.WaitingJobs(queue) })
