core/scheduler: a job fails or is given up only where targets crash, not where they are lost

An entry that leaves the list now makes a loss unresolved: it isolates the task and counts towards three lost targets, after which the task waits, but never fails the job. Only another incarnation at the address or under the id confirms a crash. And a job is given up early only if its queue stands out among the losses. A task that has lost three targets of which no more is to be learned has its job answered at once, as unknown.

--- a/core/scheduler/crash.go
+++ b/core/scheduler/crash.go
@@ -10,8 +10,8 @@
 const (
 	// maxCrashes is the number of crashes under one task at which its job fails.
 	maxCrashes = 2
-	// maxLosses is the number of lost targets, silent ones included, from which on a
-	// task does not start until more is known of them.
+	// maxLosses is the number of lost targets from which on a task does not start,
+	// whatever is known of them.
 	maxLosses = 3
 	// crashRetention is how long a crash is remembered after it was last reported.
 	// Callers send a job again within seconds.
@@ -31,20 +31,23 @@
 // CrashState is what is known of a Crash.
 type CrashState int
 
-// The states of a Crash.
+// The states of a Crash. A stronger state replaces a weaker one.
 const (
 	// CrashSilent means that the target has not answered until the lease on its runs
 	// has ended. It may be cut off only. This state is not reported to other owners.
 	CrashSilent CrashState = iota
-	// CrashPossible means that the target was lost like in the states below, but that
-	// it has not answered the start, so that the task may not have run there.
-	CrashPossible
 	// CrashSuspected means that the target has closed its connections and that the
 	// lease on its runs has ended since. It may have been disconnected only.
 	CrashSuspected
+	// CrashUnresolved means that the target has left the list. It may be cut off from
+	// the platform as well, and no more is to be learned.
+	CrashUnresolved
+	// CrashPossible means that the target was lost before it had answered the start, so
+	// that the task may not have run there.
+	CrashPossible
 	// CrashConfirmed means that the process of the target has ended.
 	CrashConfirmed
-	// CrashRefuted means that a target whose crash was suspected has answered again.
+	// CrashRefuted means that a target has answered again whose crash was assumed.
 	CrashRefuted
 )
 
@@ -152,7 +155,7 @@
 }
 
 // crashCount counts the crashes under a task that are not refuted.
-type crashCount struct{ all, silent, confirmed int }
+type crashCount struct{ all, silent, suspected, unresolved, confirmed int }
 
 func (l *crashLog) count(task TaskID) crashCount {
 	var c crashCount
@@ -161,6 +164,10 @@
 		switch state {
 		case CrashSilent:
 			c.silent++
+		case CrashSuspected:
+			c.suspected++
+		case CrashUnresolved:
+			c.unresolved++
 		case CrashConfirmed:
 			c.confirmed++
 		}
@@ -225,7 +232,7 @@
 		return
 	}
 	k.crashes = s.crashLog.count(id)
-	j.suspected = j.suspected || k.suspect()
+	j.suspected = j.suspected || k.suspect() || k.held()
 	if k.crashedTooOften() {
 		s.finish(j, crashFailure)
 		return
@@ -278,7 +285,7 @@
 		return
 	}
 	r.lost, r.lostWith = true, r.target.incarnation
-	if state > CrashPossible && !r.accepted && !r.foreign {
+	if state != CrashSilent && !r.accepted && !r.foreign {
 		state = CrashPossible
 	}
 	if state > CrashSilent && r.task != nil && !r.commonLoss && s.hasCommonCause(r.target) {
@@ -318,7 +325,7 @@
 func (s *Scheduler) confirmLife(life targetLife) {
 	if c := s.crashLog.life(life); c != nil {
 		for _, task := range slices.Clone(c.tasks) {
-			if s.crashLog.tasks[task][life] == CrashSuspected {
+			if state := s.crashLog.tasks[task][life]; state == CrashSuspected || state == CrashUnresolved {
 				s.recordCrash(life, CrashConfirmed, task)
 			}
 		}
@@ -362,13 +369,13 @@
 	s.confirmLife(t.life())
 }
 
-// targetGone handles the end of a target that its platform no longer lists.
+// targetGone handles a target that its platform no longer lists. It has crashed, or it
+// is cut off from the platform as well.
 func (s *Scheduler) targetGone(id string) {
-	if t := s.targets[id]; t != nil && t.unanswered > 0 && !t.fenced {
-		s.confirmEnd(t)
-	}
 	for _, life := range s.crashLog.livesOf(id, 0) {
-		s.confirmLife(life)
+		for _, task := range slices.Clone(s.crashLog.life(life).tasks) {
+			s.recordCrash(life, CrashUnresolved, task)
+		}
 	}
 }
 
--- a/core/scheduler/isolation.go
+++ b/core/scheduler/isolation.go
@@ -17,12 +17,15 @@
 // crashedTooOften reports whether the task's job has failed.
 func (t *task) crashedTooOften() bool { return t.crashes.confirmed >= maxCrashes }
 
-// held reports whether the task must not start until more is known of the crashes
-// under it.
+// held reports whether the task must not start, unless crashes under it are refuted.
 func (t *task) held() bool {
-	return t.crashes.all-t.crashes.silent >= maxCrashes || t.crashes.all >= maxLosses
+	c := t.crashes
+	return c.all-c.silent-c.unresolved >= maxCrashes || c.all >= maxLosses
 }
 
+// undecided reports whether more is to be learned of the crashes under the task.
+func (t *task) undecided() bool { return t.crashes.silent+t.crashes.suspected > 0 }
+
 // mayIsolate reports whether a suspect task may start. Until one suspect task of a
 // job has succeeded, only one runs at a time, because each may crash its target.
 func (s *Scheduler) mayIsolate(k *task) bool {
@@ -74,7 +77,7 @@
 
 // giveUpSuspects ends the jobs with a suspect task whose next start could neither
 // bring an answer of value nor show before the deadline whether it crashes its
-// target.
+// target, or that has lost maxLosses targets of which no more is to be learned.
 func (s *Scheduler) giveUpSuspects() {
 	for _, j := range s.jobsWhere(func(j *job) bool {
 		return j.suspected && slices.ContainsFunc(j.suspects(), s.startIsFutile)
@@ -83,9 +86,16 @@
 	}
 }
 
-// startIsFutile reports whether a start of the suspect task can no longer be of use.
+// startIsFutile reports whether the suspect task will not start again, or whether a
+// start can no longer be of use. A single loss is no reason to give up a job while its
+// queue does not stand out: the target may have been lost for any other cause.
 func (s *Scheduler) startIsFutile(k *task) bool {
-	if k.held() || !k.waiting() {
+	switch {
+	case !k.waiting():
+		return false
+	case k.held():
+		return !k.undecided()
+	case k.job.Queue != s.contained.queue:
 		return false
 	}
 	end := s.now.Add(s.baseRunTime(k))
@@ -98,12 +108,12 @@
 	return time.Duration(float64(s.cfg.Lease)/(1-s.cfg.MaxClockDrift)) + leaseMargin
 }
 
-// suspects returns the suspect tasks of the job that are not done.
+// suspects returns the suspect and held tasks of the job that are not done.
 func (j *job) suspects() []*task {
 	var out []*task
 	for _, ts := range j.tasks {
 		for _, k := range ts {
-			if k.suspect() && !k.done {
+			if (k.suspect() || k.held()) && !k.done {
 				out = append(out, k)
 			}
 		}
--- a/core/scheduler/names.go
+++ b/core/scheduler/names.go
@@ -11,7 +11,7 @@
 // String returns the name of the result in logs.
 func (r StartResult) String() string { return startResults[r] }
 
-var crashStates = [...]string{CrashSilent: "silent", CrashPossible: "possible", CrashSuspected: "suspected", CrashConfirmed: "confirmed", CrashRefuted: "refuted"}
+var crashStates = [...]string{CrashSilent: "silent", CrashSuspected: "suspected", CrashUnresolved: "unresolved", CrashPossible: "possible", CrashConfirmed: "confirmed", CrashRefuted: "refuted"}
 
 // String returns the name of the state in logs.
 func (c CrashState) String() string { return crashStates[c] }
--- a/pool/notices/notices.go
+++ b/pool/notices/notices.go
@@ -204,10 +204,11 @@
 }
 
 var states = map[string]scheduler.CrashState{
-	scheduler.CrashPossible.String():  scheduler.CrashPossible,
-	scheduler.CrashSuspected.String(): scheduler.CrashSuspected,
-	scheduler.CrashConfirmed.String(): scheduler.CrashConfirmed,
-	scheduler.CrashRefuted.String():   scheduler.CrashRefuted,
+	scheduler.CrashSuspected.String():  scheduler.CrashSuspected,
+	scheduler.CrashUnresolved.String(): scheduler.CrashUnresolved,
+	scheduler.CrashPossible.String():   scheduler.CrashPossible,
+	scheduler.CrashConfirmed.String():  scheduler.CrashConfirmed,
+	scheduler.CrashRefuted.String():    scheduler.CrashRefuted,
 }
 
 // Apply passes on the notices of another instance from the store. A value that cannot
