--- a/core/scheduler/crash.go
+++ b/core/scheduler/crash.go
@@ -51,158 +51,21 @@
 	CrashRefuted
 )
 
-// targetLife identifies one execution of a target's process.
-type targetLife struct {
-	target      string
-	incarnation int64
-}
-
-// crashLog holds the crashes of the last crashRetention that this instance and
-// other owners have found.
-type crashLog struct {
-	tasks map[TaskID]map[targetLife]CrashState
-	// jobs counts the tasks by their job.
-	jobs map[string]int
-	// lives holds the tasks by target and by incarnation.
-	lives map[string]map[int64]*lifeCrash
-	// reports holds the lives by the time of their reports, oldest first.
-	reports []lifeReport
-}
-
-// lifeCrash holds the tasks that were lost with one execution of a target.
-type lifeCrash struct {
-	tasks      []TaskID
-	reportedAt time.Time
-}
-
-type lifeReport struct {
-	life targetLife
-	at   time.Time
-}
-
-func newCrashLog() *crashLog {
-	return &crashLog{tasks: map[TaskID]map[targetLife]CrashState{}, jobs: map[string]int{}, lives: map[string]map[int64]*lifeCrash{}}
-}
-
-// record applies a state, and returns the one before and whether anything has changed.
-// A suspicion does not replace a confirmation.
-func (l *crashLog) record(now time.Time, life targetLife, task TaskID, state CrashState) (old CrashState, changed bool) {
-	old, known := l.tasks[task][life]
-	switch {
-	case state == CrashRefuted:
-		if known {
-			l.remove(life, task)
-		}
-		return old, known
-	case known && old >= state:
-		return old, false
-	}
-	if l.tasks[task] == nil {
-		l.tasks[task] = map[targetLife]CrashState{}
-		l.jobs[task.Job]++
-	}
-	l.tasks[task][life] = state
-	c := l.life(life)
-	if c == nil {
-		c = &lifeCrash{}
-		if l.lives[life.target] == nil {
-			l.lives[life.target] = map[int64]*lifeCrash{}
-		}
-		l.lives[life.target][life.incarnation] = c
-	}
-	if !known {
-		c.tasks = append(c.tasks, task)
-	}
-	if c.reportedAt != now {
-		c.reportedAt = now
-		l.reports = append(l.reports, lifeReport{life, now})
-	}
-	return old, true
-}
-
-func (l *crashLog) remove(life targetLife, task TaskID) {
-	delete(l.tasks[task], life)
-	if len(l.tasks[task]) == 0 {
-		delete(l.tasks, task)
-		if l.jobs[task.Job]--; l.jobs[task.Job] == 0 {
-			delete(l.jobs, task.Job)
-		}
-	}
-	c := l.life(life)
-	c.tasks = slices.DeleteFunc(c.tasks, func(t TaskID) bool { return t == task })
-	if len(c.tasks) == 0 {
-		delete(l.lives[life.target], life.incarnation)
-		if len(l.lives[life.target]) == 0 {
-			delete(l.lives, life.target)
-		}
-	}
-}
-
-// life returns the record of one execution of a target, or nil.
-func (l *crashLog) life(life targetLife) *lifeCrash { return l.lives[life.target][life.incarnation] }
-
-// expire drops the crashes that were last reported before crashRetention.
-func (l *crashLog) expire(now time.Time) {
-	for len(l.reports) > 0 && now.Sub(l.reports[0].at) > crashRetention {
-		r := l.reports[0]
-		l.reports = l.reports[1:]
-		if c := l.life(r.life); c != nil && c.reportedAt == r.at {
-			for _, task := range slices.Clone(c.tasks) {
-				l.remove(r.life, task)
-			}
-		}
-	}
-}
-
-// crashCount counts the crashes under a task that are not refuted.
-type crashCount struct{ all, silent, suspected, unresolved, confirmed int }
-
-func (l *crashLog) count(task TaskID) crashCount {
-	var c crashCount
-	for _, state := range l.tasks[task] {
-		c.all++
-		switch state {
-		case CrashSilent:
-			c.silent++
-		case CrashSuspected:
-			c.suspected++
-		case CrashUnresolved:
-			c.unresolved++
-		case CrashConfirmed:
-			c.confirmed++
-		}
-	}
-	return c
-}
-
-// livesOf returns the executions of a target that have crashed or may have crashed,
-// except the given one.
-func (l *crashLog) livesOf(target string, except int64) []targetLife {
-	var out []targetLife
-	for incarnation := range l.lives[target] {
-		if incarnation != except {
-			out = append(out, targetLife{target, incarnation})
-		}
-	}
-	slices.SortFunc(out, func(a, b targetLife) int { return cmp.Compare(a.incarnation, b.incarnation) })
-	return out
-}
-
 // foundCrash is the key of a Crash that Handle has not returned yet.
 type foundCrash struct {
-	life  targetLife
-	state CrashState
+	incarnation targetIncarnation
+	state       CrashState
 }
 
 // recordCrash records what this instance has found about the loss of a target under
 // a task.
-func (s *Scheduler) recordCrash(life targetLife, state CrashState, task TaskID) {
-	old, changed := s.crashLog.record(s.now, life, task, state)
+func (s *Scheduler) recordCrash(in targetIncarnation, state CrashState, task TaskID) {
+	old, changed := s.crashLog.record(s.now, in, task, state)
 	if !changed {
 		return
 	}
 	if state != CrashSilent && (state != CrashRefuted || old != CrashSilent) {
-		key := foundCrash{life, state}
+		key := foundCrash{in, state}
 		s.foundCrashes[key] = append(s.foundCrashes[key], task)
 	}
 	s.applyCrashes(task)
@@ -211,7 +74,7 @@
 // crashReported records what another owner has found.
 func (s *Scheduler) crashReported(c Crash) {
 	for _, task := range c.Tasks {
-		if _, changed := s.crashLog.record(s.now, targetLife{c.Target, c.Incarnation}, task, c.State); changed {
+		if _, changed := s.crashLog.record(s.now, targetIncarnation{c.Target, c.Incarnation}, task, c.State); changed {
 			s.applyCrashes(task)
 		}
 	}
@@ -252,7 +115,7 @@
 	var all []Crash
 	for key, tasks := range s.foundCrashes {
 		slices.SortFunc(tasks, compareTasks)
-		all = append(all, Crash{Target: key.life.target, Incarnation: key.life.incarnation, State: key.state, Tasks: tasks})
+		all = append(all, Crash{Target: key.incarnation.target, Incarnation: key.incarnation.incarnation, State: key.state, Tasks: tasks})
 	}
 	clear(s.foundCrashes)
 	slices.SortFunc(all, func(a, b Crash) int {
@@ -292,7 +155,7 @@
 		r.commonLoss = true
 		r.task.commonLosses++
 	}
-	s.recordCrash(r.target.life(), state, r.id.Task)
+	s.recordCrash(r.target.current(), state, r.id.Task)
 }
 
 // suspectCrash records that the lease on the runs of a target has ended.
@@ -317,16 +180,16 @@
 	for _, r := range t.sortedRuns() {
 		s.recordRunLoss(r, CrashConfirmed)
 	}
-	s.confirmLife(t.life())
+	s.confirmLosses(t.current())
 }
 
-// confirmLife records that an execution of a target has ended whose crash was
+// confirmLosses records that an execution of a target has ended whose crash was
 // suspected.
-func (s *Scheduler) confirmLife(life targetLife) {
-	if c := s.crashLog.life(life); c != nil {
+func (s *Scheduler) confirmLosses(in targetIncarnation) {
+	if c := s.crashLog.losses(in); c != nil {
 		for _, task := range slices.Clone(c.tasks) {
-			if state := s.crashLog.tasks[task][life]; state == CrashSuspected || state == CrashUnresolved {
-				s.recordCrash(life, CrashConfirmed, task)
+			if state := s.crashLog.tasks[task][in]; state == CrashSuspected || state == CrashUnresolved {
+				s.recordCrash(in, CrashConfirmed, task)
 			}
 		}
 	}
@@ -334,23 +197,23 @@
 
 // refuteSuspected records that a target has not crashed whose crash was suspected.
 func (s *Scheduler) refuteSuspected(t *target) {
-	c := s.crashLog.life(t.life())
+	c := s.crashLog.losses(t.current())
 	if c == nil {
 		return
 	}
 	for _, task := range slices.Clone(c.tasks) {
-		s.recordCrash(t.life(), CrashRefuted, task)
+		s.recordCrash(t.current(), CrashRefuted, task)
 	}
 	for _, r := range t.runs {
 		r.lost = false
 	}
 }
 
-// confirmEarlierLives records the end of the executions of a target before the one
+// confirmEarlierIncarnations records the end of the executions of a target before the one
 // that answers.
-func (s *Scheduler) confirmEarlierLives(t *target) {
-	for _, life := range s.crashLog.livesOf(t.ID, t.incarnation) {
-		s.confirmLife(life)
+func (s *Scheduler) confirmEarlierIncarnations(t *target) {
+	for _, in := range s.crashLog.incarnationsOf(t.ID, t.incarnation) {
+		s.confirmLosses(in)
 	}
 }
 
@@ -366,20 +229,20 @@
 			s.recordRunLoss(r, CrashConfirmed)
 		}
 	}
-	s.confirmLife(t.life())
+	s.confirmLosses(t.current())
 }
 
 // targetGone handles a target that its platform no longer lists. It has crashed, or it
 // is cut off from the platform as well.
 func (s *Scheduler) targetGone(id string) {
-	for _, life := range s.crashLog.livesOf(id, 0) {
-		for _, task := range slices.Clone(s.crashLog.life(life).tasks) {
-			s.recordCrash(life, CrashUnresolved, task)
+	for _, in := range s.crashLog.incarnationsOf(id, 0) {
+		for _, task := range slices.Clone(s.crashLog.losses(in).tasks) {
+			s.recordCrash(in, CrashUnresolved, task)
 		}
 	}
 }
 
-func (t *target) life() targetLife { return targetLife{t.ID, t.incarnation} }
+func (t *target) current() targetIncarnation { return targetIncarnation{t.ID, t.incarnation} }
 
 func compareTasks(a, b TaskID) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
--- a/core/scheduler/crash_test.go
+++ b/core/scheduler/crash_test.go
@@ -26,6 +26,12 @@
 	}
 }
 
+// startOne submits a job with one task and a distant deadline, and starts the task.
+func (h *harness) startOne(id string) {
+	h.submit(1, h.longJob(id, 1))
+	h.startAll()
+}
+
 // Guards against crashes that cannot be told from partitions and planned stops in
 // logs, and against tasks that a crash leaves out.
 func TestCrashesAreReported(t *testing.T) {
@@ -98,8 +104,7 @@
 	h.send(TargetsChanged{Targets: []Target{draining}})
 	h.advance(2 * minDrainTime)
 	h.send(TargetsChanged{Targets: []Target{testTarget("a")}})
-	h.submit(1, h.longJob("j", 1))
-	h.startAll()
+	h.startOne("j")
 	h.answerPoll("a", PollReturned{Incarnation: 2})
 	if found := one[CrashFound](h).Crash; found.State != CrashConfirmed {
 		t.Errorf("found %+v", found)
@@ -110,8 +115,7 @@
 // over before the lease on its runs had ended.
 func TestCrashOfTargetThatIsTakenOverCounts(t *testing.T) {
 	h := newHarness(t, testTarget("a"))
-	h.submit(1, h.longJob("j", 1))
-	h.startAll()
+	h.startOne("j")
 	h.now = h.now.Add(lossAfter)
 	h.send(PollReturned{Target: "a", ConnectionLost: true})
 	h.now = h.now.Add(reconnectPause)
@@ -126,8 +130,7 @@
 // Guards against polls without pause of a target that has crashed.
 func TestCrashedTargetIsPolledWithPauses(t *testing.T) {
 	h := newHarness(t, testTarget("a"))
-	h.submit(1, h.longJob("j", 1))
-	h.startAll()
+	h.startOne("j")
 	polls := 0
 	for range 1000 {
 		for _, p := range take[Poll](h) {
--- /dev/null
+++ b/core/scheduler/expiry.go
@@ -0,0 +1,57 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// expireRuns stops hung runs, sends unanswered stops again, and releases the
+// tasks whose runs have lost their lease on an unreachable or fenced target.
+func (s *Scheduler) expireRuns(t *target) {
+	if !t.ejectedUntil.IsZero() && !s.now.Before(t.ejectedUntil) {
+		t.ejectedUntil = time.Time{}
+	}
+	if !s.hasDueRuns(t) {
+		return
+	}
+	if t.unreachableOrFenced() && !s.now.Before(s.leaseEnd(t)) {
+		s.suspectCrash(t)
+	}
+	for _, r := range t.sortedRuns() {
+		switch {
+		case t.unreachableOrFenced() && !s.now.Before(s.leaseEnd(t)):
+			s.releaseTask(r)
+			if t.fenced || t.removed && s.now.After(t.leaseSentAt.Add(maxStartDelay)) {
+				s.removeRun(r)
+			}
+		case r.state == running && t.inContact() && r.task != nil && !s.now.Before(s.overdueAt(r)):
+			s.stopHungRun(r)
+		case r.state == stopping && t.unanswered == 0 && !r.resendStopAt.IsZero() && !s.now.Before(r.resendStopAt):
+			s.sendStop(r)
+		}
+	}
+}
+
+// hasDueRuns reports whether expireRuns may have to act on a run of the target.
+func (s *Scheduler) hasDueRuns(t *target) bool {
+	if t.unreachableOrFenced() && !s.now.Before(s.leaseEnd(t)) {
+		return true
+	}
+	for _, r := range t.runs {
+		if at := s.nextRunWake(r); !at.IsZero() && !s.now.Before(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// stopHungRun stops a run that takes far longer than forecast. Its task runs
+// again once the run is known to be over.
+func (s *Scheduler) stopHungRun(r *run) {
+	k := r.task
+	s.recordBadRun(r.target, k.job.ID)
+	k.avoid = append(slices.Clone(k.avoid), r.target.ID)
+	k.hungRuns++
+	r.state, r.answered = stopping, false
+	s.sendStop(r)
+}
--- a/core/scheduler/isolation_test.go
+++ b/core/scheduler/isolation_test.go
@@ -172,7 +172,7 @@
 	h.send(CrashReported{Crash{Target: "x", Incarnation: 5, State: CrashConfirmed, Tasks: []TaskID{{Job: "j"}, {Job: "k"}}}})
 	h.now = h.now.Add(crashRetention + time.Second)
 	h.send(Tick{})
-	if l := h.s.crashLog; len(l.tasks)+len(l.jobs)+len(l.lives)+len(l.reports) != 0 {
+	if l := h.s.crashLog; len(l.tasks)+len(l.jobs)+len(l.incarnations)+len(l.reports) != 0 {
 		t.Errorf("%+v is kept after %v", l, crashRetention)
 	}
 }
--- a/core/scheduler/poll.go
+++ b/core/scheduler/poll.go
@@ -167,7 +167,7 @@
 		t.incarnation = ev.Incarnation
 	}
 	s.refuteSuspected(t)
-	s.confirmEarlierLives(t)
+	s.confirmEarlierIncarnations(t)
 	t.acknowledged = max(t.acknowledged, t.ackInFlight)
 	running := map[RunID]bool{}
 	for _, id := range ev.Running {
--- a/core/scheduler/restart_test.go
+++ b/core/scheduler/restart_test.go
@@ -41,7 +41,7 @@
 }
 
 // Guards against tasks on a target that has restarted as another kind: its labels and
-// its capacity are those of its former life until the list shows the new one.
+// its capacity are those of its former in until the list shows the new one.
 func TestRestartedTargetIsNotUsedBeforeItIsListed(t *testing.T) {
 	labelled := testTarget("a")
 	labelled.Labels = []string{"old"}
--- a/pool/notices/notices.go
+++ b/pool/notices/notices.go
@@ -67,9 +67,9 @@
 	Index int    `json:"index"`
 }
 
-// Board writes the notices of this instance to the store, and passes on those of
+// Broadcaster writes the notices of this instance to the store, and passes on those of
 // other instances. Its methods may be called from several goroutines.
-type Board struct {
+type Broadcaster struct {
 	log         *zap.Logger
 	store       port.Store
 	name        string
@@ -89,20 +89,20 @@
 	written   int
 }
 
-// New returns a Board of the instance with the name and incarnation; Run starts it.
+// New returns a Broadcaster of the instance with the name and incarnation; Run starts it.
 // The crashes that other instances have found are passed to post, and the jobs that
 // they cancel to cancelJob.
 func New(log *zap.Logger, store port.Store, name string, incarnation uint64, clock func() time.Time,
-	post func(scheduler.Event), cancelJob func(job string)) *Board {
+	post func(scheduler.Event), cancelJob func(job string)) *Broadcaster {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Board{
+	return &Broadcaster{
 		log: log, store: store, name: name, incarnation: incarnation, clock: clock, post: post, cancelJob: cancelJob,
 		queue: make(chan notice, queueSize), ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
 }
 
 // ReportCrash queues a crash for the other instances. It does not block.
-func (b *Board) ReportCrash(c scheduler.Crash) {
+func (b *Broadcaster) ReportCrash(c scheduler.Crash) {
 	out := &crash{Target: c.Target, Incarnation: c.Incarnation, State: c.State.String()}
 	for _, t := range c.Tasks {
 		out.Tasks = append(out.Tasks, task(t))
@@ -112,9 +112,9 @@
 
 // CancelJob queues the cancellation of a job that another instance may have received.
 // It does not block.
-func (b *Board) CancelJob(job string) { b.send(notice{Cancel: job}) }
+func (b *Broadcaster) CancelJob(job string) { b.send(notice{Cancel: job}) }
 
-func (b *Board) send(n notice) {
+func (b *Broadcaster) send(n notice) {
 	select {
 	case b.queue <- n:
 	default:
@@ -123,7 +123,7 @@
 }
 
 // Run writes notices until Close.
-func (b *Board) Run() {
+func (b *Broadcaster) Run() {
 	defer close(b.done)
 	var pending []notice
 	for {
@@ -149,7 +149,7 @@
 }
 
 // gather appends the queued notices, up to maxWritten in all.
-func (b *Board) gather(pending []notice) []notice {
+func (b *Broadcaster) gather(pending []notice) []notice {
 	for len(pending) < maxWritten {
 		select {
 		case n := <-b.queue:
@@ -162,7 +162,7 @@
 }
 
 // pause waits for d. It returns false after Close.
-func (b *Board) pause(d time.Duration) bool {
+func (b *Broadcaster) pause(d time.Duration) bool {
 	select {
 	case <-time.After(d):
 		return true
@@ -176,7 +176,7 @@
 
 // write writes notices. Each attempt has a key of its own, because an attempt without
 // an answer may still be carried out later.
-func (b *Board) write(all []notice) error {
+func (b *Broadcaster) write(all []notice) error {
 	ctx, cancel := context.WithTimeout(b.ctx, callTimeout)
 	defer cancel()
 	if b.lease == 0 || b.clock().Sub(b.grantedAt) > leaseUse {
@@ -213,7 +213,7 @@
 
 // Apply passes on the notices of another instance from the store. A value that cannot
 // be decoded is ignored. Notices must be applied in the order of their revisions.
-func (b *Board) Apply(it port.Item) {
+func (b *Broadcaster) Apply(it port.Item) {
 	if it.Deleted {
 		return
 	}
@@ -235,7 +235,7 @@
 	}
 }
 
-func (b *Board) applyCrash(in *crash) {
+func (b *Broadcaster) applyCrash(in *crash) {
 	state, ok := states[in.State]
 	if !ok {
 		return
@@ -248,7 +248,7 @@
 }
 
 // Close stops Run and waits for its end.
-func (b *Board) Close() {
+func (b *Broadcaster) Close() {
 	b.cancel()
 	<-b.done
 }
--- a/pool/notices/notices_test.go
+++ b/pool/notices/notices_test.go
@@ -70,16 +70,16 @@
 	change(s)
 }
 
-// instance is a Board with what it has passed on.
+// instance is a Broadcaster with what it has passed on.
 type instance struct {
-	*Board
+	*Broadcaster
 	events    []scheduler.Event
 	cancelled []string
 }
 
 func newInstance(t *testing.T, s port.Store, incarnation uint64) *instance {
 	in := &instance{}
-	in.Board = New(zap.NewNop(), s, "i", incarnation, time.Now, func(ev scheduler.Event) { in.events = append(in.events, ev) },
+	in.Broadcaster = New(zap.NewNop(), s, "i", incarnation, time.Now, func(ev scheduler.Event) { in.events = append(in.events, ev) },
 		func(job string) { in.cancelled = append(in.cancelled, job) })
 	go in.Run()
 	t.Cleanup(in.Close)
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -84,7 +84,7 @@
 	sender        *sender.Sender
 	claims        *claims.Manager
 	targets       *targetlist.Watcher
-	notices       *notices.Board
+	notices       *notices.Broadcaster
 	configuration *configuration.Watcher
 	relayClient   *relay.Client
 	relayServer   *relay.Server
