core/scheduler, pool/notices: a task starts again once the loss of its target is recorded

TestCrashesAreCountedAcrossOwners failed in 1 of 12 runs, four at a time: four workers crashed under the task, where three are allowed. The log shows the cause: the owner found the first crash, started the task again at once and was killed within 20 ms, before it had written the crash to the store. Neither crash was known to its successor.

The start now waits for the record, for at most 0.4 s where the store does not answer. An owner that ends hides the crash that it has not found yet, and no more. Notices are written each 0.2 s at most instead of 0.5 s, so that tasks do not wait longer.

TestSuspectTaskStartsOnceItsLossIsRecorded fails without the change.

--- a/bench/poolrun/simulation.go
+++ b/bench/poolrun/simulation.go
@@ -17,6 +17,8 @@
 	service = "work"
 	// instanceDelay is the one-way network delay between two instances.
 	instanceDelay = time.Millisecond
+	// recordDelay is the time until a crash is in the store.
+	recordDelay = 15 * time.Millisecond
 	// noticeDelay is the time until the other owners learn of a crash.
 	noticeDelay = 500 * time.Millisecond
 	// timerDelay is how late the timer of an instance fires.
@@ -249,8 +251,9 @@
 	sim.scheduleWake(o, o.sched.NextWake())
 }
 
-// reportCrash passes a crash that an owner has found on to the others.
+// reportCrash records a crash that an owner has found, and passes it on to the others.
 func (sim *simulation) reportCrash(from *owner, c scheduler.Crash) {
+	sim.After(recordDelay, func() { sim.handle(from, scheduler.CrashRecorded{Crash: c}) })
 	for _, o := range sim.owners {
 		if o != from {
 			sim.After(noticeDelay, func() { sim.handle(o, scheduler.CrashReported{Crash: c}) })
--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -91,7 +91,8 @@
 	Fence   int64
 }
 
-// CrashFound reports a crash, for other owners and for logs.
+// CrashFound reports a crash, for other owners and for logs. A CrashRecorded event is
+// expected once it is in the store.
 type CrashFound struct{ Crash Crash }
 
 func (Start) action()      {}
--- a/core/scheduler/crash.go
+++ b/core/scheduler/crash.go
@@ -13,6 +13,8 @@
 	// maxLosses is the number of lost targets from which on a task does not start,
 	// whatever is known of them.
 	maxLosses = 3
+	// recordTimeout is how long a task waits at most until its loss is in the store.
+	recordTimeout = 400 * time.Millisecond
 	// crashRetention is how long a crash is remembered after it was last reported.
 	// Callers send a job again within seconds.
 	crashRetention = 2 * time.Minute
@@ -67,10 +69,34 @@
 	if state != CrashSilent && (state != CrashRefuted || old != CrashSilent) {
 		key := foundCrash{in, state}
 		s.foundCrashes[key] = append(s.foundCrashes[key], task)
+		if k := s.task(task); k != nil && old == CrashSilent {
+			k.recordTimeout = s.now.Add(recordTimeout)
+		}
 	}
 	s.applyCrashes(task)
 }
 
+// crashRecorded lets the tasks start again whose losses are in the store.
+func (s *Scheduler) crashRecorded(c Crash) {
+	for _, id := range c.Tasks {
+		if k := s.task(id); k != nil {
+			k.recordTimeout = time.Time{}
+		}
+	}
+}
+
+// nextRecordTimeout returns when the next task of a job stops waiting for the record of
+// a loss, or zero.
+func (s *Scheduler) nextRecordTimeout(j *job) time.Time {
+	var next time.Time
+	for _, k := range j.suspects() {
+		if s.now.Before(k.recordTimeout) {
+			next = earliest(next, k.recordTimeout)
+		}
+	}
+	return next
+}
+
 // crashReported records what another owner has found.
 func (s *Scheduler) crashReported(c Crash) {
 	for _, task := range c.Tasks {
@@ -86,14 +112,11 @@
 
 // applyCrashes updates a task whose crashes have changed, if its job runs here.
 func (s *Scheduler) applyCrashes(id TaskID) {
-	j := s.jobs[id.Job]
-	if j == nil {
-		return
-	}
-	k := j.task(id)
+	k := s.task(id)
 	if k == nil {
 		return
 	}
+	j := k.job
 	k.crashes = s.crashLog.count(id)
 	j.suspected = j.suspected || k.suspect() || k.held()
 	if k.crashedTooOften() {
--- a/core/scheduler/crash_test.go
+++ b/core/scheduler/crash_test.go
@@ -191,3 +191,27 @@
 		t.Errorf("the outcome is %#v, want unknown (target_lost)", o)
 	}
 }
+
+// Guards against a start of a suspect task before the loss is in the store: with its
+// owner, the crash would be forgotten, and the next one too.
+func TestSuspectTaskStartsOnceItsLossIsRecorded(t *testing.T) {
+	for name, tc := range map[string]struct {
+		recorded bool
+		within   time.Duration
+	}{"recorded": {true, 10 * time.Millisecond}, "store down": {false, recordTimeout + 10*time.Millisecond}} {
+		targets := []Target{testTarget("a"), testTarget("b")}
+		h := newHarness(t, targets...)
+		h.keepCrashes = true
+		h.startOne("j")
+		h.restart("a", 2, targets...)
+		found := one[CrashFound](h)
+		none[Start](h)
+		if tc.recorded {
+			h.send(CrashRecorded(found))
+		}
+		h.advance(tc.within)
+		if n := len(take[Start](h)); n != 1 {
+			t.Errorf("%s: %d starts within %v, want 1", name, n, tc.within)
+		}
+	}
+}
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -116,6 +116,9 @@
 // the target was silent or has left.
 type TargetGone struct{ Target string }
 
+// CrashRecorded reports that a crash which this instance has found is in the store.
+type CrashRecorded struct{ Crash Crash }
+
 // CrashReported reports a crash that another owner has found.
 type CrashReported struct{ Crash Crash }
 
@@ -218,6 +221,7 @@
 func (Recall) event()         {}
 func (TargetsChanged) event() {}
 func (TargetGone) event()     {}
+func (CrashRecorded) event()  {}
 func (CrashReported) event()  {}
 func (StartReturned) event()  {}
 func (StopReturned) event()   {}
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -68,6 +68,8 @@
 	// among them that have a common cause with others.
 	crashes      crashCount
 	commonLosses int
+	// recordTimeout is until when the task waits for the record of its last loss.
+	recordTimeout time.Time
 	// ran is set once a run of the task has ended or is given up as lost.
 	ran  bool
 	run  *run
@@ -168,6 +170,14 @@
 	return earliest(j.Arrived.Add(j.objective(path)), j.Deadline).Add(-path)
 }
 
+// task returns the task with an ID, or nil if its job does not run here.
+func (s *Scheduler) task(id TaskID) *task {
+	if j := s.jobs[id.Job]; j != nil {
+		return j.task(id)
+	}
+	return nil
+}
+
 // task returns the task with an ID of the job, or nil if there is none.
 func (j *job) task(id TaskID) *task {
 	if id.Step < 0 || id.Step >= len(j.tasks) || id.Index < 0 || id.Index >= len(j.tasks[id.Step]) {
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -80,7 +80,7 @@
 				break
 			}
 			t := s.chooseTarget(k)
-			if t == nil && (k.suspect() || k.held()) {
+			if t == nil && k.crashes.all > 0 {
 				s.reserve(k)
 				continue
 			}
@@ -98,7 +98,7 @@
 // chooseTarget returns the best target for a task, or nil if none has free
 // capacity or it is better to wait for a faster one.
 func (s *Scheduler) chooseTarget(k *task) *target {
-	if k.held() || k.suspect() && !s.mayIsolate(k) || !k.job.started && s.refusesQueue(k.job.Queue) {
+	if k.held() || s.now.Before(k.recordTimeout) || k.suspect() && !s.mayIsolate(k) || !k.job.started && s.refusesQueue(k.job.Queue) {
 		return nil
 	}
 	var best *target
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -111,6 +111,8 @@
 		s.recall(s.jobs[ev.Job])
 	case TargetsChanged:
 		s.changeTargets(ev.Targets)
+	case CrashRecorded:
+		s.crashRecorded(ev.Crash)
 	case CrashReported:
 		s.crashReported(ev.Crash)
 	case TargetGone:
@@ -144,6 +146,9 @@
 		if !j.started {
 			next = earliest(next, s.nextRefusalCheck(j))
 		}
+		if j.suspected {
+			next = earliest(next, s.nextRecordTimeout(j))
+		}
 	}
 	for _, t := range s.sortedTargets {
 		next = earliest(next, s.nextTargetWake(t))
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -12,6 +12,8 @@
 	s       *Scheduler
 	now     time.Time
 	actions []Action
+	// keepCrashes leaves it to the test to record the crashes that are found.
+	keepCrashes bool
 }
 
 const (
@@ -43,7 +45,15 @@
 	}
 }
 
-func (h *harness) send(ev Event) { h.actions = append(h.actions, h.s.Handle(h.now, ev)...) }
+func (h *harness) send(ev Event) {
+	found := h.s.Handle(h.now, ev)
+	h.actions = append(h.actions, found...)
+	for _, a := range found {
+		if c, ok := a.(CrashFound); ok && !h.keepCrashes {
+			h.send(CrashRecorded(c))
+		}
+	}
+}
 
 func (h *harness) submit(request RequestID, j Job) {
 	j.Arrived = h.now
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -210,6 +210,10 @@
 			sim.poll(a)
 		case Reply:
 			sim.reply(a)
+		case CrashFound:
+			if sim.rng.Float64() >= sim.faults {
+				sim.after(sim.latency(), func() { sim.send(CrashRecorded(a)) })
+			}
 		case TargetLost:
 			// The instance claims the target again a little later.
 			sim.after(500*time.Millisecond, func() {
--- a/pool/notices/notices.go
+++ b/pool/notices/notices.go
@@ -30,7 +30,7 @@
 	// gatherTime is the wait for further notices that have the same cause.
 	gatherTime = 10 * time.Millisecond
 	// writeInterval is the least time between two writes.
-	writeInterval = 500 * time.Millisecond
+	writeInterval = 200 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 800 * time.Millisecond
 	// queueSize bounds the notices that wait for a write, for example while the store
@@ -140,6 +140,7 @@
 		if err := b.write(pending); err != nil {
 			b.log.Info("Notices were not written.", zap.Int("notices", len(pending)), zap.Error(err))
 		} else {
+			b.confirm(pending)
 			pending = nil
 		}
 		if !b.pause(writeInterval) {
@@ -227,7 +228,9 @@
 	}
 	for _, n := range in.Notices {
 		if n.Crash != nil {
-			b.applyCrash(n.Crash)
+			if c, ok := n.Crash.decode(); ok {
+				b.post(scheduler.CrashReported{Crash: c})
+			}
 		}
 		if n.Cancel != "" {
 			b.cancelJob(n.Cancel)
@@ -235,16 +238,26 @@
 	}
 }
 
-func (b *Broadcaster) applyCrash(in *crash) {
-	state, ok := states[in.State]
-	if !ok {
-		return
+// confirm reports that the crashes among the notices are in the store.
+func (b *Broadcaster) confirm(all []notice) {
+	for _, n := range all {
+		if n.Crash == nil {
+			continue
+		}
+		if c, ok := n.Crash.decode(); ok {
+			b.post(scheduler.CrashRecorded{Crash: c})
+		}
 	}
-	c := scheduler.Crash{Target: in.Target, Incarnation: in.Incarnation, State: state}
-	for _, t := range in.Tasks {
-		c.Tasks = append(c.Tasks, scheduler.TaskID(t))
+}
+
+// decode returns the crash, and false if its state is unknown.
+func (c *crash) decode() (scheduler.Crash, bool) {
+	state, ok := states[c.State]
+	out := scheduler.Crash{Target: c.Target, Incarnation: c.Incarnation, State: state}
+	for _, t := range c.Tasks {
+		out.Tasks = append(out.Tasks, scheduler.TaskID(t))
 	}
-	b.post(scheduler.CrashReported{Crash: c})
+	return out, ok
 }
 
 // Close stops Run and waits for its end.
--- a/pool/notices/notices_test.go
+++ b/pool/notices/notices_test.go
@@ -73,19 +73,47 @@
 // instance is a Broadcaster with what it has passed on.
 type instance struct {
 	*Broadcaster
+	mu        sync.Mutex
 	events    []scheduler.Event
 	cancelled []string
 }
 
 func newInstance(t *testing.T, s port.Store, incarnation uint64) *instance {
 	in := &instance{}
-	in.Broadcaster = New(zap.NewNop(), s, "i", incarnation, time.Now, func(ev scheduler.Event) { in.events = append(in.events, ev) },
+	in.Broadcaster = New(zap.NewNop(), s, "i", incarnation, time.Now, in.record,
 		func(job string) { in.cancelled = append(in.cancelled, job) })
 	go in.Run()
 	t.Cleanup(in.Close)
 	return in
 }
 
+func (in *instance) record(ev scheduler.Event) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.events = append(in.events, ev)
+}
+
+// crashes returns the crashes of the events of one type.
+func crashes[E scheduler.Event](in *instance, crash func(E) scheduler.Crash) []scheduler.Crash {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	var out []scheduler.Crash
+	for _, ev := range in.events {
+		if e, ok := ev.(E); ok {
+			out = append(out, crash(e))
+		}
+	}
+	return out
+}
+
+func reported(in *instance) []scheduler.Crash {
+	return crashes(in, func(e scheduler.CrashReported) scheduler.Crash { return e.Crash })
+}
+
+func recorded(in *instance) []scheduler.Crash {
+	return crashes(in, func(e scheduler.CrashRecorded) scheduler.Crash { return e.Crash })
+}
+
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
@@ -108,6 +136,9 @@
 	s.set(func(s *fakeStore) { s.down = true })
 	reporting.ReportCrash(want[0])
 	time.Sleep(2 * writeInterval)
+	if got := recorded(reporting); len(got) != 0 {
+		t.Errorf("recorded while the store is down: %+v", got)
+	}
 	s.set(func(s *fakeStore) { s.down = false })
 	eventually(t, "the report after the outage", func() bool { return len(s.items()) == 1 })
 	s.set(func(s *fakeStore) { clear(s.leases) })
@@ -119,22 +150,19 @@
 		reporting.Apply(it)
 		other.Apply(it)
 	}
-	if len(reporting.events) != 0 {
-		t.Errorf("the instance has passed on its own notices: %+v", reporting.events)
+	if got := reported(reporting); len(got) != 0 {
+		t.Errorf("the instance has passed on its own notices: %+v", got)
 	}
 	if !slices.Equal(other.cancelled, []string{"j"}) || len(reporting.cancelled) != 0 {
 		t.Errorf("cancelled: %q at the other instance, %q at the one that sent the notice", other.cancelled, reporting.cancelled)
 	}
-	var got []scheduler.Crash
-	for _, ev := range other.events {
-		got = append(got, ev.(scheduler.CrashReported).Crash)
-	}
 	equal := func(a, b scheduler.Crash) bool {
 		return a.Target == b.Target && a.Incarnation == b.Incarnation && a.State == b.State && slices.Equal(a.Tasks, b.Tasks)
 	}
-	if !slices.EqualFunc(got, want, equal) {
+	if got := reported(other); !slices.EqualFunc(got, want, equal) {
 		t.Errorf("the other instance has got %+v, want %+v", got, want)
 	}
+	eventually(t, "the crashes are reported as recorded", func() bool { return slices.EqualFunc(recorded(reporting), want, equal) })
 	for lease, ttl := range s.leases {
 		if ttl != retention {
 			t.Errorf("the lease %d of the notices lasts %v, want %v", lease, ttl, retention)
