platform/callers: a job lasts as long as its caller waits

Cause: a job ended at the shorter of the caller's time and its queue's timeout. The queues of the newest customers have a timeout of 1.5 s while their callers wait for 1.8 to 41 s, so that longer jobs were refused on arrival, or ran for 1.5 s, were answered as unknown and thrown away.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -33,7 +33,8 @@
 	// MaxAttempts is the number of failed attempts of a task after which its
 	// job fails.
 	MaxAttempts int
-	// Timeout limits the duration of a job; 0 means no limit.
+	// Timeout limits the duration of a job whose caller does not say how long it
+	// waits; 0 means no limit.
 	Timeout time.Duration
 	// Stretch and Slack define the latency objective of a job: the length of
 	// its critical path times Stretch, plus Slack.
