core/scheduler: simulate jobs of 0.05 to 40 s

A job lasts as long as its caller waits, while the simulations had jobs of up to 0.6 s whose callers wait for 1.5 s. Two further simulations draw run times of 0.05 to 40 s and callers that wait for 1 to 45 s, for one owner (with resizes and deadly tasks in a part of the seeds) and for several owners whose jobs are submitted again. The earlier simulations and their seeds are unchanged.

--- a/core/scheduler/simulation_fleet_test.go
+++ b/core/scheduler/simulation_fleet_test.go
@@ -31,6 +31,9 @@
 	attempts    []*fleetAttempt
 	lastRequest RequestID
 	resubmitted int
+	// longJobs makes the jobs run for 0.05 to 40 s and their callers wait for 1 to
+	// maxCallerWait.
+	longJobs bool
 }
 
 // fleetSender is an instance that passes on jobs. One without a name stands for the
@@ -80,6 +83,9 @@
 
 func (f *fleet) run() {
 	end := f.now.Add(15 * time.Second)
+	if f.longJobs {
+		end = f.now.Add(40 * time.Second)
+	}
 	nextJob, nextFault, nextHeartbeat := f.now, f.now.Add(time.Second), f.now
 	for f.now.Before(end.Add(5 * time.Second)) {
 		f.now = f.now.Add(5 * time.Millisecond)
@@ -123,6 +129,9 @@
 	id := fmt.Sprint("j", len(f.jobs))
 	j := testJob(id, 1+f.rng.IntN(3))
 	j.Steps[0].Estimate = time.Duration(200+f.rng.IntN(800)) * time.Millisecond
+	if f.longJobs {
+		makeLong(f.rng, &j)
+	}
 	f.jobs[id] = &simJob{job: j}
 	f.submit(f.jobs[id], false)
 }
@@ -133,7 +142,11 @@
 	j.ran, j.answered = false, nil
 	a := &fleetAttempt{job: j, owner: f.owners[f.rng.IntN(len(f.owners))], sender: &fleetSender{}, heardAt: f.now}
 	in := j.job
-	in.Arrived, in.Deadline = f.now, f.now.Add(1500*time.Millisecond)
+	wait := 1500 * time.Millisecond
+	if f.longJobs {
+		wait = callerWait(f.rng)
+	}
+	in.Arrived, in.Deadline = f.now, f.now.Add(wait)
 	if i := f.rng.IntN(len(f.senders) + 1); i < len(f.senders) {
 		a.sender = f.senders[i]
 		in.Sender, in.SentAt = a.sender.name, f.now
@@ -143,13 +156,13 @@
 	f.attempts = append(f.attempts, a)
 	a.owner.send(Submit{Request: a.request, Job: in})
 	if f.rng.IntN(8) == 0 {
-		a.owner.after(time.Duration(f.rng.IntN(1400))*time.Millisecond, func() {
+		a.owner.after(time.Duration(f.rng.IntN(int(wait.Milliseconds())-100))*time.Millisecond, func() {
 			f.leave(a)
 			f.withdrawSoon(a)
 		})
 	}
 	if !again {
-		a.owner.after(1500*time.Millisecond, func() { f.leave(a) })
+		a.owner.after(wait, func() { f.leave(a) })
 	}
 }
 
@@ -344,3 +357,22 @@
 		t.Errorf("only %d jobs were submitted again in %d runs", resubmitted, simulationSeeds)
 	}
 }
+
+// Guards against the same with jobs of 0.05 to 40 s and callers that wait for 1 to 45 s.
+func TestSimulatedResubmissionsOfLongJobsDoNotOverlap(t *testing.T) {
+	resubmitted := 0
+	for seed := range uint64(longJobSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			f := newFleet(t, seed)
+			f.longJobs = true
+			for _, sim := range f.owners {
+				sim.slowdown = 1
+			}
+			f.run()
+			resubmitted += f.resubmitted
+		})
+	}
+	if resubmitted < 10*longJobSeeds {
+		t.Errorf("only %d jobs were submitted again in %d runs", resubmitted, longJobSeeds)
+	}
+}
--- a/core/scheduler/simulation_test.go
+++ b/core/scheduler/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -28,6 +29,9 @@
 	resizes bool
 	// deadline is the time from the arrival of a job to its deadline.
 	deadline time.Duration
+	// longJobs makes the jobs run for 0.05 to 40 s and their callers wait for 1 to
+	// maxCallerWait.
+	longJobs bool
 	// reliablePolls exempts polls from the faults of requests.
 	reliablePolls bool
 	// slowdown, if not 0, multiplies the run times of tasks.
@@ -103,6 +107,12 @@
 
 const simulationSeeds = 150
 
+// longJobSeeds is the number of seeds with long jobs, whose runs take five times as long.
+const longJobSeeds = 24
+
+// maxCallerWait is the longest time for which the callers of long jobs wait.
+const maxCallerWait = 45 * time.Second
+
 // traceSimulation logs every event and action, to debug a failed seed.
 const traceSimulation = false
 
@@ -123,6 +133,35 @@
 	}
 }
 
+// Guards against the same with jobs of 0.05 to 40 s, whose leases are renewed many times,
+// and callers that wait for 1 to 45 s.
+func TestSimulatedLongJobsKeepInvariants(t *testing.T) {
+	completed := 0
+	for seed := range uint64(longJobSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			sim := newSimulation(t, seed)
+			sim.longJobs, sim.resizes = true, seed/4%2 == 1
+			sim.deadly = 0.02 * float64(seed/8%2)
+			sim.run()
+			completed += sim.completedAfter(8 * time.Second)
+		})
+	}
+	if completed < longJobSeeds {
+		t.Errorf("only %d jobs were completed after more than 8 s in %d runs", completed, longJobSeeds)
+	}
+}
+
+// completedAfter counts the jobs that took longer than d and were completed.
+func (sim *simulation) completedAfter(d time.Duration) int {
+	n := 0
+	for _, j := range sim.jobs {
+		if _, ok := j.answered.(Completed); ok && j.answeredAt.Sub(j.job.Arrived) > d {
+			n++
+		}
+	}
+	return n
+}
+
 func newSimulation(t *testing.T, seed uint64) *simulation {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	sim := &simulation{
@@ -152,11 +191,15 @@
 		idleUntil = idleFrom.Add(40 * time.Second)
 	}
 	end := idleUntil.Add(8 * time.Second)
+	interval, lastWait := 40*time.Millisecond, sim.deadline
+	if sim.longJobs {
+		interval, lastWait = 200*time.Millisecond, maxCallerWait
+	}
 	nextJob, nextFault := sim.now, sim.now
-	for sim.now.Before(end.Add(sim.deadline + 2500*time.Millisecond)) {
+	for sim.now.Before(end.Add(lastWait + 2500*time.Millisecond)) {
 		sim.advance()
 		if sim.now.After(nextJob) && sim.now.Before(end) {
-			nextJob = sim.now.Add(time.Duration(sim.rng.ExpFloat64() * float64(40*time.Millisecond)))
+			nextJob = sim.now.Add(time.Duration(sim.rng.ExpFloat64() * float64(interval)))
 			if nextJob.After(idleFrom) && nextJob.Before(idleUntil) {
 				nextJob = idleUntil
 			}
@@ -283,13 +326,19 @@
 	if sim.rng.IntN(4) == 0 {
 		j.Steps = append(j.Steps, Step{Count: 1, CPU: 10_000, Estimate: 50 * time.Millisecond, After: []int{0}})
 	}
-	j.Arrived, j.Deadline = sim.now, sim.now.Add(sim.deadline)
+	wait, withdrawWithin := sim.deadline, 300*time.Millisecond
+	if sim.longJobs {
+		makeLong(sim.rng, &j)
+		wait = callerWait(sim.rng)
+		withdrawWithin = wait
+	}
+	j.Arrived, j.Deadline = sim.now, sim.now.Add(wait)
 	sim.lastRequest++
 	request := sim.lastRequest
 	sim.jobs[id] = &simJob{job: j, request: request, deadly: sim.rng.Float64() < sim.deadly, silent: len(sim.jobs)%2 == 0}
 	sim.send(Submit{Request: request, Job: j})
 	if sim.rng.Float64() < 0.1 {
-		sim.after(time.Duration(sim.rng.IntN(300))*time.Millisecond, func() {
+		sim.after(time.Duration(sim.rng.IntN(int(withdrawWithin.Milliseconds())))*time.Millisecond, func() {
 			if m := sim.jobs[id]; m.answered == nil {
 				m.answered, m.answeredAt = Unknown{Reason: ReasonWithdrawn}, sim.now
 				sim.send(Withdraw{Request: request})
@@ -298,6 +347,19 @@
 	}
 }
 
+// makeLong draws the run time of a job between 0.05 and 40 s, in equal shares for each
+// factor. Estimates are off by up to a half.
+func makeLong(rng *rand.Rand, j *Job) {
+	for i := range j.Steps {
+		j.Steps[i].Estimate = time.Duration(100*math.Pow(270, rng.Float64())) * time.Millisecond
+	}
+}
+
+// callerWait draws how long the caller of a long job waits.
+func callerWait(rng *rand.Rand) time.Duration {
+	return time.Second + time.Duration(rng.Int64N(int64(maxCallerWait-time.Second)))
+}
+
 func (sim *simulation) reply(a Reply) {
 	if sim.onReply != nil {
 		sim.onReply(a)
