bench/poolrun: callers that wait for a multiple of the objective

The experiments had a deadline of 1.5 s for all jobs, while callers wait for 1.2 to 3 times the latency objective of their job. A kind now has either deadline_ms or patience (with patience_spread), and a run lasts until the last caller has left.

--- a/bench/poolrun/experiment.go
+++ b/bench/poolrun/experiment.go
@@ -72,9 +72,14 @@
 	// milliseconds.
 	Stretch float64 `toml:"stretch"`
 	SlackMS int     `toml:"slack_ms"`
-	// DeadlineMS is the deadline after the arrival, in milliseconds.
+	// DeadlineMS is the deadline after the arrival, in milliseconds. It must be 0 if
+	// Patience is set.
 	DeadlineMS int `toml:"deadline_ms"`
-	Priority   int `toml:"priority"`
+	// Patience is the median of the factor of the latency objective for which callers
+	// wait, and PatienceSpread the standard deviation of its logarithm.
+	Patience       float64 `toml:"patience"`
+	PatienceSpread float64 `toml:"patience_spread"`
+	Priority       int     `toml:"priority"`
 	// MaxAttempts is how often a task may fail before the job fails. 0 means 1.
 	MaxAttempts int `toml:"attempts"`
 	// Worth is the value of a complete answer within the latency objective,
@@ -164,8 +169,11 @@
 		add("kinds", "must hold at least one kind")
 	}
 	for _, k := range exp.Kinds {
-		if k.Share <= 0 || k.Tasks < 1 || k.CPU < 1 || k.WorkMS <= 0 || k.DeadlineMS < 1 || k.Worth <= 0 {
-			add("kinds", "kind %q needs share, tasks, cpu, work_ms, deadline_ms and worth above 0", k.Name)
+		if k.Share <= 0 || k.Tasks < 1 || k.CPU < 1 || k.WorkMS <= 0 || k.Worth <= 0 {
+			add("kinds", "kind %q needs share, tasks, cpu, work_ms and worth above 0", k.Name)
+		}
+		if k.DeadlineMS < 0 || k.Patience < 0 || k.PatienceSpread < 0 || (k.DeadlineMS > 0) == (k.Patience > 0) {
+			add("kinds", "kind %q needs either deadline_ms or patience above 0, and no negative patience_spread", k.Name)
 		}
 	}
 	for _, f := range exp.Faults {
--- a/bench/poolrun/poolrun_test.go
+++ b/bench/poolrun/poolrun_test.go
@@ -109,6 +109,38 @@
 	}
 }
 
+// Guards against callers whose patience is not relative to the objective of their job,
+// and against runs that end before the last of them: their jobs would count as unknown.
+func TestPatienceIsRelativeToTheObjective(t *testing.T) {
+	exp, err := loadBusyDay(t, func(s string) string {
+		return strings.ReplaceAll(s, "deadline_ms = 1500", "patience = 60.0\npatience_spread = 0.0")
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	exp.Seconds, exp.Rate, exp.Faults = 5, exp.Rate/3, nil
+	sim := newSimulation(exp, exp.Policies[0], 1)
+	for _, j := range sim.jobs {
+		if want := 60 * j.objective; (j.deadline - want).Abs() > time.Microsecond {
+			t.Fatalf("the caller of a job with the objective %v waits for %v, want %v", j.objective, j.deadline, want)
+		}
+	}
+	exp.Faults = []Fault{{Kind: "hang", DurationSeconds: 5, Share: 1}}
+	exp.Policies[0].Overrides = map[string]float64{"overdue_factor": 999}
+	for _, j := range runToEnd(exp) {
+		if j.outcome == nil {
+			t.Fatalf("job %s has no outcome, although its caller has left", j.id)
+		}
+	}
+}
+
+// runToEnd runs an experiment and returns its jobs.
+func runToEnd(exp Experiment) []*job {
+	sim := newSimulation(exp, exp.Policies[0], 1)
+	sim.run()
+	return sim.jobs
+}
+
 // Guards against a scheduler whose timer wakes it repeatedly without need under
 // overload.
 func TestTimerWakesAreBounded(t *testing.T) {
@@ -134,6 +166,9 @@
 		"work_ms = 60.0":              "work_ms = 0.0",
 		"cpu = [64000, 64000, 96000]": "cpu = []",
 		"slack_ms = 60":               "slack = 60",
+		"deadline_ms = 1500":          "deadline_ms = 0",
+		"stretch = 1.6":               "patience = 2.0",
+		"late = 0.032":                "patience_spread = -1.0",
 	} {
 		if _, err := loadBusyDay(t, func(s string) string { return strings.Replace(s, old, with, 1) }); err == nil {
 			t.Errorf("%q instead of %q is accepted", with, old)
--- a/bench/poolrun/result.go
+++ b/bench/poolrun/result.go
@@ -51,11 +51,20 @@
 // arguments.
 func Run(exp Experiment, p Policy, seed uint64) Result {
 	sim := newSimulation(exp, p, seed)
-	sim.RunUntil(sim.begin.Add(seconds(exp.Seconds) + 10*time.Second))
+	sim.run()
 	sim.summarize()
 	return sim.result
 }
 
+// run runs the simulation until all jobs are answered.
+func (sim *simulation) run() {
+	end := sim.begin.Add(seconds(sim.exp.Seconds) + 10*time.Second)
+	if last := sim.lastDeadline.Add(time.Second); last.After(end) {
+		end = last
+	}
+	sim.RunUntil(end)
+}
+
 // valueShare is the value earned and the value that could be earned.
 type valueShare struct{ earned, possible float64 }
 
--- a/bench/poolrun/simulation.go
+++ b/bench/poolrun/simulation.go
@@ -43,7 +43,9 @@
 	jobsByID      map[string]*job
 	replyHandlers map[scheduler.RequestID]func(scheduler.Outcome)
 	lastRequest   scheduler.RequestID
-	result        Result
+	// lastDeadline is the latest deadline of a job.
+	lastDeadline time.Time
+	result       Result
 }
 
 // owner is a simulated instance that owns targets. nextWake is the time of its
@@ -162,6 +164,9 @@
 		j := drawJob(jobRNG, &sim.exp.Kinds[i], fmt.Sprintf("j%06d", n), sim.begin.Add(seconds(at)))
 		sim.jobs = append(sim.jobs, j)
 		sim.jobsByID[j.id] = j
+		if end := j.arrival.Add(j.deadline); end.After(sim.lastDeadline) {
+			sim.lastDeadline = end
+		}
 		sim.At(j.arrival, func() { sim.submit(j) })
 	}
 }
@@ -179,6 +184,9 @@
 	}
 	j.estimate = ms(work * math.Exp(jobRNG.NormFloat64()*k.EstimateSpread))
 	j.objective = time.Duration(float64(longest)*max(1, k.Stretch)) + time.Duration(k.SlackMS)*time.Millisecond
+	if k.Patience > 0 {
+		j.deadline = time.Duration(float64(j.objective) * k.Patience * math.Exp(jobRNG.NormFloat64()*k.PatienceSpread))
+	}
 	return j
 }
 
