core/scheduler: look at fewer jobs for each event

Callers that wait for tens of seconds leave more jobs in flight. Each call of Handle went through all of them four times and NextWake once more. Deadlines are now compared with the earliest one, suspected jobs are counted, and refusals look at the queue only, which holds all jobs that have not started. The simulations check these indexes.

--- a/core/scheduler/crash.go
+++ b/core/scheduler/crash.go
@@ -118,7 +118,10 @@
 	}
 	j := k.job
 	k.crashes = s.crashLog.count(id)
-	j.suspected = j.suspected || k.suspect() || k.held()
+	if !j.suspected && (k.suspect() || k.held()) {
+		j.suspected = true
+		s.suspectedJobs++
+	}
 	if k.crashedTooOften() {
 		s.finish(j, crashFailure)
 		return
--- a/core/scheduler/isolation.go
+++ b/core/scheduler/isolation.go
@@ -79,6 +79,9 @@
 // bring an answer of value nor show before the deadline whether it crashes its
 // target, or that has lost maxLosses targets of which no more is to be learned.
 func (s *Scheduler) giveUpSuspects() {
+	if s.suspectedJobs == 0 {
+		return
+	}
 	for _, j := range s.jobsWhere(func(j *job) bool {
 		return j.suspected && slices.ContainsFunc(j.suspects(), s.startIsFutile)
 	}) {
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -107,6 +107,10 @@
 	j := s.newJob(ev.Job)
 	j.waiters = []waiter{s.newWaiter(ev)}
 	s.jobs[j.ID] = j
+	s.nextDeadline = earliest(s.nextDeadline, j.Deadline)
+	if j.suspected {
+		s.suspectedJobs++
+	}
 	s.requests[ev.Request] = j
 	j.summary.Backlog = s.forecastWait(j)
 	switch {
@@ -241,11 +245,23 @@
 // expire ends the jobs whose deadline has passed and handles the due runs of all
 // targets.
 func (s *Scheduler) expire() {
+	s.expireJobs()
+	for _, t := range s.sortedTargets {
+		s.expireRuns(t)
+	}
+}
+
+// expireJobs ends the jobs whose deadline has passed.
+func (s *Scheduler) expireJobs() {
+	if s.now.Before(s.nextDeadline) {
+		return
+	}
 	for _, j := range s.jobsWhere(func(j *job) bool { return !s.now.Before(j.Deadline) }) {
 		s.giveUp(j, ReasonDeadline)
 	}
-	for _, t := range s.sortedTargets {
-		s.expireRuns(t)
+	s.nextDeadline = time.Time{}
+	for _, j := range s.jobs {
+		s.nextDeadline = earliest(s.nextDeadline, j.Deadline)
 	}
 }
 
@@ -253,10 +269,10 @@
 // this instance has no targets left. It is called after place, so that a job that
 // arrives late can still use free capacity.
 func (s *Scheduler) refuseLateJobs() {
-	for _, j := range s.jobsWhere(s.lacksTargets) {
+	for _, j := range s.queuedWhere(s.lacksTargets) {
 		s.giveUp(j, ReasonNoTarget)
 	}
-	for _, j := range s.jobsWhere(func(j *job) bool {
+	for _, j := range s.queuedWhere(func(j *job) bool {
 		return !j.started && !s.now.Before(j.refuseAt) && s.willMissObjective(j)
 	}) {
 		s.giveUp(j, ReasonOverloaded)
@@ -280,10 +296,25 @@
 			out = append(out, j)
 		}
 	}
-	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, compareIDs)
 	return out
 }
 
+// queuedWhere returns the queued jobs that satisfy a condition, sorted by ID. All jobs
+// with tasks to place are queued.
+func (s *Scheduler) queuedWhere(ok func(*job) bool) []*job {
+	var out []*job
+	for _, j := range s.queue {
+		if ok(j) {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, compareIDs)
+	return out
+}
+
+func compareIDs(a, b *job) int { return cmp.Compare(a.ID, b.ID) }
+
 // finish answers a job, records its run times and stops its remaining runs.
 func (s *Scheduler) finish(j *job, o Outcome) {
 	requests := make([]RequestID, len(j.waiters))
@@ -295,6 +326,9 @@
 		s.emit(Reply{Requests: requests, Job: j.ID, Outcome: o, Summary: s.summarize(j)})
 	}
 	delete(s.jobs, j.ID)
+	if j.suspected {
+		s.suspectedJobs--
+	}
 	s.dequeue(j)
 	for i, r := range j.stepRuns {
 		if len(r.samples) > 0 {
@@ -355,5 +389,5 @@
 }
 
 func (s *Scheduler) sortedJobs() []*job {
-	return slices.SortedFunc(maps.Values(s.jobs), func(a, b *job) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.SortedFunc(maps.Values(s.jobs), compareIDs)
 }
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -40,6 +40,10 @@
 	jobs          map[string]*job
 	queue         []*job // jobs with tasks to place, in the order of compareJobs
 	requests      map[RequestID]*job
+	// nextDeadline is not after the deadline of any job.
+	nextDeadline time.Time
+	// suspectedJobs counts the jobs that are suspected.
+	suspectedJobs int
 	draining      bool
 	actions       []Action
 	crashLog      *crashLog
@@ -164,15 +168,18 @@
 	var next time.Time
 	if len(s.jobs) > 0 {
 		// Handle detects a pause of the instance by a longer gap.
-		next = s.now.Add(maxWakeInterval)
+		next = earliest(s.now.Add(maxWakeInterval), s.nextDeadline)
 	}
-	for _, j := range s.jobs {
-		next = earliest(next, j.Deadline)
+	for _, j := range s.queue {
 		if !j.started {
 			next = earliest(next, s.nextRefusalCheck(j))
 		}
-		if j.suspected {
-			next = earliest(next, s.nextRecordTimeout(j))
+	}
+	if s.suspectedJobs > 0 {
+		for _, j := range s.jobs {
+			if j.suspected {
+				next = earliest(next, s.nextRecordTimeout(j))
+			}
 		}
 	}
 	for _, t := range s.sortedTargets {
--- a/core/scheduler/simulation_faults_test.go
+++ b/core/scheduler/simulation_faults_test.go
@@ -31,6 +31,7 @@
 
 // checkInvariants checks the runs on all targets.
 func (sim *simulation) checkInvariants() {
+	sim.checkIndexes()
 	seen := map[TaskID]string{}
 	for _, t := range sim.targets {
 		var cpu int64
@@ -50,3 +51,23 @@
 		}
 	}
 }
+
+// checkIndexes checks that the Scheduler finds each job that may be due without a
+// search through all of them.
+func (sim *simulation) checkIndexes() {
+	suspected := 0
+	for _, j := range sim.s.jobs {
+		if j.suspected {
+			suspected++
+		}
+		if j.Deadline.Before(sim.s.nextDeadline) {
+			sim.t.Fatalf("%v: job %s ends at %v, before the next deadline, %v", sim.now, j.ID, j.Deadline, sim.s.nextDeadline)
+		}
+		if (!j.started || j.unplaced > 0) && !j.queued {
+			sim.t.Fatalf("%v: job %s has tasks to place, but is not queued", sim.now, j.ID)
+		}
+	}
+	if suspected != sim.s.suspectedJobs {
+		sim.t.Fatalf("%v: %d jobs are suspected, but %d are counted", sim.now, suspected, sim.s.suspectedJobs)
+	}
+}
