core/scheduler: count the lease of an earlier owner

A lease applies to all runs on a target and is never shortened. The first answer to a poll with the new fencing token now ends the time in which the earlier owner can send leases, and the longest one counts from it. TestLeaseOfEarlierOwnerCounts fails without it. The harness of the lease tests sets its delay before it gets a target, as the program does.

--- a/core/scheduler/lease.go
+++ b/core/scheduler/lease.go
@@ -130,6 +130,21 @@
 	return min(longest, s.cfg.ResubmissionDelay-leaseMargin-maxReportAge)
 }
 
+// inheritLease records the lease that an earlier owner of the target may have sent
+// until the target answered a poll with the fencing token of this one. It lasts for all
+// runs on the target, also for those that start later.
+func (s *Scheduler) inheritLease(t *target, pollSent time.Time) {
+	if t.claimedAt.IsZero() {
+		return
+	}
+	if until := s.now.Add(s.longestLease()); until.After(t.leaseUntil) {
+		t.leaseUntil = until
+	}
+	if !pollSent.Before(t.claimedAt) {
+		t.claimedAt = time.Time{}
+	}
+}
+
 // renewLease returns the end of a lease that is sent to the target now, in milliseconds
 // of the target's clock, or 0 if the lease must not be renewed.
 func (s *Scheduler) renewLease(t *target) int64 {
--- a/core/scheduler/lease_test.go
+++ b/core/scheduler/lease_test.go
@@ -19,8 +19,11 @@
 }
 
 func newLeaseHarness(t *testing.T, delay time.Duration, j Job) *leaseHarness {
-	h := &leaseHarness{harness: newHarness(t, testTarget("a"))}
+	h := &leaseHarness{harness: newHarness(t)}
 	h.s.cfg.ResubmissionDelay = delay
+	h.send(TargetsChanged{Targets: []Target{testTarget("a")}})
+	one[Poll](h.harness)
+	h.answerPoll("a", PollReturned{})
 	long := testJob("long", 1)
 	long.Stretch, long.Deadline = 50, h.now.Add(20*time.Second)
 	long.Steps[0].Estimate = 5 * time.Second
@@ -261,3 +264,26 @@
 		t.Errorf("started %+v after a report of the sender", st)
 	}
 }
+
+// Guards against a task that is submitted again while its earlier run goes on: the lease
+// that an earlier owner has sent to a target lasts longer than the one of the run.
+func TestLeaseOfEarlierOwnerCounts(t *testing.T) {
+	for _, c := range []struct {
+		reportAge time.Duration
+		starts    int
+	}{{0, 1}, {maxReportAge, 1}, {700 * time.Millisecond, 0}} {
+		h := newHarness(t, testTarget("a"))
+		claimed := testTarget("a")
+		claimed.Fence++
+		h.now = h.now.Add(5 * time.Second)
+		h.send(TargetsChanged{Targets: []Target{claimed}})
+		one[Poll](h)
+		h.answerPoll("a", PollReturned{})
+		j := testJob("j", 1)
+		j.Sender, j.SentAt, j.Deadline = "s", h.now.Add(-c.reportAge), h.now.Add(20*time.Second)
+		h.submit(1, j)
+		if n := len(take[Start](h)); n != c.starts {
+			t.Errorf("%d tasks start on a target that has just changed its owner, %v after the caller was known to wait, want %d", n, c.reportAge, c.starts)
+		}
+	}
+}
--- a/core/scheduler/poll.go
+++ b/core/scheduler/poll.go
@@ -171,6 +171,7 @@
 	} else {
 		t.lossRefuted()
 	}
+	s.inheritLease(t, ev.Sent)
 	t.connectionLostAt, t.reconnects = time.Time{}, 0
 	t.updateClock(ev.ClockMS, s.now)
 	t.recordAnswer(s.now)
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -73,6 +73,8 @@
 	// leaseUntil is when the last lease ends that was sent with a start or a poll, on
 	// the slowest clock of a target.
 	leaseUntil time.Time
+	// claimedAt is when this instance got the target with its current fencing token.
+	claimedAt time.Time
 
 	polling  bool
 	nextPoll time.Time
@@ -203,6 +205,7 @@
 	return &target{
 		Target: in, runs: map[RunID]*run{}, free: capacity{in.CPU, in.MemoryMB, in.Accelerators},
 		clock: remoteclock.New(s.cfg.MaxClockDrift), nextPoll: s.now, drainingSince: s.drainStart(in, true),
+		claimedAt: s.now,
 	}
 }
 
@@ -221,7 +224,7 @@
 func (s *Scheduler) updateTarget(t *target, in Target) {
 	t.free.add(capacity{in.CPU - t.CPU, in.MemoryMB - t.MemoryMB, in.Accelerators - t.Accelerators}, 1)
 	if in.Fence != t.Fence {
-		t.synced, t.fenced, t.nextPoll = false, false, s.now
+		t.synced, t.fenced, t.nextPoll, t.claimedAt = false, false, s.now, s.now
 	}
 	t.Target = in
 	if t.described() && (!in.Draining || t.drainingSince.IsZero()) {
