pool: let tasks end at a planned stop if they can

An instance that shuts down released its shards after 1.8 s, and the next owner ended the tasks that still ran there: their callers got 502, although the grace period is 6 s. A shard with a task that is forecast to end until 0.75 s before the end of the stop is now held until then; the others are released as before. The instance replies to heartbeats of the senders until its shards are released.

--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -261,6 +261,21 @@
 	return 0
 }
 
+// RunsEndingBy returns the number of runs on a target that their jobs await and that
+// are forecast to end by a time.
+func (s *Scheduler) RunsEndingBy(target string, limit time.Time) int {
+	t, n := s.targets[target], 0
+	if t == nil {
+		return 0
+	}
+	for _, r := range t.runs {
+		if r.task != nil && !r.end().After(limit) {
+			n++
+		}
+	}
+	return n
+}
+
 // drain refuses the jobs of which no task can have run, and lets the others
 // complete.
 func (s *Scheduler) drain() {
--- a/pool/claims/claims.go
+++ b/pool/claims/claims.go
@@ -113,8 +113,11 @@
 	changedAt time.Time
 	// releasing holds the shards that are being released.
 	releasing map[ownership.Shard]bool
-	// busy reports whether any task runs on the targets of a shard.
-	busy func(ownership.Shard) bool
+	// holdLimit is until when an instance that shuts down may wait for tasks, or zero.
+	holdLimit time.Time
+	// busy reports whether a task runs on the targets of a shard that is forecast to
+	// end by a time, or any task if that is zero.
+	busy func(s ownership.Shard, endBy time.Time) bool
 	// unreachableAt is when the targets of a pool were last found unreachable. Only
 	// the goroutine of claimRemote uses it.
 	unreachableAt map[pool]time.Time
@@ -136,7 +139,7 @@
 // shards in each zone. The functions onChange, busy, reachable, serving, onNotice
 // and onMember are called from the goroutines of the Manager.
 func New(log *zap.Logger, store port.Store, self ownership.Member, zones []string, shards int,
-	clock func() time.Time, onChange func(), busy func(ownership.Shard) bool,
+	clock func() time.Time, onChange func(), busy func(s ownership.Shard, endBy time.Time) bool,
 	reachable func(ctx context.Context, service, zone string) bool,
 	serving func(address string, incarnation uint64) bool, onNotice func(port.Item), onMember func(address string)) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pool/claims/claims_test.go
+++ b/pool/claims/claims_test.go
@@ -121,7 +121,7 @@
 func newManager(t *testing.T, reachable func(ctx context.Context, service, zone string) bool) (*Manager, *fakeStore) {
 	s := &fakeStore{items: map[string]port.Item{}, reread: make(chan struct{})}
 	self := ownership.Member{Name: "a1", Zone: "a", Address: "127.0.0.1:1", Incarnation: 1, Capacity: 40}
-	o := New(zap.NewNop(), s, self, []string{"a", "b"}, shards, time.Now, func() {}, func(ownership.Shard) bool { return false }, reachable,
+	o := New(zap.NewNop(), s, self, []string{"a", "b"}, shards, time.Now, func() {}, func(ownership.Shard, time.Time) bool { return false }, reachable,
 		func(address string, incarnation uint64) bool {
 			return s.serving.Load() && address == "127.0.0.1:2" && incarnation == 2
 		}, func(port.Item) {}, func(string) {})
--- a/pool/claims/release.go
+++ b/pool/claims/release.go
@@ -16,6 +16,9 @@
 // their targets start no tasks meanwhile.
 const maxReleases = 2
 
+// releaseMargin is the time for the call that releases a shard.
+const releaseMargin = 400 * time.Millisecond
+
 // startRelease starts the release of a shard, unless too many others are being
 // released. An instance that shuts down releases all shards at once. The caller
 // holds the lock.
@@ -30,11 +33,12 @@
 }
 
 // releaseWhenIdle waits until no task runs on the shard's targets, up to
-// idleTimeout, and then frees the shard for other instances.
+// idleTimeout, and then frees the shard for other instances. An instance that shuts
+// down waits longer for tasks that are likely to end meanwhile.
 func (m *Manager) releaseWhenIdle(s ownership.Shard, fence int64) {
 	m.onChange()
 	limit := time.Now().Add(idleTimeout)
-	for m.ctx.Err() == nil && time.Now().Before(limit) && m.busy(s) {
+	for m.ctx.Err() == nil && (time.Now().Before(limit) && m.busy(s, time.Time{}) || m.worthHolding(s)) {
 		m.pause(idlePoll)
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, callTimeout)
@@ -57,6 +61,15 @@
 	m.onChange()
 }
 
+// worthHolding reports whether a task on the shard's targets is likely to end before
+// an instance that shuts down must release the shard.
+func (m *Manager) worthHolding(s ownership.Shard) bool {
+	m.mu.Lock()
+	limit := m.holdLimit
+	m.mu.Unlock()
+	return time.Now().Before(limit) && m.busy(s, limit)
+}
+
 // Releasing returns the shards that are being released.
 func (m *Manager) Releasing() map[ownership.Shard]bool {
 	m.mu.Lock()
@@ -64,9 +77,11 @@
 	return maps.Clone(m.releasing)
 }
 
-// ReleaseAll releases all shards of this instance, and waits for it up to limit.
+// ReleaseAll releases all shards of this instance, and waits for it up to limit. Shards
+// whose tasks are likely to end in time are released last.
 func (m *Manager) ReleaseAll(limit time.Time) {
 	m.mu.Lock()
+	m.holdLimit = limit.Add(-releaseMargin)
 	for s := range m.planner.Owned() {
 		m.startRelease(s)
 	}
--- a/pool/run/drain.go
+++ b/pool/run/drain.go
@@ -17,7 +17,9 @@
 	// the instance has become unready. The load balancer needs two checks, a
 	// second apart, to notice it.
 	readinessDelay = 2200 * time.Millisecond
-	// releaseTimeout bounds the release of the instance's shards at shutdown.
+	// releaseTimeout bounds the release of the instance's shards at shutdown, if the
+	// grace period is short. Otherwise shards with tasks that are likely to end in time
+	// are released at recallBefore, so that their jobs are answered.
 	releaseTimeout = 2200 * time.Millisecond
 	// recallBefore is how long before the end of the shutdown the jobs that wait at
 	// other owners are refused. Heartbeats, which carry this, are sent four times a
@@ -29,7 +31,8 @@
 )
 
 // drain shuts the instance down within the grace period: it releases the targets
-// for other instances, and waits for requests in flight. Jobs that wait at other owners
+// for other instances, those with tasks that are about to end last, and waits for
+// requests in flight. Jobs that wait at other owners
 // may still start there for most of that time. Shortly before its end they are refused,
 // and then the callers of the jobs that run are told that their outcome is unknown.
 func (in *Instance) drain() {
@@ -39,9 +42,13 @@
 	in.draining.Store(true)
 	in.claims.Drain()
 	in.loop.Post(scheduler.Drain{})
-	in.claims.ReleaseAll(time.Now().Add(releaseTimeout))
-	in.claims.Deregister()
-	in.log.Info("The targets are released.")
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		in.claims.ReleaseAll(latest(time.Now().Add(releaseTimeout), end.Add(-recallBefore)))
+		in.claims.Deregister()
+		in.log.Info("The targets are released.")
+	}()
 	time.Sleep(time.Until(noNewConnections))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
@@ -50,7 +57,16 @@
 	if err := in.callerServer.Shutdown(ctx); err != nil {
 		in.log.Warn("Requests of callers were in flight at the end of the grace period.", zap.Error(err))
 	}
+	// Until then, the senders of jobs that run here have to get replies to heartbeats.
+	<-released
 	if err := in.relayServer.Close(ctx); err != nil {
 		in.log.Warn("Requests of other instances were in flight at the end of the grace period.", zap.Error(err))
 	}
 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -360,10 +360,18 @@
 	}
 }
 
-// busy reports whether any task runs on the targets of a shard.
-func (in *Instance) busy(shard ownership.Shard) bool {
+// busy reports whether a task runs on the targets of a shard that is forecast to end by
+// a time of the wall clock, or any task if that is zero.
+func (in *Instance) busy(shard ownership.Shard, endBy time.Time) bool {
 	busy := false
-	in.loop.Inspect(func(s *scheduler.Scheduler) { busy = in.targets.Busy(shard, s.RunCount) })
+	in.loop.Inspect(func(s *scheduler.Scheduler) {
+		runs := s.RunCount
+		if !endBy.IsZero() {
+			limit := clock.Now().Add(time.Until(endBy))
+			runs = func(target string) int { return s.RunsEndingBy(target, limit) }
+		}
+		busy = in.targets.Busy(shard, runs)
+	})
 	return busy
 }
 
