--- a/core/scheduler/simulation_target_test.go
+++ b/core/scheduler/simulation_target_test.go
@@ -82,6 +82,9 @@
 // crash ends the target's process. It restarts after a time, and is listed a second
 // later.
 func (t *simTarget) crash(downtime time.Duration) {
+	if traceSimulation {
+		t.sim.t.Logf("%v target %s crashes for %v", t.sim.now.Sub(time.Unix(1000, 0)), t.ID, downtime)
+	}
 	t.Incarnation++
 	t.running, t.highestAttempt, t.completions, t.lastCompletion = map[RunID]*simRun{}, map[TaskID]int{}, nil, 0
 	t.fence, t.lease, t.born = 0, time.Time{}, t.sim.now
