core/scheduler: remember crashes for as long as a caller may wait

Crashes were forgotten after two minutes, while a job may last for ten. A task whose runs crash their targets after three minutes could crash one after the other, and its job never failed. TestCrashesOfLongRunsCount fails without it.

--- a/core/scheduler/crash.go
+++ b/core/scheduler/crash.go
@@ -16,8 +16,8 @@
 	// recordTimeout is how long a task waits at most until its loss is in the store.
 	recordTimeout = 400 * time.Millisecond
 	// crashRetention is how long a crash is remembered after it was last reported.
-	// Callers send a job again within seconds.
-	crashRetention = 2 * time.Minute
+	// Callers wait for up to ten minutes, and send a job again within seconds.
+	crashRetention = 12 * time.Minute
 )
 
 // Crash describes the loss of a target while tasks ran on it.
--- a/core/scheduler/crash_test.go
+++ b/core/scheduler/crash_test.go
@@ -215,3 +215,21 @@
 		}
 	}
 }
+
+// Guards against a task that crashes target after target, because each of its runs takes
+// longer than the crash before it is remembered.
+func TestCrashesOfLongRunsCount(t *testing.T) {
+	h := newHarness(t, testTarget("a"), testTarget("b"), testTarget("c"))
+	j := testJob("j", 1)
+	j.Stretch, j.Deadline = 1000, h.now.Add(10*time.Minute)
+	j.Steps[0].Estimate = 4 * time.Minute
+	h.submit(1, j)
+	task := TaskID{Job: "j"}
+	for i, target := range []string{"a", "b"} {
+		h.advance(time.Duration(i) * 4 * time.Minute)
+		h.send(CrashReported{Crash: Crash{Target: target, Incarnation: 1, State: CrashConfirmed, Tasks: []TaskID{task}}})
+	}
+	if _, failed := one[Reply](h).Outcome.(Failed); !failed {
+		t.Error("a job goes on after two targets have crashed under its task, four minutes apart")
+	}
+}
