core/ledger: compare the awaited jobs by a set

Each heartbeat compared all running jobs with all awaited ones. With 2,000 jobs of one sender (BenchmarkReconcileManyJobs) a report takes 0.21 ms instead of 0.76 ms.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -103,15 +103,19 @@
 		return out
 	}
 	l.lastState = state
+	awaited := map[uint64]bool{}
+	for _, id := range state.Awaited {
+		awaited[id] = true
+	}
 	for id := range l.running {
-		if id <= state.LastID && !slices.Contains(state.Awaited, id) {
+		if id <= state.LastID && !awaited[id] {
 			out.Orphans = append(out.Orphans, id)
 		}
 	}
 	slices.Sort(out.Orphans)
 	for id, e := range l.ended {
 		switch {
-		case id <= state.LastID && !slices.Contains(state.Awaited, id):
+		case id <= state.LastID && !awaited[id]:
 			delete(l.ended, id)
 		case now.Sub(e.at) >= replyGrace:
 			out.Replies[id] = e.reply
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -183,3 +183,21 @@
 	}
 	return ""
 }
+
+// BenchmarkReconcileManyJobs measures a report of a sender that awaits 2,000 jobs, as
+// callers that wait for tens of seconds leave them.
+func BenchmarkReconcileManyJobs(b *testing.B) {
+	const jobs = 2000
+	l := New[string](1)
+	state := SenderState{LastID: jobs}
+	for id := range uint64(jobs) {
+		l.Begin(id + 1)
+		state.Awaited = append(state.Awaited, id+1)
+	}
+	for b.Loop() {
+		state.Number++
+		if r := l.Reconcile(start, state); len(r.Orphans) > 0 {
+			b.Fatalf("%d of the awaited jobs count as orphans", len(r.Orphans))
+		}
+	}
+}
