pool: the targets of an evacuated zone get no new work

An operator asks with a key in the platform's store that a zone's targets get nothing more.

The watch of the configuration now covers all of the operators' keys at no further call. Instances pass the set of evacuated zones, with the revision at which it was read, on with heartbeats and with the configuration, and ask each other while the store does not reply. Schedulers start nothing there, end what has started, and refuse what has not, so that senders try other owners.

--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -125,6 +125,11 @@
 // TargetsChanged replaces the list of targets that this instance owns.
 type TargetsChanged struct{ Targets []Target }
 
+// ZonesEvacuated replaces the set of evacuated availability zones. No task of a new job
+// starts on their targets, and no task of a job that has started later than
+// Config.EvacuationStartTime.
+type ZonesEvacuated struct{ Zones []string }
+
 // TargetGone reports that the platform has removed a target from its list, after
 // the target was silent or has left.
 type TargetGone struct{ Target string }
@@ -238,6 +243,7 @@
 func (Awaited) event()        {}
 func (Recall) event()         {}
 func (TargetsChanged) event() {}
+func (ZonesEvacuated) event() {}
 func (TargetGone) event()     {}
 func (CrashRecorded) event()  {}
 func (CrashReported) event()  {}
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -264,11 +264,11 @@
 }
 
 // lacksTargets reports whether tasks of a job need a target, but all targets of
-// its service are draining or owned by other instances. A job that has started may
-// still use targets that have just begun to drain.
+// its service are draining, evacuated or owned by other instances. A job that has
+// started may still use targets that have just begun to drain or to be evacuated.
 func (s *Scheduler) lacksTargets(j *job) bool {
 	return j.unplaced > 0 && !slices.ContainsFunc(s.sortedTargets, func(t *target) bool {
-		return t.Service == j.Service && !t.removed && (!t.Draining || j.started && t.hasJustBegunToDrain(s.now))
+		return t.Service == j.Service && !t.removed && (!t.Draining && !t.evacuated() || s.mayFinishOn(t, j))
 	})
 }
 
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -61,7 +61,7 @@
 func (s *Scheduler) maxFreeCPU() int64 {
 	most := int64(-1)
 	for _, t := range s.sortedTargets {
-		if t.acceptsWork() || t.serving() && t.hasJustBegunToDrain(s.now) {
+		if t.acceptsWork() || t.serving() && s.isJustLeaving(t) {
 			most = max(most, t.free.cpu)
 		}
 	}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -21,6 +21,10 @@
 	// counted from when it stopped waiting. It defaults to
 	// DefaultResubmissionDelay.
 	ResubmissionDelay time.Duration
+	// EvacuationStartTime is how long after this instance has learned of the evacuation
+	// of an availability zone tasks of jobs that have started before may still start
+	// there, where their owner has no other targets.
+	EvacuationStartTime time.Duration
 	// Policy defaults to DefaultPolicy.
 	Policy Policy
 }
@@ -59,6 +63,9 @@
 	// over.
 	givenUpRuns map[TaskID]int
 	cancelled   *cancellation.Log
+	// evacuatedSince holds when the instance learned of the evacuation of each
+	// evacuated availability zone.
+	evacuatedSince map[string]time.Time
 	// stallBegan and stallEnded delimit the last time in which the instance may have
 	// been paused while it had jobs.
 	stallBegan, stallEnded time.Time
@@ -80,7 +87,7 @@
 		jobs:     map[string]*job{},
 		requests: map[RequestID]*job{},
 		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{}, lastSubmit: map[string]time.Time{},
-		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(),
+		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), evacuatedSince: map[string]time.Time{},
 	}
 }
 
@@ -134,6 +141,8 @@
 		s.recall(s.jobs[ev.Job])
 	case TargetsChanged:
 		s.changeTargets(ev.Targets)
+	case ZonesEvacuated:
+		s.evacuate(ev.Zones)
 	case CrashRecorded:
 		s.crashRecorded(ev.Crash)
 	case CrashReported:
@@ -209,6 +218,10 @@
 	// FreeCPU and CPU are totals of the usable targets, in thousandths of a
 	// core.
 	FreeCPU, CPU int64
+	// EvacuatedCPU is the total of the targets that serve in evacuated availability
+	// zones. EvacuatedRunning counts the runs there.
+	EvacuatedCPU     int64
+	EvacuatedRunning int
 	// ForecastWait is the forecast time until a new task starts.
 	ForecastWait time.Duration
 	// Contained is the queue whose tasks crash their targets and run apart from
@@ -225,6 +238,12 @@
 	}
 	for _, t := range s.sortedTargets {
 		st.Running += len(t.runs)
+		if t.evacuated() {
+			st.EvacuatedRunning += len(t.runs)
+			if t.serving() {
+				st.EvacuatedCPU += t.CPU
+			}
+		}
 		if t.usable() {
 			st.Usable++
 			st.CPU += t.CPU
--- a/core/scheduler/status.go
+++ b/core/scheduler/status.go
@@ -50,6 +50,8 @@
 		return "silent"
 	case t.Draining:
 		return "draining"
+	case t.evacuated():
+		return "evacuated"
 	case t.Releasing:
 		return "releasing"
 	case !t.synced:
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -95,6 +95,9 @@
 	connectionLostAt, drainingSince time.Time
 	// reconnects counts the polls that have lost their connection since then.
 	reconnects int
+	// evacuatedSince is when the instance learned of the evacuation of the target's
+	// availability zone, or zero.
+	evacuatedSince time.Time
 	// lostAt is when the target last lost its connection, and lostQueues holds the
 	// queues of its runs at that time.
 	lostAt     time.Time
@@ -117,9 +120,9 @@
 func (t *target) usable() bool { return t.acceptsWork() && !t.Releasing }
 
 // acceptsWork reports whether the target accepts tasks of jobs that have started.
-func (t *target) acceptsWork() bool { return t.serving() && !t.Draining }
+func (t *target) acceptsWork() bool { return t.serving() && !t.Draining && !t.evacuated() }
 
-// serving reports whether the target accepts tasks, unless it drains.
+// serving reports whether the target accepts tasks, unless it drains or is evacuated.
 func (t *target) serving() bool {
 	return t.synced && t.described() && !t.removed && !t.fenced && t.unanswered == 0
 }
@@ -133,19 +136,31 @@
 	})
 }
 
-// hasJustBegunToDrain reports whether the target has been draining for less than
-// drainStartTime.
-func (t *target) hasJustBegunToDrain(now time.Time) bool {
-	return t.Draining && now.Sub(t.drainingSince) < drainStartTime
+// acceptsStartedUntil returns until when a target that drains or is evacuated accepts
+// tasks of jobs that have started before. It returns zero for other targets.
+func (s *Scheduler) acceptsStartedUntil(t *target) time.Time {
+	var until time.Time
+	if t.Draining {
+		until = t.drainingSince.Add(drainStartTime)
+	}
+	if t.evacuated() {
+		until = earliest(until, t.evacuatedSince.Add(s.cfg.EvacuationStartTime))
+	}
+	return until
 }
 
+// isJustLeaving reports whether the target has only just begun to drain or to be
+// evacuated, so that jobs that have started may still use it.
+func (s *Scheduler) isJustLeaving(t *target) bool { return s.now.Before(s.acceptsStartedUntil(t)) }
+
 // acceptsTask reports whether the target accepts a task. Where all targets of its
-// service drain, a job that has started may still use those that have just begun to.
+// service drain or are evacuated, a job that has started before may still use those that
+// have just begun to.
 func (s *Scheduler) acceptsTask(t *target, k *task) bool {
 	switch {
 	case t.acceptsWork():
 		return !t.Releasing || k.job.started
-	case k.job.started && t.serving() && t.hasJustBegunToDrain(s.now):
+	case t.serving() && s.mayFinishOn(t, k.job):
 		return !slices.ContainsFunc(s.sortedTargets, func(o *target) bool { return o.Service == t.Service && o.acceptsWork() })
 	}
 	return false
@@ -203,6 +218,7 @@
 	return &target{
 		Target: in, runs: map[RunID]*run{}, free: capacity{in.CPU, in.MemoryMB, in.Accelerators},
 		clock: remoteclock.New(s.cfg.MaxClockDrift), nextPoll: s.now, drainingSince: s.drainStart(in, true),
+		evacuatedSince: s.evacuatedSince[in.Zone],
 	}
 }
 
@@ -224,6 +240,7 @@
 		t.synced, t.fenced, t.nextPoll = false, false, s.now
 	}
 	t.Target = in
+	t.evacuatedSince = s.evacuatedSince[in.Zone]
 	if t.described() && (!in.Draining || t.drainingSince.IsZero()) {
 		t.drainingSince = s.drainStart(in, t.removed)
 	}
@@ -272,8 +289,8 @@
 	if s.now.Before(t.pausedUntil) {
 		next = earliest(next, t.pausedUntil)
 	}
-	if t.hasJustBegunToDrain(s.now) {
-		next = earliest(next, t.drainingSince.Add(drainStartTime))
+	if s.isJustLeaving(t) {
+		next = earliest(next, s.acceptsStartedUntil(t))
 	}
 	return next
 }
--- a/pool/configuration/configuration.go
+++ b/pool/configuration/configuration.go
@@ -1,6 +1,7 @@
-// Package configuration keeps the newest configuration active. It watches the
-// store, and accepts a newer configuration from another instance, so that
-// instances that cannot reach the store get it as well.
+// Package configuration keeps the requests of operators in force: the newest
+// configuration and the set of evacuated availability zones. It watches the store, and
+// accepts newer ones from other instances, so that instances that cannot reach the store
+// get them as well.
 package configuration
 
 import (
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/catalog"
+	"marigoldfront.dev/core/evacuation"
 	"marigoldfront.dev/pool/port"
 )
 
@@ -26,22 +28,43 @@
 	watchSlack = 600 * time.Millisecond
 	// retryEvery is the pause after a failed call to the store.
 	retryEvery = 200 * time.Millisecond
+	// askEvery is the shortest time between two requests to other instances while the
+	// store does not reply.
+	askEvery = 500 * time.Millisecond
 )
 
-// Watcher watches the configuration in the store. Its methods may be called from
+// Config holds the dependencies of a Watcher. The functions are called from several
+// goroutines, but each of them from one at a time.
+type Config struct {
+	Log     *zap.Logger
+	Store   port.Store
+	Formats port.Formats
+	// OnConfiguration is called with each configuration that comes into force, and
+	// OnEvacuation with each set of zones. The set that the store held with a
+	// configuration is in force before it.
+	OnConfiguration func(*catalog.Catalog)
+	OnEvacuation    func(evacuation.Set)
+	// AskInstance asks another instance for what is in force there. It is called while
+	// the store does not reply.
+	AskInstance func()
+}
+
+// Watcher watches the requests of operators in the store. Its methods may be called from
 // several goroutines.
 type Watcher struct {
-	log     *zap.Logger
-	store   port.Store
-	formats port.Formats
-	// onChange is called with each newly active configuration, with mu held.
-	onChange func(*catalog.Catalog)
-	ctx      context.Context
-	cancel   context.CancelFunc
-	done     chan struct{}
-
-	mu      sync.Mutex // held while current is replaced
-	current atomic.Pointer[activeConfiguration]
+	cfg    Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+	// askedAt is when another instance was last asked.
+	askedAt time.Time
+	// stored is the set that the store held at the last answer. The set in force may be
+	// a newer one of another instance.
+	stored evacuation.Set
+
+	mu         sync.Mutex // held while current or evacuation is replaced
+	current    atomic.Pointer[activeConfiguration]
+	evacuation atomic.Pointer[evacuation.Set]
 }
 
 // activeConfiguration is a decoded configuration and its encoded form.
@@ -51,12 +74,11 @@
 }
 
 // New returns a Watcher without a configuration; Run starts it.
-func New(log *zap.Logger, store port.Store, formats port.Formats, onChange func(*catalog.Catalog)) *Watcher {
+func New(cfg Config) *Watcher {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Watcher{
-		log: log, store: store, formats: formats, onChange: onChange, ctx: ctx, cancel: cancel,
-		done: make(chan struct{}),
-	}
+	w := &Watcher{cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{})}
+	w.evacuation.Store(&evacuation.Set{})
+	return w
 }
 
 // Catalog returns the active configuration, or nil if there is none.
@@ -82,12 +104,16 @@
 	return v
 }
 
+// Evacuation returns the set of evacuated zones in force. Its revision is 0 if the
+// instance knows none.
+func (w *Watcher) Evacuation() evacuation.Set { return *w.evacuation.Load() }
+
 // ApplyIfNewer activates an encoded configuration if it is newer than the active
 // one. The source is named in log lines.
 func (w *Watcher) ApplyIfNewer(value []byte, source string) {
-	cat, err := w.formats.Configuration(value)
+	cat, err := w.cfg.Formats.Configuration(value)
 	if err != nil {
-		w.log.Error("A configuration cannot be decoded.", zap.String("source", source), zap.Error(err))
+		w.cfg.Log.Error("A configuration cannot be decoded.", zap.String("source", source), zap.Error(err))
 		return
 	}
 	w.mu.Lock()
@@ -96,12 +122,40 @@
 		return
 	}
 	w.current.Store(&activeConfiguration{catalog: cat, value: value})
-	w.log.Info("A configuration is in force.", zap.Int64("version", cat.Version), zap.Int("queues", cat.QueueCount()),
+	w.cfg.Log.Info("A configuration is in force.", zap.Int64("version", cat.Version), zap.Int("queues", cat.QueueCount()),
 		zap.String("source", source))
-	w.onChange(cat)
+	w.cfg.OnConfiguration(cat)
+}
+
+// ApplyEvacuation puts a set of evacuated zones in force if it is newer than the one in
+// force. The source is named in log lines.
+func (w *Watcher) ApplyEvacuation(s evacuation.Set, source string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	old := w.Evacuation()
+	if s.Revision <= old.Revision {
+		return
+	}
+	w.evacuation.Store(&s)
+	if s.SameZones(old) {
+		return
+	}
+	for _, zone := range s.Zones {
+		if !old.Contains(zone) {
+			w.cfg.Log.Info("An availability zone is being evacuated.", zap.String("zone", zone), zap.Int64("revision", s.Revision),
+				zap.String("source", source))
+		}
+	}
+	for _, zone := range old.Zones {
+		if !s.Contains(zone) {
+			w.cfg.Log.Info("An availability zone is no longer evacuated.", zap.String("zone", zone), zap.Int64("revision", s.Revision),
+				zap.String("source", source))
+		}
+	}
+	w.cfg.OnEvacuation(s)
 }
 
-// Run reads the configuration from the store, and watches it until Close.
+// Run reads the requests of operators from the store, and watches them until Close.
 func (w *Watcher) Run() {
 	defer close(w.done)
 	for w.ctx.Err() == nil {
@@ -112,7 +166,11 @@
 		if w.ctx.Err() != nil {
 			return
 		}
-		w.log.Info("The watch of the configuration has ended.", zap.Error(err))
+		w.cfg.Log.Info("The watch of the configuration has ended.", zap.Error(err))
+		if now := time.Now(); now.Sub(w.askedAt) >= askEvery {
+			w.askedAt = now
+			w.cfg.AskInstance()
+		}
 		select {
 		case <-time.After(retryEvery):
 		case <-w.ctx.Done():
@@ -120,15 +178,16 @@
 	}
 }
 
-// read reads the configuration, and returns the revision from which to watch.
+// read reads the requests of operators, and returns the revision from which to watch.
 func (w *Watcher) read() (int64, error) {
 	ctx, cancel := context.WithTimeout(w.ctx, callTimeout)
 	defer cancel()
-	items, revision, err := w.store.Read(ctx, w.formats.ConfigurationKey())
+	items, revision, err := w.cfg.Store.Read(ctx, w.cfg.Formats.OperatorPrefix())
 	if err != nil {
 		return 0, err
 	}
-	w.applyAll(items)
+	w.stored = evacuation.Set{}
+	w.applyAll(items, revision)
 	return revision, nil
 }
 
@@ -137,17 +196,25 @@
 func (w *Watcher) watch(after int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(w.ctx, watchWait+watchSlack)
 	defer cancel()
-	items, revision, err := w.store.Watch(ctx, w.formats.ConfigurationKey(), after, watchWait)
+	items, revision, err := w.cfg.Store.Watch(ctx, w.cfg.Formats.OperatorPrefix(), after, watchWait)
 	if err != nil {
 		return 0, err
 	}
-	w.applyAll(items)
+	w.applyAll(items, revision)
 	return revision, nil
 }
 
-func (w *Watcher) applyAll(items []port.Item) {
+// applyAll applies keys of the store up to a revision, the evacuated zones first, so that
+// an instance that has just started knows them before it claims targets.
+func (w *Watcher) applyAll(items []port.Item, revision int64) {
+	for _, it := range items {
+		if zone, ok := w.cfg.Formats.EvacuatedZone(it.Key); ok {
+			w.stored = w.stored.With(zone, !it.Deleted)
+		}
+	}
+	w.ApplyEvacuation(w.stored.At(revision), "store")
 	for _, it := range items {
-		if it.Key == w.formats.ConfigurationKey() && !it.Deleted {
+		if it.Key == w.cfg.Formats.ConfigurationKey() && !it.Deleted {
 			w.ApplyIfNewer(it.Value, "store")
 		}
 	}
--- a/pool/port/port.go
+++ b/pool/port/port.go
@@ -80,8 +80,13 @@
 
 // Formats decodes the platform's data in the store.
 type Formats interface {
+	// OperatorPrefix returns the common prefix of the keys that operators write.
+	OperatorPrefix() string
 	// ConfigurationKey returns the key of the configuration.
 	ConfigurationKey() string
+	// EvacuatedZone returns the availability zone that is evacuated while the key
+	// exists, whatever its value is. It returns false for other keys.
+	EvacuatedZone(key string) (zone string, ok bool)
 	// Configuration decodes the configuration.
 	Configuration(value []byte) (*catalog.Catalog, error)
 	// TargetPrefix returns the prefix of the keys of the targets.
--- a/pool/relay/convert.go
+++ b/pool/relay/convert.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"marigoldfront.dev/core/evacuation"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/wire"
 )
@@ -89,3 +90,21 @@
 	}
 	return scheduler.Unknown{Reason: scheduler.Reason(r.Reason)}
 }
+
+// evacuationToWire encodes a set of evacuated zones. It returns nil for a set without a
+// revision.
+func evacuationToWire(s evacuation.Set) *wire.Evacuation {
+	if s.Revision == 0 {
+		return nil
+	}
+	return &wire.Evacuation{Revision: s.Revision, Zones: s.Zones}
+}
+
+// EvacuationFromWire decodes a set of evacuated zones. It returns the empty set for nil.
+func EvacuationFromWire(in *wire.Evacuation) evacuation.Set {
+	s := evacuation.Set{}.At(in.GetRevision())
+	for _, zone := range in.GetZones() {
+		s = s.With(zone, true)
+	}
+	return s
+}
--- a/pool/relay/heartbeat.go
+++ b/pool/relay/heartbeat.go
@@ -20,14 +20,23 @@
 	return recent || c.ask(o) != nil
 }
 
+// Ask sends a heartbeat to the instance at the address, which exchanges the configuration
+// and the evacuated zones.
+func (c *Client) Ask(address string) {
+	c.mu.Lock()
+	o := c.owner(address)
+	c.mu.Unlock()
+	c.ask(o)
+}
+
 // Serving reports whether the instance at the address replies, has the incarnation,
-// owns usable targets and does not shut down.
+// owns usable or evacuated targets and does not shut down.
 func (c *Client) Serving(address string, incarnation uint64) bool {
 	c.mu.Lock()
 	o := c.owner(address)
 	c.mu.Unlock()
 	out := c.ask(o)
-	return out != nil && out.Load != nil && out.Incarnation == incarnation && out.Load.Cpu > 0 && !out.Load.Draining
+	return out != nil && out.Load != nil && out.Incarnation == incarnation && out.Load.Cpu+out.Load.EvacuatedCpu > 0 && !out.Load.Draining
 }
 
 // ask sends a heartbeat at once and returns the reply, or nil if there is none
@@ -104,14 +113,14 @@
 // replies are awaited. Its time is that before a stall of this instance, as long as
 // callers may have disconnected unnoticed.
 func (c *Client) nextHeartbeat(o *owner) *wire.BeatRequest {
-	version := c.version()
+	version, set := c.version(), c.evacuation()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o.heartbeats++
 	o.heartbeatSent = time.Now()
 	in := &wire.BeatRequest{
 		Sender: c.name, Incarnation: c.incarnation, Configuration: version, Number: o.heartbeats, Last: c.lastID,
-		Sent: o.estimateTime(c.clock(), c.stallAge()), Recall: c.recalled,
+		Sent: o.estimateTime(c.clock(), c.stallAge()), Recall: c.recalled, Evacuation: evacuationToWire(set),
 	}
 	for id, job := range o.inFlight {
 		in.Jobs = append(in.Jobs, id)
@@ -130,6 +139,9 @@
 	if err == nil {
 		c.recordReply(o, out.Load, out.Time, out.Epoch)
 		c.reconcile(o, out)
+		if out.Evacuation != nil {
+			c.onEvacuation(EvacuationFromWire(out.Evacuation))
+		}
 		if out.Configuration > c.version() {
 			c.onNewerConfiguration(o.client)
 		}
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"marigoldfront.dev/core/evacuation"
 	"marigoldfront.dev/core/remoteclock"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/tracing"
@@ -71,6 +72,9 @@
 	// thousandths of a core.
 	FreeCPU int64
 	CPU     int64
+	// EvacuatedCPU is the processors of the owner's targets that serve in evacuated
+	// zones. Only the owner itself knows it.
+	EvacuatedCPU int64
 	// Queued is the number of queued jobs.
 	Queued int
 	// Draining is set while the owner shuts down.
@@ -95,6 +99,8 @@
 	stallAge             func() time.Duration
 	version              func() int64
 	onNewerConfiguration func(wire.Pool)
+	evacuation           func() evacuation.Set
+	onEvacuation         func(evacuation.Set)
 	http                 *http.Client
 	ctx                  context.Context
 	cancel               context.CancelFunc
@@ -162,12 +168,13 @@
 // must include suspensions of the machine. The function stallAge returns for how long
 // disconnected callers may not have been noticed. Each heartbeat carries the result of
 // version, the version of the active configuration. The function
-// onNewerConfiguration is called with an owner that has a newer one.
-func NewClient(log *zap.Logger, tracer *tracing.Tracer, name string, incarnation uint64, clock func() time.Time, stallAge func() time.Duration, version func() int64, onNewerConfiguration func(wire.Pool)) *Client {
+// onNewerConfiguration is called with an owner that has a newer one. Heartbeats also
+// carry the result of evacuation, and onEvacuation is called with the set of each reply.
+func NewClient(log *zap.Logger, tracer *tracing.Tracer, name string, incarnation uint64, clock func() time.Time, stallAge func() time.Duration, version func() int64, onNewerConfiguration func(wire.Pool), evacuation func() evacuation.Set, onEvacuation func(evacuation.Set)) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		log: log, tracer: tracer, name: name, incarnation: incarnation, clock: clock, stallAge: stallAge, version: version,
-		onNewerConfiguration: onNewerConfiguration, ctx: ctx, cancel: cancel,
+		onNewerConfiguration: onNewerConfiguration, evacuation: evacuation, onEvacuation: onEvacuation, ctx: ctx, cancel: cancel,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConns,
--- a/pool/relay/relay_test.go
+++ b/pool/relay/relay_test.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"marigoldfront.dev/core/evacuation"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
@@ -20,7 +21,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := NewClient(zap.NewNop(), tracer, "a", 1, time.Now, func() time.Duration { return 0 }, func() int64 { return 0 }, func(wire.Pool) {})
+	r := NewClient(zap.NewNop(), tracer, "a", 1, time.Now, func() time.Duration { return 0 }, func() int64 { return 0 }, func(wire.Pool) {},
+		func() evacuation.Set { return evacuation.Set{} }, func(evacuation.Set) {})
 	t.Cleanup(r.Close)
 	return r
 }
--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -12,6 +12,7 @@
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"marigoldfront.dev/core/evacuation"
 	"marigoldfront.dev/core/ledger"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/disconnect"
@@ -46,6 +47,10 @@
 	Cancel func(jobs []string, write bool) (written bool)
 	// Awaited passes on which jobs a sender awaits.
 	Awaited func(scheduler.Awaited)
+	// Evacuation returns the set of evacuated zones in force. OnEvacuation is called
+	// with the set of each heartbeat.
+	Evacuation   func() evacuation.Set
+	OnEvacuation func(evacuation.Set)
 	// Clock returns the time. It must include suspensions of the machine.
 	Clock func() time.Time
 	// Load returns the load report of this instance's targets.
@@ -248,8 +253,14 @@
 
 // Beat implements wire.Pool.
 func (s *Server) Beat(_ context.Context, in *wire.BeatRequest) (*wire.BeatReply, error) {
+	if in.Evacuation != nil {
+		s.cfg.OnEvacuation(EvacuationFromWire(in.Evacuation))
+	}
 	version, _ := s.cfg.Configuration()
-	out := &wire.BeatReply{Incarnation: s.cfg.Incarnation, Configuration: version, Load: s.cfg.Load(), Time: s.ownTime()}
+	out := &wire.BeatReply{
+		Incarnation: s.cfg.Incarnation, Configuration: version, Load: s.cfg.Load(), Time: s.ownTime(),
+		Evacuation: evacuationToWire(s.cfg.Evacuation()),
+	}
 	awaited, recalled := s.reconcile(in, out)
 	if len(awaited.Jobs) > 0 {
 		s.cfg.Awaited(awaited)
@@ -306,7 +317,7 @@
 // FetchConfiguration implements wire.Pool.
 func (s *Server) FetchConfiguration(context.Context, *wire.FetchConfigurationRequest) (*wire.FetchConfigurationReply, error) {
 	version, value := s.cfg.Configuration()
-	return &wire.FetchConfigurationReply{Version: version, Value: value}, nil
+	return &wire.FetchConfigurationReply{Version: version, Value: value, Evacuation: evacuationToWire(s.cfg.Evacuation())}, nil
 }
 
 // expiryLoop checks for unresponsive senders until Close.
--- a/pool/relay/stale_test.go
+++ b/pool/relay/stale_test.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"marigoldfront.dev/core/evacuation"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
@@ -136,6 +137,8 @@
 		Cancel:        func([]string, bool) bool { return false },
 		Load:          func() *wire.PoolLoad { return &wire.PoolLoad{Cpu: 1} },
 		Configuration: func() (int64, []byte) { return 0, nil },
+		Evacuation:    func() evacuation.Set { return evacuation.Set{} },
+		OnEvacuation:  func(evacuation.Set) {},
 	})
 	go func() { _ = o.server.Serve(l) }()
 	t.Cleanup(func() { _ = o.server.server.Close(); close(o.server.done) })
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/catalog"
+	"marigoldfront.dev/core/evacuation"
 	"marigoldfront.dev/core/finding"
 	"marigoldfront.dev/core/ownership"
 	"marigoldfront.dev/core/scheduler"
@@ -145,6 +147,7 @@
 	jobLogger := func(name string) *zap.Logger { return logging.ForComponent(in.jobLog, name) }
 	sched := scheduler.New(scheduler.Config{
 		Lease: cfg.Lease(), MaxClockDrift: maxClockDrift, RemoteRackFactor: cfg.RemoteRackFactor, ResubmissionDelay: cfg.ResubmissionDelay(),
+		EvacuationStartTime: cfg.EvacuationStartTime(),
 	})
 	in.stalls = stall.New(clock.Now)
 	in.loop = loop.New(sched, clock.Now, loop.Handlers{
@@ -171,20 +174,25 @@
 		Clock: clock.Now,
 	})
 	in.targets = targetlist.New(in.logger("listing"), store, p.Formats, in.claims, cfg.Shards, clock.Now, in.loop.Post)
-	in.configuration = configuration.New(in.logger("configuration"), store, p.Formats, func(c *catalog.Catalog) {
-		in.claims.SetServices(c.Services)
+	in.configuration = configuration.New(configuration.Config{
+		Log: in.logger("configuration"), Store: store, Formats: p.Formats,
+		OnConfiguration: func(c *catalog.Catalog) { in.claims.SetServices(c.Services) },
+		OnEvacuation:    func(s evacuation.Set) { in.loop.Post(scheduler.ZonesEvacuated{Zones: s.Zones}) },
+		AskInstance:     in.askInstance,
 	})
-	in.relayClient = relay.NewClient(in.logger("relay"), in.tracer, cfg.Name, in.self.Incarnation, clock.Now, in.stalls.MaxAge, in.configuration.Version, in.fetchConfiguration)
+	in.relayClient = relay.NewClient(in.logger("relay"), in.tracer, cfg.Name, in.self.Incarnation, clock.Now, in.stalls.MaxAge,
+		in.configuration.Version, in.fetchConfiguration, in.configuration.Evacuation, in.applyEvacuation)
 	in.relayServer = relay.NewServer(relay.ServerConfig{
 		Log: in.logger("relay"), Tracer: in.tracer, Submit: in.loop.Submit, Clock: clock.Now, Load: in.wireLoad,
 		Recall:        func(job string) { in.loop.Post(scheduler.Recall{Job: job}) },
 		Cancel:        in.canceller.CancelForPeer,
 		Awaited:       func(ev scheduler.Awaited) { in.loop.Post(ev) },
 		Configuration: in.configuration.Value, Incarnation: in.self.Incarnation,
+		Evacuation: in.configuration.Evacuation, OnEvacuation: in.applyEvacuation,
 	})
 	in.frontend = frontend.New(frontend.Config{
 		Log: jobLogger("desk"), Metrics: in.metrics, Tracer: in.tracer, Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.configuration.Catalog,
-		ShardHolders: in.claims.Holders, OwnersChanging: in.claims.Settling, RelayClient: in.relayClient, SelfAddress: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
+		ShardHolders: in.holders, OwnersChanging: in.claims.Settling, RelayClient: in.relayClient, SelfAddress: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
 		WaitingJobs: in.waiting, Draining: in.draining.Load, MayHaveRun: in.mayHaveRun, Cancel: in.cancel,
 	})
 	in.callerServer = &http.Server{
@@ -266,6 +274,7 @@
 	in.loop.Inspect(func(s *scheduler.Scheduler) {
 		st := s.Stats()
 		l.ForecastWait, l.FreeCPU, l.CPU, l.Queued = st.ForecastWait, st.FreeCPU, st.CPU, st.Queued
+		l.EvacuatedCPU = st.EvacuatedCPU
 	})
 	in.load.Store(&l)
 	return l
@@ -275,6 +284,29 @@
 	l := in.ownLoad()
 	return &wire.PoolLoad{
 		WaitMs: l.ForecastWait.Milliseconds(), FreeCpu: l.FreeCPU, Cpu: l.CPU, Queued: int32(l.Queued), Draining: l.Draining,
+		EvacuatedCpu: l.EvacuatedCPU,
+	}
+}
+
+// holders returns the claims of all instances to the shards of a service, without those
+// in evacuated zones.
+func (in *Instance) holders(service string) map[ownership.Shard]ownership.Claim {
+	all, set := in.claims.Holders(service), in.configuration.Evacuation()
+	if len(set.Zones) > 0 {
+		maps.DeleteFunc(all, func(s ownership.Shard, _ ownership.Claim) bool { return set.Contains(s.Zone) })
+	}
+	return all
+}
+
+// applyEvacuation applies the set of evacuated zones of another instance.
+func (in *Instance) applyEvacuation(s evacuation.Set) {
+	in.configuration.ApplyEvacuation(s, "instance")
+}
+
+// askInstance asks another instance, chosen at random, for what is in force there.
+func (in *Instance) askInstance() {
+	if peers := in.claims.Peers(); len(peers) > 0 {
+		in.relayClient.Ask(peers[rand.IntN(len(peers))])
 	}
 }
 
@@ -288,6 +320,7 @@
 		in.log.Info("A newer configuration could not be fetched.", zap.Error(err))
 		return
 	}
+	in.applyEvacuation(relay.EvacuationFromWire(out.Evacuation))
 	in.configuration.ApplyIfNewer(out.Value, "instance")
 }
 
--- a/pool/settings/settings.go
+++ b/pool/settings/settings.go
@@ -45,6 +45,10 @@
 	// ResendMS is the shortest time after which a caller submits a job again that it
 	// has no result of, in milliseconds.
 	ResendMS int `toml:"resend_ms"`
+	// EvacuationMS is the time after the request to evacuate an availability zone from
+	// which on no task may start there, in milliseconds. Jobs that have started use less
+	// than half of it for their remaining tasks; 0 leaves them none.
+	EvacuationMS int `toml:"evacuation_ms"`
 	// RemoteRackFactor is the factor by which a task takes longer outside the rack
 	// of its data.
 	RemoteRackFactor float64 `toml:"far_factor"`
@@ -109,6 +113,9 @@
 	if s.ResendMS < 800 || s.ResendMS > 600_000 {
 		add("resend_ms", "must be 800 to 600000")
 	}
+	if s.EvacuationMS < 0 || s.EvacuationMS > 600_000 {
+		add("evacuation_ms", "must be 0 to 600000")
+	}
 	if s.MemoryMB < 16 {
 		add("memory_mb", "must be at least 16")
 	}
@@ -139,5 +146,15 @@
 	return time.Duration(s.ResendMS) * time.Millisecond
 }
 
+// evacuationStartShare is the share of EvacuationMS in which jobs that have started may
+// start their remaining tasks. The rest is for instances that learn of the request late.
+const evacuationStartShare = 0.4
+
+// EvacuationStartTime returns how long after an instance has learned of the evacuation of
+// a zone jobs that have started may start their remaining tasks there.
+func (s *Settings) EvacuationStartTime() time.Duration {
+	return time.Duration(float64(s.EvacuationMS) * evacuationStartShare * float64(time.Millisecond))
+}
+
 // Grace returns the time between SIGTERM and SIGKILL.
 func (s *Settings) Grace() time.Duration { return time.Duration(s.GraceS * float64(time.Second)) }
