--- a/core/poolstatus/poolstatus.go
+++ b/core/poolstatus/poolstatus.go
@@ -8,11 +8,15 @@
 	AvailabilityZone string `json:"availability_zone"`
 	PeerAddress      string `json:"peer_address"`
 	// State is "serving", "draining" or "unconfigured".
-	State         string   `json:"state"`
-	Configuration int64    `json:"configuration"`
-	Claims        []Claim  `json:"claims"`
-	Targets       []Target `json:"targets"`
-	Jobs          []Job    `json:"jobs"`
+	State         string `json:"state"`
+	Configuration int64  `json:"configuration"`
+	// EvacuatedZones holds the availability zones that the instance knows to be
+	// evacuated, and EvacuationRevision the revision of the store at which it knows it.
+	EvacuatedZones     []string `json:"evacuated_zones"`
+	EvacuationRevision int64    `json:"evacuation_revision"`
+	Claims             []Claim  `json:"claims"`
+	Targets            []Target `json:"targets"`
+	Jobs               []Job    `json:"jobs"`
 }
 
 // Claim is a shard of targets and the holder that the instance knows of.
@@ -33,7 +37,7 @@
 	AvailabilityZone string `json:"availability_zone"`
 	Fence            int64  `json:"fence"`
 	// State is "usable", or why the target gets no new work: "draining",
-	// "releasing", "removed", "fenced", "silent", "unknown" or "ejected".
+	// "evacuated", "releasing", "removed", "fenced", "silent", "unknown" or "ejected".
 	State string `json:"state"`
 	// CPU and FreeCPU are in thousandths of a core.
 	CPU     int64 `json:"cpu"`
--- a/ctl/command/pool.go
+++ b/ctl/command/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/samber/oops"
 
+	"marigoldfront.dev/core/evacuation"
 	"marigoldfront.dev/core/poolstatus"
 	"marigoldfront.dev/ctl/exit"
 	"marigoldfront.dev/ctl/output"
@@ -78,9 +79,41 @@
 			})
 		}
 		output.Table(w, "INSTANCE AVAILABILITY_ZONE STATE CONFIGURATION SHARDS TARGETS USABLE JOBS RUNNING", rows)
+		printEvacuatedZones(w, all)
 	})
 }
 
+// printEvacuatedZones prints, for each zone that an instance knows to be evacuated, how
+// many of the instances know it, and the targets and running tasks there.
+func printEvacuatedZones(w io.Writer, all []poolstatus.Status) {
+	var set evacuation.Set
+	for _, s := range all {
+		for _, zone := range s.EvacuatedZones {
+			set = set.With(zone, true)
+		}
+	}
+	var rows [][]string
+	for _, zone := range set.Zones {
+		known, targets, running := 0, 0, 0
+		for _, s := range all {
+			if slices.Contains(s.EvacuatedZones, zone) {
+				known++
+			}
+			for _, t := range s.Targets {
+				if t.AvailabilityZone == zone {
+					targets++
+					running += t.Running
+				}
+			}
+		}
+		rows = append(rows, []string{zone, fmt.Sprintf("%d/%d", known, len(all)), strconv.Itoa(targets), strconv.Itoa(running)})
+	}
+	if len(rows) > 0 {
+		fmt.Fprintln(w)
+		output.Table(w, "EVACUATED_ZONE INSTANCES_INFORMED TARGETS RUNNING", rows)
+	}
+}
+
 type poolTargets struct {
 	poolInstances
 	Args struct {
--- a/ctl/command/pool_test.go
+++ b/ctl/command/pool_test.go
@@ -11,12 +11,13 @@
 )
 
 // Guards against output without the owner of a leased target, the reason why it
-// gets no work, or the state of a job, and against an unreachable instance that
+// gets no work, the state of a job, or what still runs in an evacuated zone, and against an unreachable instance that
 // prevents the output for the others.
 func TestPoolCommands(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(poolstatus.Status{
 			Instance: "accra-1", AvailabilityZone: "accra", State: "serving", Configuration: 12,
+			EvacuatedZones: []string{"accra"}, EvacuationRevision: 90,
 			Claims: []poolstatus.Claim{
 				{Service: "desk", AvailabilityZone: "accra", Holder: "accra-1", Fence: 70},
 				{Service: "desk", AvailabilityZone: "accra", Shard: 1, Holder: "accra-2", Fence: 71},
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -383,11 +383,12 @@
 		if !in.loop.Inspect(func(s *scheduler.Scheduler) { st = s.Stats() }) {
 			return
 		}
-		in.metrics.SetGauges(st, len(in.claims.Owned()), in.configuration.Version())
+		in.metrics.SetGauges(st, len(in.claims.Owned()), in.configuration.Version(), len(in.configuration.Evacuation().Zones))
 		if st.Targets > 0 || st.Jobs > 0 {
 			in.log.Info("State of the owned targets.", zap.Int("targets", st.Targets), zap.Int("usable", st.Usable),
 				zap.Int64("cpu", st.CPU), zap.Int64("free_cpu", st.FreeCPU), zap.Int("jobs", st.Jobs),
 				zap.Int("queued", st.Queued), zap.Int("running", st.Running), zap.Duration("wait", st.ForecastWait),
+				zap.Int64("evacuated_cpu", st.EvacuatedCPU), zap.Int("evacuated_running", st.EvacuatedRunning),
 				zap.String("contained", st.Contained), zap.Bool("contained_full", st.ContainedFull))
 		}
 	}
--- a/pool/run/status.go
+++ b/pool/run/status.go
@@ -33,6 +33,8 @@
 		Instance: in.cfg.Name, AvailabilityZone: in.cfg.AvailabilityZone, PeerAddress: in.cfg.PeerAddress,
 		State: "serving", Configuration: in.configuration.Version(), Claims: []poolstatus.Claim{},
 	}
+	set := in.configuration.Evacuation()
+	out.EvacuatedZones, out.EvacuationRevision = append([]string{}, set.Zones...), set.Revision
 	c := in.configuration.Catalog()
 	switch {
 	case in.draining.Load():
