--- a/pool/configuration/configuration_test.go
+++ b/pool/configuration/configuration_test.go
@@ -232,7 +232,9 @@
 	w, _ := newTestWatcher(t, s)
 	go w.Run()
 	defer w.Close()
+	eventually(t, "the store was read", func() bool { return w.Evacuation().Revision == 100 })
 	s.write("op/e/a", false)
+	eventually(t, "the zone is evacuated", w.evacuates("a"))
 	s.write("op/e/a", true)
 	eventually(t, "the removal was read", func() bool { return w.Evacuation().Revision == 102 })
 	if !w.evacuates()() {
