--- a/pool/configuration/configuration_test.go
+++ b/pool/configuration/configuration_test.go
@@ -134,7 +134,7 @@
 	return r.asked
 }
 
-func newTestWatcher(t *testing.T, s *fakeStore) (*Watcher, *recorder) {
+func newTestWatcher(s *fakeStore) (*Watcher, *recorder) {
 	r := &recorder{}
 	w := New(Config{
 		Log: zap.NewNop(), Store: s, Formats: fakeFormats{},
@@ -168,7 +168,7 @@
 	s := newFakeStore()
 	s.write("op/c", false)
 	s.write("op/e/a", false)
-	w, r := newTestWatcher(t, s)
+	w, r := newTestWatcher(s)
 	go w.Run()
 	defer w.Close()
 	eventually(t, "the configuration is in force", func() bool { return w.Catalog() != nil })
@@ -188,7 +188,7 @@
 			s := newFakeStore()
 			s.write("op/e/a", false)
 			s.write("op/e/b", false)
-			w, r := newTestWatcher(t, s)
+			w, r := newTestWatcher(s)
 			go w.Run()
 			defer w.Close()
 			eventually(t, "both zones are evacuated", w.evacuates("a", "b"))
@@ -210,7 +210,7 @@
 func TestOlderSetDoesNotReplaceANewerOne(t *testing.T) {
 	s := newFakeStore()
 	s.write("op/e/a", false)
-	w, r := newTestWatcher(t, s)
+	w, r := newTestWatcher(s)
 	// Another instance has read the store after the zone was taken back.
 	w.ApplyEvacuation(evacuation.Set{Revision: 103}, "instance")
 	go w.Run()
@@ -229,7 +229,7 @@
 // Guards against a request that was withdrawn at once and stays in force.
 func TestWithdrawnEvacuationIsNotInForce(t *testing.T) {
 	s := newFakeStore()
-	w, _ := newTestWatcher(t, s)
+	w, _ := newTestWatcher(s)
 	go w.Run()
 	defer w.Close()
 	eventually(t, "the store was read", func() bool { return w.Evacuation().Revision == 100 })
