marigoldctl pool check: check a configuration before it is written

Cause: operators learn of a queue that gets no requests, a service that is not listed or a version that is not newer only once the configuration is in force.

Change: core/draft finds errors, entries that can never take effect, limits that contradict each other, and the differences from another configuration; platform/formats decodes a file with the place of each value; the command takes the version in force from a file or an instance. catalog.MaxTimeout is now shared by the adapter and the check. docs/design/configuration-check.md has what was weighed.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// MaxTimeout is the longest time that instances keep a job.
+const MaxTimeout = 10 * time.Minute
+
 // Catalog is one complete version of the configuration. It is immutable after
 // New, so that goroutines can share it.
 type Catalog struct {
--- a/ctl/cmd/marigoldctl/main.go
+++ b/ctl/cmd/marigoldctl/main.go
@@ -6,8 +6,9 @@
 	"os"
 
 	"marigoldfront.dev/ctl/command"
+	"marigoldfront.dev/platform/formats"
 )
 
 func main() {
-	os.Exit(int(command.New(os.Stdout, os.Stderr).Run(os.Args[1:])))
+	os.Exit(int(command.New(os.Stdout, os.Stderr, formats.Decoder{}).Run(os.Args[1:])))
 }
--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -15,6 +15,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"marigoldfront.dev/ctl/exit"
+	"marigoldfront.dev/platform/formats"
 	"marigoldfront.dev/standin/platform"
 )
 
@@ -33,7 +34,7 @@
 
 func (r *transcript) run(args ...string) exit.Code {
 	var out, errOut bytes.Buffer
-	code := New(&out, &errOut).Run(append(append([]string{}, r.global...), args...))
+	code := New(&out, &errOut, formats.Decoder{}).Run(append(append([]string{}, r.global...), args...))
 	fmt.Fprintf(&r.log, "$ marigoldctl %s\n%s%sexit code %d\n\n", strings.Join(args, " "), out.String(), errOut.String(), code)
 	return code
 }
--- a/ctl/command/help.go
+++ b/ctl/command/help.go
@@ -70,3 +70,7 @@
 const poolJobsHelp = `Shows the jobs that the instances run or hold back, with the number of tasks done, running and waiting. A job that is not listed is already answered or has another owner; its id leads to its log lines.
 
 Example: marigoldctl pool jobs --instance http://127.0.0.1:7420`
+
+const poolCheckHelp = `Checks a configuration file before it is written to the platform's store, and shows what differs from another one with --against: a file, or the metrics address of an instance, whose configuration in force is read. Nothing is written. Errors are what instances refuse, or refuse requests for. Warnings are entries that can never take effect, and values that contradict each other; with --instance they include services without targets, for which all instances have to be named. Findings name the file, line and key. Exit code 3 means that there are errors.
+
+Example: marigoldctl pool check change.json --against http://127.0.0.1:7420`
--- a/ctl/command/pool_test.go
+++ b/ctl/command/pool_test.go
@@ -1,13 +1,18 @@
 package command
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"strings"
 	"testing"
 
 	"marigoldfront.dev/core/poolstatus"
 	"marigoldfront.dev/ctl/exit"
+	"marigoldfront.dev/wire"
 )
 
 // Guards against output without the owner of a leased target, the reason why it
@@ -49,3 +54,53 @@
 	}
 	r.compare(t, "pool")
 }
+
+// fakePeer serves the configuration of an instance to other instances.
+type fakePeer struct {
+	wire.Pool
+	value []byte
+}
+
+func (p fakePeer) FetchConfiguration(context.Context, *wire.FetchConfigurationRequest) (*wire.FetchConfigurationReply, error) {
+	return &wire.FetchConfigurationReply{Version: 11, Value: p.value}, nil
+}
+
+// Guards against a configuration with errors that passes the check, findings without
+// their place, and differences from the configuration of an instance that are not shown.
+func TestPoolCheck(t *testing.T) {
+	value, err := os.ReadFile("testdata/pool_valid.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	inForce := bytes.Replace(bytes.Replace(value, []byte("12"), []byte("11"), 1), []byte("1500"), []byte("1000"), 1)
+	peer := httptest.NewServer(wire.NewPoolServer(fakePeer{value: inForce}))
+	defer peer.Close()
+	instance := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(poolstatus.Status{
+			Instance: "accra-1", PeerAddress: strings.TrimPrefix(peer.URL, "http://"), Configuration: 11,
+			Targets: []poolstatus.Target{{ID: "t1", Service: "motifs"}},
+		})
+	}))
+	defer instance.Close()
+	r := &transcript{}
+	for _, tc := range []struct {
+		args []string
+		want exit.Code
+	}{
+		{[]string{"testdata/pool_valid.json"}, exit.OK},
+		{[]string{"testdata/pool_valid.json", "--against", instance.URL}, exit.OK},
+		{[]string{"testdata/pool_valid.json", "--instance", instance.URL}, exit.OK},
+		{[]string{"testdata/pool_findings.json", "--against", "testdata/pool_valid.json"}, exit.Findings},
+		{[]string{"testdata/pool_findings.json", "--against", "testdata/pool_valid.json", "--output", "json"}, exit.Findings},
+		{[]string{"testdata/pool_wrong_type.json"}, exit.Findings},
+		{[]string{"testdata/pool_valid.json", "--against", "testdata/pool_wrong_type.json"}, exit.Findings},
+		{[]string{"testdata/absent.json"}, exit.Failure},
+		{[]string{"testdata/pool_valid.json", "--against", "http://127.0.0.1:1"}, exit.Unreachable},
+		{nil, exit.Usage},
+	} {
+		if got := r.run(append([]string{"pool", "check"}, tc.args...)...); got != tc.want {
+			t.Errorf("%v: exit code %d, want %d", tc.args, got, tc.want)
+		}
+	}
+	r.compare(t, "pool_check")
+}
--- a/ctl/command/root.go
+++ b/ctl/command/root.go
@@ -11,6 +11,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"marigoldfront.dev/core/draft"
 	"marigoldfront.dev/core/finding"
 	"marigoldfront.dev/ctl/exit"
 	"marigoldfront.dev/ctl/output"
@@ -26,13 +27,22 @@
 	Caller       string   `long:"caller" env:"MARIGOLD_CALLER" value-name:"NAME" description:"Name of the caller that submits"`
 	Token        string   `long:"token" env:"MARIGOLD_TOKEN" default-mask:"-" description:"Bearer token of the caller; prefer the environment variable, which other users cannot see"`
 
-	printer *output.Printer
+	printer        *output.Printer
+	configurations Configurations
+}
+
+// Configurations decodes configurations in the form in which operators write them to
+// the platform's store.
+type Configurations interface {
+	// Draft decodes a configuration that may be invalid. path is the name of its file
+	// in the places of the findings.
+	Draft(path string, value []byte) (*draft.Draft, finding.List)
 }
 
 // New returns a Root that writes results to out, and progress and errors to
 // errOut.
-func New(out, errOut io.Writer) *Root {
-	return &Root{printer: &output.Printer{Out: out, Err: errOut}}
+func New(out, errOut io.Writer, configurations Configurations) *Root {
+	return &Root{printer: &output.Printer{Out: out, Err: errOut}, configurations: configurations}
 }
 
 // Run parses the command line, runs the command and returns the exit code.
@@ -130,6 +140,7 @@
 	addCommand(o, "status", "Show state, configuration and load of instances", poolStatusHelp, &poolStatus{root: r})
 	addCommand(o, "targets", "Show who owns a target, and its lease, load and speed", poolTargetsHelp, &poolTargets{root: r})
 	addCommand(o, "jobs", "Show the jobs without an answer at their owners", poolJobsHelp, &poolJobs{root: r})
+	addCommand(o, "check", "Check a configuration before it is written to the store", poolCheckHelp, &poolCheck{root: r})
 	addCommand(p, "owner", "Show who owns a caller (operators)", ownerHelp, &ownerCommand{root: r})
 	addCommand(p, "targets", "Show which targets serve a service or a caller (operators)", targetsHelp, &targetsCommand{root: r})
 	addCommand(p, "instances", "Show the platform's instance list (operators)", instancesHelp, &instancesCommand{root: r})
