core/scheduler: keep started long jobs while owners of targets change

A started job with tasks to place was answered as unknown as soon as all targets of its owner drained or had left. Such a job is now kept for 3 s, in which owners settle, if its remaining tasks could still end in time after that. TestStartedLongJobAwaitsTargets fails without it.

--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -14,6 +14,9 @@
 	// submitted again. It suits refusals that do not depend on the load, because
 	// another instance takes over within about a second.
 	minRetryAfter = time.Second
+	// targetWait is how long a started job waits for targets if this instance has none.
+	// The owners of targets settle within it after a change.
+	targetWait = 3 * time.Second
 )
 
 // job is a job that has not been answered yet.
@@ -37,6 +40,8 @@
 	// refuseAt is the earliest time at which a job without a start is refused.
 	refuseAt time.Time
 	queued   bool
+	// lacksTargetsSince is since when the job lacks targets for its tasks, or zero.
+	lacksTargetsSince time.Time
 	// suspected is set once a task was suspect. isolatedSuccess is set once a suspect
 	// task has succeeded.
 	suspected, isolatedSuccess bool
@@ -269,7 +274,8 @@
 // this instance has no targets left. It is called after place, so that a job that
 // arrives late can still use free capacity.
 func (s *Scheduler) refuseLateJobs() {
-	for _, j := range s.queuedWhere(s.lacksTargets) {
+	s.recordLackOfTargets()
+	for _, j := range s.queuedWhere(func(j *job) bool { return !j.lacksTargetsSince.IsZero() && !s.mayAwaitTargets(j) }) {
 		s.giveUp(j, ReasonNoTarget)
 	}
 	for _, j := range s.queuedWhere(func(j *job) bool {
@@ -279,6 +285,26 @@
 	}
 }
 
+// recordLackOfTargets records since when the queued jobs lack targets.
+func (s *Scheduler) recordLackOfTargets() {
+	for _, j := range s.queue {
+		switch {
+		case !s.lacksTargets(j):
+			j.lacksTargetsSince = time.Time{}
+		case j.lacksTargetsSince.IsZero():
+			j.lacksTargetsSince = s.now
+		}
+	}
+}
+
+// mayAwaitTargets reports whether a job without targets is kept: it has started, and
+// its remaining tasks could still end in time if this instance gets targets within
+// targetWait.
+func (s *Scheduler) mayAwaitTargets(j *job) bool {
+	end := j.lacksTargetsSince.Add(targetWait)
+	return j.started && !s.draining && s.now.Before(end) && end.Add(j.criticalPath).Before(s.latestUsefulEnd(j))
+}
+
 // lacksTargets reports whether tasks of a job need a target, but all targets of
 // its service are draining or owned by other instances. A job that has started may
 // still use targets that have just begun to drain.
--- a/core/scheduler/release_test.go
+++ b/core/scheduler/release_test.go
@@ -143,3 +143,37 @@
 		h.send(Tick{})
 	}
 }
+
+// Guards against a long job whose outcome is given up as unknown while the owners of
+// targets change, although its caller waits for long enough, and against one that waits
+// for targets that do not come.
+func TestStartedLongJobAwaitsTargets(t *testing.T) {
+	for name, comes := range map[string]bool{"targets come": true, "none comes": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, testTarget("a"))
+			j := testJob("j", 3)
+			j.Steps[0].Estimate, j.Deadline = 5*time.Second, h.now.Add(30*time.Second)
+			h.submit(1, j)
+			for _, st := range take[Start](h) {
+				h.answerStart(st, StartAccepted)
+			}
+			draining := testTarget("a")
+			draining.Draining = true
+			h.send(TargetsChanged{Targets: []Target{draining}})
+			h.advance(targetWait - 100*time.Millisecond)
+			none[Reply](h)
+			if !comes {
+				h.advance(drainStartTime + 200*time.Millisecond)
+				if o, ok := one[Reply](h).Outcome.(Unknown); !ok || o.Reason != ReasonNoTarget {
+					t.Errorf("the outcome is %v", o)
+				}
+				return
+			}
+			h.send(TargetsChanged{Targets: []Target{draining, testTarget("b")}})
+			h.answerPoll("b", PollReturned{})
+			if st := one[Start](h); st.Target != "b" {
+				t.Errorf("the last task starts on %s", st.Target)
+			}
+		})
+	}
+}
