pool: hold shards at a planned stop only while there is room

Shards are now held only if at least 0.3 of the instance's processors were free when its stop began.

--- a/pool/run/drain.go
+++ b/pool/run/drain.go
@@ -17,10 +17,12 @@
 	// the instance has become unready. The load balancer needs two checks, a
 	// second apart, to notice it.
 	readinessDelay = 2200 * time.Millisecond
-	// releaseTimeout bounds the release of the instance's shards at shutdown, if the
-	// grace period is short. Otherwise shards with tasks that are likely to end in time
-	// are released at recallBefore, so that their jobs are answered.
+	// releaseTimeout bounds the release of the instance's shards at shutdown, unless
+	// there is room enough to hold shards with tasks that are likely to end in time.
 	releaseTimeout = 2200 * time.Millisecond
+	// minFreeShare is the free share of the instance's processors from which on it holds
+	// shards until recallBefore. With less, jobs would be refused elsewhere meanwhile.
+	minFreeShare = 0.3
 	// recallBefore is how long before the end of the shutdown the jobs that wait at
 	// other owners are refused. Heartbeats, which carry this, are sent four times a
 	// second.
@@ -42,10 +44,14 @@
 	in.draining.Store(true)
 	in.claims.Drain()
 	in.loop.Post(scheduler.Drain{})
+	limit := time.Now().Add(releaseTimeout)
+	if hold := end.Add(-recallBefore); hold.After(limit) && in.freeShare() >= minFreeShare {
+		limit = hold
+	}
 	released := make(chan struct{})
 	go func() {
 		defer close(released)
-		in.claims.ReleaseAll(latest(time.Now().Add(releaseTimeout), end.Add(-recallBefore)))
+		in.claims.ReleaseAll(limit)
 		in.claims.Deregister()
 		in.log.Info("The targets are released.")
 	}()
@@ -64,9 +70,10 @@
 	}
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+// freeShare returns the free share of the processors of the instance's targets. What is
+// free at other instances is similar.
+func (in *Instance) freeShare() float64 {
+	var st scheduler.Stats
+	in.loop.Inspect(func(s *scheduler.Scheduler) { st = s.Stats() })
+	return float64(st.FreeCPU) / float64(max(st.CPU, 1))
 }
