pool, platform: limit what clients hold in memory and descriptors

Cause: each body was read whole with its buffer grown by copies, decoded forms and jobs counted nowhere, headers had up to 1 MB, bodies to peers, readiness checks and metrics had no time limit, responses to clients that do not read had none either, and connections were bounded by the descriptors alone.

Change: all listeners use one infra/intake.Guard with the limits of the settings. It accounts for connections, bodies before they are read or as they grow, decoded bodies and jobs until they are answered. Requests without room are refused with 503 and Retry-After, messages of peers as ResourceExhausted, before anything was passed on. Metrics and status are rendered one at a time. A planned stop ends requests without progress.

--- /dev/null
+++ b/infra/intake/conn.go
@@ -0,0 +1,132 @@
+package intake
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"marigoldfront.dev/core/intake"
+)
+
+// errEvicted is the error of reads from a connection that gives way to others. Servers
+// treat it as a timeout.
+var errEvicted = fmt.Errorf("the connection gives way to others: %w", os.ErrDeadlineExceeded)
+
+// listener accepts connections that count.
+type listener struct {
+	net.Listener
+	guard *Guard
+	share float64
+}
+
+// Listen listens at a TCP address. The connections may be the given share of all that
+// the Guard allows.
+func (g *Guard) Listen(address string, share float64) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &listener{Listener: l, guard: g, share: share}, nil
+}
+
+// Accept implements net.Listener. A connection for which there is no room is closed at
+// once.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := nc.(*net.TCPConn)
+		if !ok {
+			return nil, errors.New("intake: not a TCP connection")
+		}
+		if c := l.guard.open(tcp, l.share); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// open adds a connection, or closes it and returns nil.
+func (g *Guard) open(tcp *net.TCPConn, share float64) *conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	id, evictions, met := g.table.Open(time.Now(), share)
+	g.evict(evictions)
+	if met != intake.None {
+		g.cfg.Closed(met)
+		_ = tcp.Close()
+		return nil
+	}
+	c := &conn{TCPConn: tcp, guard: g, id: id}
+	g.conns[id] = c
+	return c
+}
+
+// conn is a connection that counts.
+type conn struct {
+	*net.TCPConn
+	guard   *Guard
+	id      uint64
+	evicted atomic.Bool
+}
+
+// interrupt makes the pending and all later reads fail.
+func (c *conn) interrupt() {
+	c.evicted.Store(true)
+	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.evicted.Load() {
+		return 0, errEvicted
+	}
+	n, err := c.TCPConn.Read(b)
+	if err != nil && c.evicted.Load() {
+		return n, errEvicted
+	}
+	c.guard.received(c, n, err)
+	return n, err
+}
+
+// received records the result of a read.
+func (g *Guard) received(c *conn, n int, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil {
+		g.table.Receive(time.Now(), c.id, n)
+	} else if isTimeout(err) && g.table.Unfinished(c.id) {
+		g.cfg.Closed(intake.Time)
+	}
+}
+
+// SetReadDeadline implements net.Conn. An evicted connection keeps a deadline that has
+// passed.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	err := c.TCPConn.SetReadDeadline(t)
+	if c.evicted.Load() {
+		return c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return err
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.TCPConn.SetWriteDeadline(t); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.guard.mu.Lock()
+	c.guard.table.Close(c.id)
+	delete(c.guard.conns, c.id)
+	c.guard.mu.Unlock()
+	return c.TCPConn.Close()
+}
--- a/pool/metrics/metrics.go
+++ b/pool/metrics/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"marigoldfront.dev/core/intake"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/registry"
 	"marigoldfront.dev/pool/port"
@@ -19,28 +20,33 @@
 
 // help holds the help text of each metric.
 var help = map[string]string{
-	"marigold_pool_answers_total":         "Answers to callers by state and reason.",
-	"marigold_pool_answer_seconds":        "Time from a submission to its answer, in seconds, by state.",
-	"marigold_pool_asked_owners_total":    "Owners that were asked to run a job, by where they are and whether they took it.",
-	"marigold_pool_starts_total":          "Starts sent to targets, by result.",
-	"marigold_pool_crashes_total":         "Crashes of targets with running tasks, by what is known of them.",
-	"marigold_pool_crash_tasks_total":     "Tasks on targets that have crashed, by what is known of the crash.",
-	"marigold_pool_stops_total":           "Stops sent to targets, by result.",
-	"marigold_pool_cancels_total":         "Cancellations of jobs by callers, by where the job was.",
-	"marigold_pool_cancel_seconds":        "Time from the cancellation of a job to its answer, in seconds, by result.",
-	"marigold_pool_given_up_runs_total":   "Runs that were over after their job had ended, by how this became known.",
-	"marigold_pool_given_up_run_seconds":  "Time from the end of a job until its last runs were known to be over, in seconds.",
-	"marigold_pool_looks_total":           "Looks at targets, by result.",
-	"marigold_pool_store_calls_total":     "Calls to the store, by kind and result.",
-	"marigold_pool_store_call_seconds":    "Time of a call to the store that does not wait for changes, in seconds.",
-	"marigold_pool_owned_shards":          "Shards of targets that this instance holds.",
-	"marigold_pool_targets":               "Targets that this instance owns.",
-	"marigold_pool_usable_targets":        "Owned targets that take work.",
-	"marigold_pool_free_cores":            "Free processor cores of the usable targets.",
-	"marigold_pool_queued_jobs":           "Jobs with tasks that wait for a target.",
-	"marigold_pool_running_tasks":         "Tasks on owned targets.",
-	"marigold_pool_forecast_wait_seconds": "Forecast time until a new task starts, in seconds.",
-	"marigold_pool_configuration_version": "Version of the configuration in force.",
+	"marigold_pool_answers_total":            "Answers to callers by state and reason.",
+	"marigold_pool_answer_seconds":           "Time from a submission to its answer, in seconds, by state.",
+	"marigold_pool_asked_owners_total":       "Owners that were asked to run a job, by where they are and whether they took it.",
+	"marigold_pool_starts_total":             "Starts sent to targets, by result.",
+	"marigold_pool_crashes_total":            "Crashes of targets with running tasks, by what is known of them.",
+	"marigold_pool_crash_tasks_total":        "Tasks on targets that have crashed, by what is known of the crash.",
+	"marigold_pool_stops_total":              "Stops sent to targets, by result.",
+	"marigold_pool_cancels_total":            "Cancellations of jobs by callers, by where the job was.",
+	"marigold_pool_cancel_seconds":           "Time from the cancellation of a job to its answer, in seconds, by result.",
+	"marigold_pool_given_up_runs_total":      "Runs that were over after their job had ended, by how this became known.",
+	"marigold_pool_given_up_run_seconds":     "Time from the end of a job until its last runs were known to be over, in seconds.",
+	"marigold_pool_looks_total":              "Looks at targets, by result.",
+	"marigold_pool_store_calls_total":        "Calls to the store, by kind and result.",
+	"marigold_pool_store_call_seconds":       "Time of a call to the store that does not wait for changes, in seconds.",
+	"marigold_pool_owned_shards":             "Shards of targets that this instance holds.",
+	"marigold_pool_targets":                  "Targets that this instance owns.",
+	"marigold_pool_usable_targets":           "Owned targets that take work.",
+	"marigold_pool_free_cores":               "Free processor cores of the usable targets.",
+	"marigold_pool_queued_jobs":              "Jobs with tasks that wait for a target.",
+	"marigold_pool_running_tasks":            "Tasks on owned targets.",
+	"marigold_pool_forecast_wait_seconds":    "Forecast time until a new task starts, in seconds.",
+	"marigold_pool_configuration_version":    "Version of the configuration in force.",
+	"marigold_pool_request_bytes":            "Memory of connections, requests and jobs, in bytes, as far as it is limited.",
+	"marigold_pool_connections":              "Open connections of clients.",
+	"marigold_pool_unfinished_requests":      "Connections on which a request is awaited or has not arrived completely.",
+	"marigold_pool_refused_requests_total":   "Requests refused before they were served, by limit.",
+	"marigold_pool_closed_connections_total": "Connections closed because of a limit, by limit.",
 }
 
 // Metrics holds the metrics of one instance. Its methods may be called from
@@ -166,5 +172,24 @@
 	}
 }
 
+// SetRequests sets the gauges of what clients hold.
+func (m *Metrics) SetRequests(st intake.Stats) {
+	for name, v := range map[string]float64{
+		"request_bytes": float64(st.Bytes), "connections": float64(st.Connections), "unfinished_requests": float64(st.Unfinished),
+	} {
+		m.scope.Gauge(name).Update(v)
+	}
+}
+
+// RefusedRequest counts a request that was refused because of a limit.
+func (m *Metrics) RefusedRequest(l intake.Limit) {
+	m.count("refused_requests_total", map[string]string{"limit": string(l)})
+}
+
+// ClosedConnection counts a connection that was closed because of a limit.
+func (m *Metrics) ClosedConnection(l intake.Limit) {
+	m.count("closed_connections_total", map[string]string{"limit": string(l)})
+}
+
 // Close reports the last values and stops reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
--- /dev/null
+++ b/pool/relay/message.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"marigoldfront.dev/infra/intake"
+)
+
+// readMessages returns a handler that reads the whole body of a request before next
+// serves it. A message for which there is no memory is answered as ResourceExhausted,
+// which tells its sender that it has had no effect.
+func readMessages(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := intake.ReadBody(w, r, maxMessageBytes)
+		if err == nil {
+			err = intake.Hold(r.Context(), messageMemory(body))
+		}
+		var tooLarge *http.MaxBytesError
+		var refused *intake.RefusedError
+		switch {
+		case errors.As(err, &tooLarge):
+			http.Error(w, "the message is too large", http.StatusRequestEntityTooLarge)
+		case errors.As(err, &refused):
+			intake.SetRefusal(w)
+			// A write error means that the client has disconnected.
+			_ = twirp.WriteError(w, twirp.NewError(twirp.ResourceExhausted, refused.Error()))
+		case err != nil:
+			http.Error(w, "the message cannot be read", http.StatusBadRequest)
+		default:
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+// messageMemory returns an upper limit of the memory, in bytes, that decoding a message
+// takes. Each step of a job begins with the same byte. Elements of other lists take up
+// to perByte for each byte that encodes them.
+func messageMemory(body []byte) int64 {
+	const stepTag, perStep, perByte = 11<<3 | 2, 512, 20
+	return perByte*int64(len(body)) + perStep*int64(bytes.Count(body, []byte{stepTag}))
+}
--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -15,6 +15,7 @@
 	"marigoldfront.dev/core/ledger"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/disconnect"
+	"marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
@@ -23,8 +24,9 @@
 	// headerTime and idleTime bound the connections of other instances.
 	headerTime = 5 * time.Second
 	idleTime   = 2 * time.Minute
-	// maxMessageBytes bounds the body of a request.
+	// maxMessageBytes bounds the body of a request, and maxHeaderBytes its header.
 	maxMessageBytes = 4 << 20
+	maxHeaderBytes  = 16 << 10
 	// maxTransit is the time that a job may be under way. After a longer time, its
 	// sender may have given it up before the owner notices that the sender is
 	// unresponsive. Messages between instances take milliseconds.
@@ -56,6 +58,8 @@
 	OnNewerConfiguration func(version int64)
 	// Incarnation identifies this run of the instance.
 	Incarnation uint64
+	// Guard bounds the connections and messages.
+	Guard *intake.Guard
 }
 
 // Server implements wire.Pool: it runs jobs of other instances on the targets of
@@ -89,11 +93,12 @@
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{cfg: cfg, done: make(chan struct{}), senders: map[string]*sender{}}
 	s.server = &http.Server{
-		Handler:           http.MaxBytesHandler(wire.NewPoolServer(s), maxMessageBytes),
+		Handler:           readMessages(wire.NewPoolServer(s)),
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
-		ConnContext:       disconnect.ConnContext,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	cfg.Guard.Protect(s.server)
 	return s
 }
 
@@ -129,13 +134,16 @@
 			zap.Duration("under_way", underWay), zap.Bool("same_incarnation", ok))
 		return s.refuseUnstarted(), nil
 	}
+	j := jobFromWire(sent, in)
+	if err := intake.Hold(ctx, j.Memory()); err != nil {
+		return nil, twirp.NewError(twirp.ResourceExhausted, err.Error())
+	}
 	p := s.addJob(in, sent, cancel)
 	if p == nil {
 		return s.refuseUnstarted(), nil
 	}
 	ctx, span := s.cfg.Tracer.Start(tracing.Extract(ctx, in.Traceparent), "run at owner")
 	defer span.End()
-	j := jobFromWire(sent, in)
 	j.TraceID = tracing.TraceID(ctx)
 	o, err := s.cfg.Submit(ctx, j)
 	out, err := s.encodeReply(ctx, o, err)
--- a/pool/relay/stale_test.go
+++ b/pool/relay/stale_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
@@ -136,6 +137,7 @@
 		Cancel:        func([]string, bool) bool { return false },
 		Load:          func() *wire.PoolLoad { return &wire.PoolLoad{Cpu: 1} },
 		Configuration: func() (int64, []byte) { return 0, nil },
+		Guard:         intake.New(intake.Config{}),
 	})
 	go func() { _ = o.server.Serve(l) }()
 	t.Cleanup(func() { _ = o.server.server.Close(); close(o.server.done) })
--- a/pool/run/drain.go
+++ b/pool/run/drain.go
@@ -47,6 +47,9 @@
 	defer cancel()
 	defer time.AfterFunc(time.Until(end.Add(-recallBefore)), in.frontend.Recall).Stop()
 	defer time.AfterFunc(time.Until(end.Add(-abortBefore)), in.frontend.Abort).Stop()
+	stopped := make(chan struct{})
+	defer close(stopped)
+	in.wg.Go(func() { in.guard.Stop(stopped) })
 	if err := in.callerServer.Shutdown(ctx); err != nil {
 		in.log.Warn("Requests of callers were in flight at the end of the grace period.", zap.Error(err))
 	}
--- a/pool/run/main.go
+++ b/pool/run/main.go
@@ -25,10 +25,6 @@
 	// gcPercent reduces the CPU time of the garbage collector at the expense of
 	// memory. The live heap is only a few MB.
 	gcPercent = 200
-	// memoryShare is the share of the memory setting that becomes the soft memory
-	// limit of the Go runtime. Above it, garbage is collected at any cost in CPU
-	// time.
-	memoryShare = 0.7
 )
 
 type options struct {
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -21,7 +21,7 @@
 	"marigoldfront.dev/core/ownership"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/clock"
-	"marigoldfront.dev/infra/disconnect"
+	"marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/infra/logging"
 	"marigoldfront.dev/infra/stall"
 	"marigoldfront.dev/infra/tracing"
@@ -46,10 +46,11 @@
 	// maxClockDrift is the share by which the clock of a target may be slow,
 	// according to the platform's specification.
 	maxClockDrift = 0.02
-	// headerTime bounds the time to read the header of a request, and idleTime the
-	// time for which a connection of a caller may be idle.
-	headerTime = 3 * time.Second
-	idleTime   = time.Minute
+	// headerTime bounds the time to read the header of a request, maxHeaderBytes its
+	// size, and idleTime the time for which a connection may be idle.
+	headerTime     = 3 * time.Second
+	maxHeaderBytes = 16 << 10
+	idleTime       = time.Minute
 	// reportEvery is the interval at which the gauges are set and the state of the
 	// owned targets is logged.
 	reportEvery = 2 * time.Second
@@ -103,6 +104,8 @@
 	// an address.
 	metricsServer *http.Server
 	wg            sync.WaitGroup
+	// guard keeps the connections of all servers within the limits of the process.
+	guard *intake.Guard
 
 	draining atomic.Bool
 	load     atomic.Pointer[relay.Load]
@@ -146,6 +149,10 @@
 	sched := scheduler.New(scheduler.Config{
 		Lease: cfg.Lease(), MaxClockDrift: maxClockDrift, RemoteRackFactor: cfg.RemoteRackFactor, ResubmissionDelay: cfg.ResubmissionDelay(),
 	})
+	in.guard = intake.New(intake.Config{
+		Limits: requestLimits(&cfg), Log: in.logger("intake"),
+		Refused: in.metrics.RefusedRequest, Closed: in.metrics.ClosedConnection,
+	})
 	in.stalls = stall.New(clock.Now)
 	in.loop = loop.New(sched, clock.Now, loop.Handlers{
 		Start:      func(a scheduler.Start) { in.sender.Start(a) },
@@ -180,19 +187,23 @@
 		Recall:        func(job string) { in.loop.Post(scheduler.Recall{Job: job}) },
 		Cancel:        in.canceller.CancelForPeer,
 		Awaited:       func(ev scheduler.Awaited) { in.loop.Post(ev) },
-		Configuration: in.configuration.Value, Incarnation: in.self.Incarnation,
+		Configuration: in.configuration.Value, Incarnation: in.self.Incarnation, Guard: in.guard,
 	})
 	in.frontend = frontend.New(frontend.Config{
 		Log: jobLogger("desk"), Metrics: in.metrics, Tracer: in.tracer, Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.configuration.Catalog,
 		ShardHolders: in.claims.Holders, OwnersChanging: in.claims.Settling, RelayClient: in.relayClient, SelfAddress: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
 		WaitingJobs: in.waiting, Draining: in.draining.Load, MayHaveRun: in.mayHaveRun, Cancel: in.cancel,
 	})
-	in.callerServer = &http.Server{
-		Handler:           in.withTrace(p.Handler(in.frontend, clock.Now, in.logger("callers"))),
-		ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ConnContext: disconnect.ConnContext,
-	}
-	in.metricsServer = &http.Server{Handler: in.operatorHandler(), ReadHeaderTimeout: headerTime}
-	in.readyServer = &http.Server{Handler: p.Ready(in.isReady), ReadHeaderTimeout: headerTime}
+	in.callerServer = in.newServer(in.withTrace(p.Handler(in.frontend, clock.Now, in.logger("callers"))))
+	in.metricsServer = in.newServer(in.operatorHandler())
+	in.readyServer = in.newServer(p.Ready(in.isReady))
+}
+
+// newServer returns a server whose connections count toward the limits of the process.
+func (in *Instance) newServer(h http.Handler) *http.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTime}
+	in.guard.Protect(s)
+	return s
 }
 
 // withTrace continues the traces whose context callers send in a header.
@@ -294,20 +305,25 @@
 // Serve runs the instance until a signal arrives on stop or a listener fails. It
 // returns the error of the listener.
 func (in *Instance) Serve(stop <-chan os.Signal) error {
-	addresses := map[string]func(net.Listener) error{
-		in.cfg.PeerListen: in.relayServer.Serve, in.cfg.Listen: in.callerServer.Serve, in.cfg.ReadyListen: in.readyServer.Serve,
+	type endpoint struct {
+		address string
+		serve   func(net.Listener) error
+		share   float64
+	}
+	endpoints := []endpoint{
+		{in.cfg.PeerListen, in.relayServer.Serve, 1}, {in.cfg.Listen, in.callerServer.Serve, callerShare}, {in.cfg.ReadyListen, in.readyServer.Serve, 1},
 	}
 	if in.cfg.MetricsListen != "" {
-		addresses[in.cfg.MetricsListen] = in.metricsServer.Serve
+		endpoints = append(endpoints, endpoint{in.cfg.MetricsListen, in.metricsServer.Serve, callerShare})
 	}
-	failed := make(chan error, len(addresses))
-	for address, serve := range addresses {
-		l, err := net.Listen("tcp", address)
+	failed := make(chan error, len(endpoints))
+	for _, e := range endpoints {
+		l, err := in.guard.Listen(e.address, e.share)
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
 		in.wg.Go(func() {
-			if err := serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err := e.serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
 			}
 		})
@@ -351,6 +367,7 @@
 			return
 		}
 		in.metrics.SetGauges(st, len(in.claims.Owned()), in.configuration.Version())
+		in.metrics.SetRequests(in.guard.Stats())
 		if st.Targets > 0 || st.Jobs > 0 {
 			in.log.Info("State of the owned targets.", zap.Int("targets", st.Targets), zap.Int("usable", st.Usable),
 				zap.Int64("cpu", st.CPU), zap.Int64("free_cpu", st.FreeCPU), zap.Int("jobs", st.Jobs),
--- a/pool/run/status.go
+++ b/pool/run/status.go
@@ -23,7 +23,7 @@
 			in.log.Info("The status was not written.", zap.Error(err))
 		}
 	})
-	return mux
+	return rendered(mux)
 }
 
 // status returns the state of the instance, its view of the claims of all
--- a/pool/settings/settings.go
+++ b/pool/settings/settings.go
@@ -34,6 +34,9 @@
 	Store string `toml:"store"`
 	// MemoryMB is the memory limit of the process, in MiB.
 	MemoryMB int `toml:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may have open. The
+	// default is the limit that the operating system has set.
+	MaxDescriptors int `toml:"max_descriptors"`
 	// Weight is the number of cores, or the fraction of a core, that the instance
 	// may use. Instances with more cores are preferred as owners of targets.
 	Weight float64 `toml:"weight"`
@@ -112,6 +115,9 @@
 	if s.MemoryMB < 16 {
 		add("memory_mb", "must be at least 16")
 	}
+	if s.MaxDescriptors != 0 && s.MaxDescriptors < 256 {
+		add("max_descriptors", "must be at least 256")
+	}
 	if s.Shards < 1 || s.Shards > 16 {
 		add("shards", "must be 1 to 16")
 	}
