infra/intake: let refused clients read the response

Closing a connection with unread bytes resets it, and a client that goes on to send loses the refusal. Refused connections end their output, and are closed half a second later or as soon as a new connection needs the room. TestChunkedBodyCountsAsItGrows failed without it (connection reset by peer).

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -190,6 +190,14 @@
 	t.move(c, idle, now)
 }
 
+// Refuse records that a connection closes after a refusal. It gives way to new ones and
+// holds no memory.
+func (t *Table) Refuse(id uint64) {
+	if c := t.connections[id]; c != nil && c.state != evicted {
+		t.evict(c, None)
+	}
+}
+
 // Close removes a connection.
 func (t *Table) Close(id uint64) {
 	if c := t.connections[id]; c != nil {
--- a/infra/intake/conn.go
+++ b/infra/intake/conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -11,6 +12,13 @@
 	"marigoldfront.dev/core/intake"
 )
 
+// A refused client has lingerTime to read the response. What it sends meanwhile is
+// discarded, up to lingerBytes.
+const (
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
 // errEvicted is the error of reads from a connection that gives way to others. Servers
 // treat it as a timeout.
 var errEvicted = fmt.Errorf("the connection gives way to others: %w", os.ErrDeadlineExceeded)
@@ -72,6 +80,9 @@
 	guard   *Guard
 	id      uint64
 	evicted atomic.Bool
+	// refused is set if the client has to read a refusal before the connection closes,
+	// although a part of the request was not read.
+	refused atomic.Bool
 }
 
 // interrupt makes the pending and all later reads fail.
@@ -122,8 +133,20 @@
 	return c.SetReadDeadline(t)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. After a refusal, the connection stays open for some time:
+// closing it with unread bytes would reset it, and the client might lose the response.
 func (c *conn) Close() error {
+	if c.refused.CompareAndSwap(true, false) && c.CloseWrite() == nil {
+		c.guard.mu.Lock()
+		c.guard.table.Refuse(c.id)
+		c.guard.mu.Unlock()
+		go func() {
+			_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
+			_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
+			_ = c.Close()
+		}()
+		return nil
+	}
 	c.guard.mu.Lock()
 	c.guard.table.Close(c.id)
 	delete(c.guard.conns, c.id)
--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -200,6 +200,9 @@
 	body, err := readBody(r, maxBytes)
 	if err != nil {
 		w.Header().Set("Connection", "close")
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.refused.Store(true)
+		}
 		// Without it, the server would wait for the rest.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 		return nil, err
