infra/intake, pool/run: test each limit alone

Some guards could be taken out with all tests passing, because under a crowd another one takes effect. Scrapers get no connections above 0.8 of them, so that responses that are not read leave some for callers.

--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -63,11 +63,11 @@
 func TestTrickleIsNoProgress(t *testing.T) {
 	table := New(Limits{Memory: 8 * mb, Connections: 10, Unfinished: 2})
 	trickle := open(t, table, at(0))
+	open(t, table, at(0))
 	for i := range progressBytes - 1 {
 		table.Receive(at(time.Duration(i)*time.Millisecond), trickle, 1)
 	}
-	open(t, table, at(time.Second))
-	_, evictions, met := table.Open(at(2*time.Second), 1)
+	_, evictions, met := table.Open(at(5*time.Second), 1)
 	if met != None {
 		t.Fatalf("limit %q", met)
 	}
--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -21,6 +21,8 @@
 )
 
 const (
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 16 << 10
 	// bodyTime is the time in which a client must send a body.
 	bodyTime = 5 * time.Second
 	// writeTime is the time in which a client must take a response that is ready.
@@ -64,10 +66,12 @@
 	return g.table.Stats()
 }
 
-// Protect makes the connections of a server count. The server must be given a listener
+// Protect makes the connections of a server count and bounds the headers of requests. The
+// server must be given a listener
 // of the Guard. The bodies that a handler does not read with ReadBody count as
 // unfinished until the connection is used again.
 func (g *Guard) Protect(s *http.Server) {
+	s.MaxHeaderBytes = maxHeaderBytes
 	s.ConnContext = connContext
 	s.ConnState = g.connState
 	s.Handler = g.handler(s.Handler)
--- a/infra/intake/guard_test.go
+++ b/infra/intake/guard_test.go
@@ -24,6 +24,8 @@
 	guard           *Guard
 	address         string
 	refused, closed atomic.Int64
+	// large is set if the response has many MB.
+	large bool
 	// hold is called after a body was read, if it is not nil.
 	hold func(r *http.Request)
 }
@@ -48,6 +50,9 @@
 }
 
 func (s *testServer) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/unread" {
+		return
+	}
 	body, err := ReadBody(w, r, maxBody)
 	var refused *RefusedError
 	switch {
@@ -62,6 +67,10 @@
 	if s.hold != nil {
 		s.hold(r)
 	}
+	if s.large {
+		_, _ = w.Write(make([]byte, roomy))
+		return
+	}
 	fmt.Fprint(w, len(body))
 }
 
@@ -127,6 +136,19 @@
 	}
 }
 
+// Guards against a reset of the connection while a refused client still sends, which
+// may then not read the response.
+func TestRefusedClientMayGoOnSending(t *testing.T) {
+	s := newTestServer(t, intake.Limits{Memory: 300 << 10, Connections: 10, Unfinished: 10})
+	c := s.dial(t)
+	send(t, c, post(200<<10)+strings.Repeat("x", 1000))
+	wantRefusal(t, c)
+	for range 10 {
+		time.Sleep(5 * time.Millisecond)
+		send(t, c, strings.Repeat("x", 10_000))
+	}
+}
+
 // Guards against bodies of unknown length that do not count.
 func TestChunkedBodyCountsAsItGrows(t *testing.T) {
 	s := newTestServer(t, intake.Limits{Memory: maxBody, Connections: 10, Unfinished: 10})
@@ -223,6 +245,38 @@
 	}
 }
 
+// Guards against headers that take much more memory than a connection counts for.
+func TestHeaderAboveItsLimit(t *testing.T) {
+	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 10})
+	c := s.dial(t)
+	send(t, c, "GET / HTTP/1.1\r\nHost: a\r\nX: "+strings.Repeat("x", 2*maxHeaderBytes)+"\r\n\r\n")
+	if resp, _ := response(t, bufio.NewReader(c)); resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d, want 431", resp.StatusCode)
+	}
+}
+
+// Guards against a client that never reads a large response and keeps its connection.
+func TestResponseThatIsNotRead(t *testing.T) {
+	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 10})
+	s.large = true
+	send(t, s.dial(t), post(1)+"x")
+	eventually(t, func() bool { return s.guard.Stats().Connections == 1 })
+	eventually(t, func() bool { return s.guard.Stats().Connections == 0 })
+}
+
+// Guards against bodies that stop and keep their connections in calm, also where the
+// handler does not read them.
+func TestBodyThatStopsIsCutOff(t *testing.T) {
+	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 10})
+	send(t, s.dial(t), post(10)+"x")
+	send(t, s.dial(t), strings.Replace(post(10), "/", "/unread", 1)+"x")
+	eventually(t, func() bool { return s.guard.Stats().Connections == 2 })
+	eventually(t, func() bool { return s.guard.Stats().Connections == 0 })
+	if s.closed.Load() == 0 {
+		t.Error("the closed connections are not counted")
+	}
+}
+
 // Guards against a body above its limit, with a known and with an unknown length.
 func TestBodyAboveItsLimit(t *testing.T) {
 	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 10})
--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -24,9 +24,8 @@
 	// headerTime and idleTime bound the connections of other instances.
 	headerTime = 5 * time.Second
 	idleTime   = 2 * time.Minute
-	// maxMessageBytes bounds the body of a request, and maxHeaderBytes its header.
+	// maxMessageBytes bounds the body of a request.
 	maxMessageBytes = 4 << 20
-	maxHeaderBytes  = 16 << 10
 	// maxTransit is the time that a job may be under way. After a longer time, its
 	// sender may have given it up before the owner notices that the sender is
 	// unresponsive. Messages between instances take milliseconds.
@@ -96,7 +95,6 @@
 		Handler:           readMessages(wire.NewPoolServer(s)),
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
-		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	cfg.Guard.Protect(s.server)
 	return s
--- a/pool/run/limits.go
+++ b/pool/run/limits.go
@@ -25,9 +25,11 @@
 	// connectionShare is the share of the other descriptors for connections of
 	// clients. The rest is for connections to targets, other instances and the store.
 	connectionShare = 0.75
-	// callerShare is the share of the connections that callers and scrapers may use.
-	// The rest is for other instances and readiness checks.
-	callerShare = 0.9
+	// callerShare is the share of the connections that callers and scrapers may use
+	// together, and scraperShare that up to which scrapers get further ones. The rest
+	// is for other instances and readiness checks.
+	callerShare  = 0.9
+	scraperShare = 0.8
 )
 
 // requestLimits returns the limits of what clients may hold.
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -46,11 +46,10 @@
 	// maxClockDrift is the share by which the clock of a target may be slow,
 	// according to the platform's specification.
 	maxClockDrift = 0.02
-	// headerTime bounds the time to read the header of a request, maxHeaderBytes its
-	// size, and idleTime the time for which a connection may be idle.
-	headerTime     = 3 * time.Second
-	maxHeaderBytes = 16 << 10
-	idleTime       = time.Minute
+	// headerTime bounds the time to read the header of a request, and idleTime the
+	// time for which a connection may be idle.
+	headerTime = 3 * time.Second
+	idleTime   = time.Minute
 	// reportEvery is the interval at which the gauges are set and the state of the
 	// owned targets is logged.
 	reportEvery = 2 * time.Second
@@ -201,7 +200,7 @@
 
 // newServer returns a server whose connections count toward the limits of the process.
 func (in *Instance) newServer(h http.Handler) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTime}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	in.guard.Protect(s)
 	return s
 }
@@ -314,7 +313,7 @@
 		{in.cfg.PeerListen, in.relayServer.Serve, 1}, {in.cfg.Listen, in.callerServer.Serve, callerShare}, {in.cfg.ReadyListen, in.readyServer.Serve, 1},
 	}
 	if in.cfg.MetricsListen != "" {
-		endpoints = append(endpoints, endpoint{in.cfg.MetricsListen, in.metricsServer.Serve, callerShare})
+		endpoints = append(endpoints, endpoint{in.cfg.MetricsListen, in.metricsServer.Serve, scraperShare})
 	}
 	failed := make(chan error, len(endpoints))
 	for _, e := range endpoints {
