--- a/entry/gateway/receive_test.go
+++ b/entry/gateway/receive_test.go
@@ -28,3 +28,17 @@
 		t.Error("a submission got capacity that is in use")
 	}
 }
+
+// Guards against a few callers that stop short of the end of their bodies and thereby
+// keep all other submissions out until bodyTimeout.
+func TestUnfinishedUploadsLeaveCapacity(t *testing.T) {
+	g := New(Config{Log: zap.NewNop()})
+	for range maxReceivingBytes / maxBodyBytes {
+		if !g.acquireBody(context.Background(), maxBodyBytes) {
+			t.Fatal("an idle instance has too little capacity")
+		}
+	}
+	if !g.acquireBody(context.Background(), 1000) {
+		t.Errorf("a submission of 1,000 bytes was rejected after %v", maxReceiveWait)
+	}
+}
