core/scheduler: free processor time while jobs wait is counted by reason

An owner samples its targets each 100 ms while a job has waited for longer than 50 ms, and adds the free processor time by reason: not serving, resting, too small for each waiting task, excluded by a constraint, or declined for a better target. The samples need no timer and cost one pass over the targets. The metric is marigold_pool_idle_core_milliseconds_total; the log line on the state of the targets has the same figures.

--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -62,6 +62,10 @@
 	// stallBegan and stallEnded delimit the last time in which the instance may have
 	// been paused while it had jobs.
 	stallBegan, stallEnded time.Time
+	// idleCPU is the total since the start, and idleSampledAt is when the last sample
+	// was taken.
+	idleCPU       IdleCPU
+	idleSampledAt time.Time
 }
 
 // New returns a Scheduler without targets.
@@ -101,6 +105,7 @@
 	s.expire()
 	s.giveUpSuspects()
 	s.place()
+	s.sampleIdle()
 	s.refuseLateJobs()
 	s.sendDuePolls()
 	s.emitCrashes()
@@ -215,13 +220,15 @@
 	// others, or empty. ContainedFull is set while its new jobs are refused.
 	Contained     string
 	ContainedFull bool
+	// IdleCPU is the total since the start.
+	IdleCPU IdleCPU
 }
 
 // Stats returns the current state.
 func (s *Scheduler) Stats() Stats {
 	st := Stats{
 		Jobs: len(s.jobs), Queued: len(s.queue), Targets: len(s.sortedTargets),
-		Contained: s.contained.queue, ContainedFull: s.contained.full,
+		Contained: s.contained.queue, ContainedFull: s.contained.full, IdleCPU: s.idleCPU,
 	}
 	for _, t := range s.sortedTargets {
 		st.Running += len(t.runs)
--- a/pool/metrics/metrics.go
+++ b/pool/metrics/metrics.go
@@ -19,28 +19,29 @@
 
 // help holds the help text of each metric.
 var help = map[string]string{
-	"marigold_pool_answers_total":         "Answers to callers by state and reason.",
-	"marigold_pool_answer_seconds":        "Time from a submission to its answer, in seconds, by state.",
-	"marigold_pool_asked_owners_total":    "Owners that were asked to run a job, by where they are and whether they took it.",
-	"marigold_pool_starts_total":          "Starts sent to targets, by result.",
-	"marigold_pool_crashes_total":         "Crashes of targets with running tasks, by what is known of them.",
-	"marigold_pool_crash_tasks_total":     "Tasks on targets that have crashed, by what is known of the crash.",
-	"marigold_pool_stops_total":           "Stops sent to targets, by result.",
-	"marigold_pool_cancels_total":         "Cancellations of jobs by callers, by where the job was.",
-	"marigold_pool_cancel_seconds":        "Time from the cancellation of a job to its answer, in seconds, by result.",
-	"marigold_pool_given_up_runs_total":   "Runs that were over after their job had ended, by how this became known.",
-	"marigold_pool_given_up_run_seconds":  "Time from the end of a job until its last runs were known to be over, in seconds.",
-	"marigold_pool_looks_total":           "Looks at targets, by result.",
-	"marigold_pool_store_calls_total":     "Calls to the store, by kind and result.",
-	"marigold_pool_store_call_seconds":    "Time of a call to the store that does not wait for changes, in seconds.",
-	"marigold_pool_owned_shards":          "Shards of targets that this instance holds.",
-	"marigold_pool_targets":               "Targets that this instance owns.",
-	"marigold_pool_usable_targets":        "Owned targets that take work.",
-	"marigold_pool_free_cores":            "Free processor cores of the usable targets.",
-	"marigold_pool_queued_jobs":           "Jobs with tasks that wait for a target.",
-	"marigold_pool_running_tasks":         "Tasks on owned targets.",
-	"marigold_pool_forecast_wait_seconds": "Forecast time until a new task starts, in seconds.",
-	"marigold_pool_configuration_version": "Version of the configuration in force.",
+	"marigold_pool_answers_total":                "Answers to callers by state and reason.",
+	"marigold_pool_answer_seconds":               "Time from a submission to its answer, in seconds, by state.",
+	"marigold_pool_asked_owners_total":           "Owners that were asked to run a job, by where they are and whether they took it.",
+	"marigold_pool_starts_total":                 "Starts sent to targets, by result.",
+	"marigold_pool_crashes_total":                "Crashes of targets with running tasks, by what is known of them.",
+	"marigold_pool_crash_tasks_total":            "Tasks on targets that have crashed, by what is known of the crash.",
+	"marigold_pool_stops_total":                  "Stops sent to targets, by result.",
+	"marigold_pool_cancels_total":                "Cancellations of jobs by callers, by where the job was.",
+	"marigold_pool_cancel_seconds":               "Time from the cancellation of a job to its answer, in seconds, by result.",
+	"marigold_pool_given_up_runs_total":          "Runs that were over after their job had ended, by how this became known.",
+	"marigold_pool_given_up_run_seconds":         "Time from the end of a job until its last runs were known to be over, in seconds.",
+	"marigold_pool_looks_total":                  "Looks at targets, by result.",
+	"marigold_pool_store_calls_total":            "Calls to the store, by kind and result.",
+	"marigold_pool_store_call_seconds":           "Time of a call to the store that does not wait for changes, in seconds.",
+	"marigold_pool_owned_shards":                 "Shards of targets that this instance holds.",
+	"marigold_pool_targets":                      "Targets that this instance owns.",
+	"marigold_pool_usable_targets":               "Owned targets that take work.",
+	"marigold_pool_free_cores":                   "Free processor cores of the usable targets.",
+	"marigold_pool_idle_core_milliseconds_total": "Free processor time of the owned targets while a job waited for longer than 50 ms, by reason, in core-milliseconds.",
+	"marigold_pool_queued_jobs":                  "Jobs with tasks that wait for a target.",
+	"marigold_pool_running_tasks":                "Tasks on owned targets.",
+	"marigold_pool_forecast_wait_seconds":        "Forecast time until a new task starts, in seconds.",
+	"marigold_pool_configuration_version":        "Version of the configuration in force.",
 }
 
 // Metrics holds the metrics of one instance. Its methods may be called from
@@ -166,5 +167,12 @@
 	}
 }
 
+// Idle counts CPU that was free while jobs waited since the last call.
+func (m *Metrics) Idle(c scheduler.IdleCPU) {
+	for r, v := range c {
+		m.scope.Tagged(map[string]string{"reason": scheduler.IdleReason(r).String()}).Counter("idle_core_milliseconds_total").Inc(v)
+	}
+}
+
 // Close reports the last values and stops reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -340,6 +340,7 @@
 func (in *Instance) reportState(ctx context.Context) {
 	tick := time.NewTicker(reportEvery)
 	defer tick.Stop()
+	var idle scheduler.IdleCPU
 	for {
 		select {
 		case <-tick.C:
@@ -351,11 +352,14 @@
 			return
 		}
 		in.metrics.SetGauges(st, len(in.claims.Owned()), in.configuration.Version())
+		sinceLast := st.IdleCPU.Minus(idle)
+		idle = st.IdleCPU
+		in.metrics.Idle(sinceLast)
 		if st.Targets > 0 || st.Jobs > 0 {
 			in.log.Info("State of the owned targets.", zap.Int("targets", st.Targets), zap.Int("usable", st.Usable),
 				zap.Int64("cpu", st.CPU), zap.Int64("free_cpu", st.FreeCPU), zap.Int("jobs", st.Jobs),
 				zap.Int("queued", st.Queued), zap.Int("running", st.Running), zap.Duration("wait", st.ForecastWait),
-				zap.String("contained", st.Contained), zap.Bool("contained_full", st.ContainedFull))
+				zap.String("contained", st.Contained), zap.Bool("contained_full", st.ContainedFull), zap.Int64s("idle_core_ms", sinceLast[:]))
 		}
 	}
 }
