pool/frontend: an owner returns a job that waits, and its sender asks others

A job that is queued where the report was wrong waited there although other owners had room. A sender now lets the owner return a job that it has not started within 25 ms, once. The refusal says that nothing has run, so that one owner at a time holds the job, and the sender asks up to two others to start it at once before it is queued again.

--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -164,7 +164,10 @@
 	ReasonOverloaded Reason = "overloaded"
 	// ReasonBusy refuses a job with MustStartNow that cannot start at once. The
 	// sender can try another owner.
-	ReasonBusy      Reason = "busy"
+	ReasonBusy Reason = "busy"
+	// ReasonReturned refuses a job with ReturnAfter that has not started in this time.
+	// The sender asks other owners.
+	ReasonReturned  Reason = "returned"
 	ReasonDeadline  Reason = "deadline"
 	ReasonNoTarget  Reason = "no_target"
 	ReasonNeverFits Reason = "never_fits"
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -36,6 +36,8 @@
 	criticalPath, objective time.Duration
 	// refuseAt is the earliest time at which a job without a start is refused.
 	refuseAt time.Time
+	// returnAt is when a job without a start is returned to its sender, or zero.
+	returnAt time.Time
 	queued   bool
 	// suspected is set once a task was suspect. isolatedSuccess is set once a suspect
 	// task has succeeded.
@@ -145,6 +147,9 @@
 	})
 	j.objective = in.objective(j.criticalPath)
 	j.refuseAt = in.Arrived.Add(time.Duration(float64(j.objective) * s.policy.HoldShare))
+	if in.ReturnAfter > 0 {
+		j.returnAt = s.now.Add(in.ReturnAfter)
+	}
 	j.countUnplaced()
 	return j
 }
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -109,6 +109,7 @@
 	s.giveUpSuspects()
 	s.place()
 	s.sampleIdle()
+	s.returnWaitingJobs()
 	s.refuseLateJobs()
 	s.sendDuePolls()
 	s.emitCrashes()
@@ -179,6 +180,9 @@
 		if !j.started {
 			next = earliest(next, s.nextRefusalCheck(j))
 		}
+		if s.mayReturn(j) {
+			next = earliest(next, j.returnAt)
+		}
 		if j.suspected {
 			next = earliest(next, s.nextRecordTimeout(j))
 		}
--- a/core/scheduler/uneven_test.go
+++ b/core/scheduler/uneven_test.go
@@ -21,6 +21,7 @@
 	// ended counts the completions by target.
 	ended  map[string]int64
 	served map[string]bool
+	drawn  map[string]Job
 	jobs   int
 }
 
@@ -36,19 +37,19 @@
 	}
 	return &unevenPlay{
 		harness: h, jobRNG: rand.New(rand.NewPCG(seed, 1)), runRNG: rand.New(rand.NewPCG(seed, 2)), ends: map[RunID]time.Time{}, polls: map[string]Poll{},
-		ended: map[string]int64{}, served: map[string]bool{},
+		ended: map[string]int64{}, served: map[string]bool{}, drawn: map[string]Job{},
 	}
 }
 
-// submitNext submits a job of 1 to 4 equal tasks.
-func (p *unevenPlay) submitNext() {
-	p.jobs++
-	j := testJob(fmt.Sprint("j", p.jobs), 1+p.jobRNG.IntN(4))
+// drawJob draws a job of 1 to 4 equal tasks.
+func (p *unevenPlay) drawJob(number int) Job {
+	j := testJob(fmt.Sprint("j", number), 1+p.jobRNG.IntN(4))
 	j.Steps[0].CPU = 50 * int64(160*min(1.5, math.Exp(0.2*p.jobRNG.NormFloat64())))
 	j.Steps[0].MemoryMB = 1
 	j.Steps[0].Estimate = time.Duration(200 * math.Exp(0.4*p.jobRNG.NormFloat64()) * float64(time.Millisecond))
-	j.Deadline = p.now.Add(3 * time.Second)
-	p.submit(RequestID(p.jobs), j)
+	j.Arrived, j.Deadline = p.now, p.now.Add(3*time.Second)
+	p.drawn[j.ID] = j
+	return j
 }
 
 // run submits jobs at a rate per second for a time and lets the runs end.
@@ -56,7 +57,8 @@
 	begin := p.now
 	for p.now.Sub(begin) < d {
 		if p.jobRNG.Float64() < rate/1000 {
-			p.submitNext()
+			p.jobs++
+			p.submit(RequestID(p.jobs), p.drawJob(p.jobs))
 		}
 		p.now = p.now.Add(time.Millisecond)
 		p.send(Tick{})
--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,12 @@
 const (
 	// maxStartNowOwners limits the owners that are asked to start a job at once.
 	maxStartNowOwners = 3
+	// maxStartNowAfterReturn is the same after an owner has returned the job.
+	maxStartNowAfterReturn = 2
+	// returnAfter is the time after which an owner returns a job that it has not
+	// started, once. Runs of an owner end every few milliseconds, so that a job that
+	// has waited for longer is behind a queue, and load reports are as old as this.
+	returnAfter = 25 * time.Millisecond
 	// ownerRetryInterval is the time between two attempts to find an owner while
 	// the owners change.
 	ownerRetryInterval = 15 * time.Millisecond
@@ -264,30 +271,75 @@
 // at once, and skips those that have just reported too little free capacity. If
 // none accepts it, the best owner queues the job. If all owners are full, each
 // further request would delay the job and cost the owners processor time.
+// An owner returns a job that it has not started in returnAfter, once, and other
+// owners are asked in the same way.
 func (f *Frontend) runAtOwners(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
-	all, need := f.rankedOwners(j), cpuToStart(j)
-	all = all[:min(len(all), maxStartNowOwners)]
+	if o, owner, ok := f.startNow(ctx, j, f.rankedOwners(j), maxStartNowOwners); ok {
+		return o, owner
+	}
+	returnable := *j
+	returnable.ReturnAfter = returnAfter
+	if o, owner = f.queue(ctx, &returnable); !isReturned(o) || ctx.Err() != nil {
+		return o, owner
+	}
+	first := owner
+	others := slices.DeleteFunc(f.rankedOwners(j), func(c candidate) bool { return c.address == first })
+	if o, owner, ok := f.startNow(ctx, j, others, maxStartNowAfterReturn); ok {
+		f.cfg.Metrics.ReturnedJob("started_elsewhere")
+		return o, owner
+	}
+	o, owner = f.queue(ctx, j)
+	if owner == first {
+		f.cfg.Metrics.ReturnedJob("queued_again")
+	} else {
+		f.cfg.Metrics.ReturnedJob("queued_elsewhere")
+	}
+	return o, owner
+}
+
+// startNow asks up to n owners to accept the job if it can start at once, and skips
+// those that have just reported too little free capacity. It returns false if the job
+// may be sent to another owner.
+func (f *Frontend) startNow(ctx context.Context, j *scheduler.Job, owners []candidate, n int) (o scheduler.Outcome, owner string, ok bool) {
+	need := cpuToStart(j)
 	startNow := *j
 	startNow.MustStartNow = true
-	for _, c := range all {
+	for _, c := range owners[:min(len(owners), n)] {
 		if c.cannotStartNow(time.Now(), need) {
 			continue
 		}
 		if o := f.runAt(ctx, c.address, &startNow); isFinal(o) || ctx.Err() != nil {
-			return o, c.address
+			return o, c.address, true
 		}
 	}
+	return nil, "", false
+}
+
+// queue asks the owners, the best one first, to queue the job, until one accepts it or
+// is overloaded. An only owner keeps the job.
+func (f *Frontend) queue(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
 	o = scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
-	for _, c := range f.rankedOwners(j) {
+	owners := f.rankedOwners(j)
+	queued := *j
+	if len(owners) < 2 {
+		queued.ReturnAfter = 0
+	}
+	for _, c := range owners {
 		owner = c.address
-		o = f.runAt(ctx, owner, j)
-		if r, ok := o.(scheduler.Refused); !ok || r.Reason == scheduler.ReasonOverloaded || isFinal(o) || ctx.Err() != nil {
+		o = f.runAt(ctx, owner, &queued)
+		if r, ok := o.(scheduler.Refused); !ok || r.Reason == scheduler.ReasonOverloaded || isReturned(o) || isFinal(o) || ctx.Err() != nil {
 			break
 		}
 	}
 	return o, owner
 }
 
+// isReturned reports whether an owner has returned the job for other owners to try.
+func isReturned(o scheduler.Outcome) bool {
+	r, ok := o.(scheduler.Refused)
+	return ok && r.Reason == scheduler.ReasonReturned
+}
+
 // isFinal reports whether the job must not be sent to another owner, because it
 // may have run or was cancelled. Other refusals are not final: a job that fits
 // no target of one owner may fit a target of another.
--- /dev/null
+++ b/pool/frontend/return_test.go
@@ -0,0 +1,205 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marigoldfront.dev/core/ownership"
+	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/infra/tracing"
+	"marigoldfront.dev/pool/metrics"
+	"marigoldfront.dev/pool/relay"
+	"marigoldfront.dev/wire"
+)
+
+// fakeOwner is an owner whose replies a test determines.
+type fakeOwner struct {
+	wire.Pool
+	server *httptest.Server
+	// wait is the wait that it reports. The job is queued at the owner with the
+	// shortest one.
+	wait time.Duration
+	// run replies to the nth request to run a job, counted from 0.
+	run func(ctx context.Context, n int, in *wire.RunRequest) (*wire.RunReply, error)
+
+	mu       sync.Mutex
+	requests []*wire.RunRequest
+	// lost is set once the replies get lost, and are sent with the heartbeats.
+	lost *wire.RunReply
+}
+
+func (o *fakeOwner) load() *wire.PoolLoad {
+	return &wire.PoolLoad{WaitMs: o.wait.Milliseconds(), Cpu: 1000, Queued: 1}
+}
+
+func (o *fakeOwner) Run(ctx context.Context, in *wire.RunRequest) (*wire.RunReply, error) {
+	o.mu.Lock()
+	n := len(o.requests)
+	o.requests = append(o.requests, in)
+	o.mu.Unlock()
+	return o.run(ctx, n, in)
+}
+
+func (o *fakeOwner) Beat(_ context.Context, in *wire.BeatRequest) (*wire.BeatReply, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := &wire.BeatReply{Load: o.load(), Epoch: 1}
+	if o.lost != nil {
+		for _, id := range in.Jobs {
+			out.Ended = append(out.Ended, &wire.EndedJob{Id: id, Reply: o.lost})
+		}
+	}
+	return out, nil
+}
+
+// received returns the ReturnAfter of each request in milliseconds.
+func (o *fakeOwner) received() (all []int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, in := range o.requests {
+		all = append(all, in.ReturnAfterMs)
+	}
+	return all
+}
+
+func (o *fakeOwner) reply(state wire.RunState, reason scheduler.Reason) *wire.RunReply {
+	return &wire.RunReply{State: state, Reason: string(reason), Load: o.load(), Epoch: 1}
+}
+
+func (o *fakeOwner) returned() *wire.RunReply {
+	return o.reply(wire.RunState_RUN_STATE_REFUSED, scheduler.ReasonReturned)
+}
+
+// newFrontendOf returns a Frontend of an instance without targets, beside the owners.
+func newFrontendOf(t *testing.T, owners ...*fakeOwner) *Frontend {
+	tracer, err := tracing.New("off", "self")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := metrics.New()
+	client := relay.NewClient(zap.NewNop(), tracer, "self", 1, time.Now, func() time.Duration { return 0 },
+		func() int64 { return 0 }, func(wire.Pool) {})
+	t.Cleanup(func() { client.Close(); _ = m.Close() })
+	holders := map[ownership.Shard]ownership.Claim{}
+	for i, o := range owners {
+		o.server = httptest.NewServer(wire.NewPoolServer(o))
+		t.Cleanup(o.server.Close)
+		address := o.server.Listener.Addr().String()
+		holders[ownership.Shard{Service: "s", Zone: "a", Index: i}] = ownership.Claim{Holder: fmt.Sprint(i), Address: address}
+		// The owners are asked by their load reports.
+		if !client.Serving(address, 0) {
+			t.Fatal("an owner does not serve")
+		}
+	}
+	return New(Config{
+		Log: zap.NewNop(), Metrics: m, Tracer: tracer, Zone: "a", Clock: time.Now, SelfAddress: "self:1", RelayClient: client,
+		ShardHolders:   func(string) map[ownership.Shard]ownership.Claim { return holders },
+		OwnersChanging: func() bool { return false }, MayHaveRun: func(string) bool { return false },
+	})
+}
+
+// Guards against a job that is lost, runs twice or is refused although it may have run,
+// when the owner that returned it, or the next one, dies or its reply is lost.
+func TestReturnedJobIsHeldByOneOwner(t *testing.T) {
+	first := func(reply func(o *fakeOwner, ctx context.Context) (*wire.RunReply, error)) func(*fakeOwner) {
+		return func(o *fakeOwner) {
+			o.run = func(ctx context.Context, n int, _ *wire.RunRequest) (*wire.RunReply, error) {
+				if n > 0 {
+					return o.reply(wire.RunState_RUN_STATE_REFUSED, scheduler.ReasonOverloaded), nil
+				}
+				return reply(o, ctx)
+			}
+		}
+	}
+	returns := first(func(o *fakeOwner, _ context.Context) (*wire.RunReply, error) { return o.returned(), nil })
+	dies := func(o *fakeOwner) {
+		o.run = func(ctx context.Context, _ int, _ *wire.RunRequest) (*wire.RunReply, error) {
+			go o.server.CloseClientConnections()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+	}
+	completes := func(o *fakeOwner) {
+		o.run = func(context.Context, int, *wire.RunRequest) (*wire.RunReply, error) {
+			return o.reply(wire.RunState_RUN_STATE_COMPLETED, ""), nil
+		}
+	}
+	const after = int64(returnAfter / time.Millisecond)
+	for name, tc := range map[string]struct {
+		best, other func(*fakeOwner)
+		want        scheduler.Outcome
+		// atBest and atOther are the ReturnAfter of the requests there.
+		atBest, atOther []int64
+	}{
+		"another owner takes it": {returns, completes, scheduler.Completed{}, []int64{after}, []int64{0}},
+		"the owner dies before it returns it": {
+			dies, completes, scheduler.Unknown{Reason: scheduler.ReasonOwnerLost}, []int64{after}, nil,
+		},
+		"the owner dies after it has returned it": {
+			first(func(o *fakeOwner, _ context.Context) (*wire.RunReply, error) {
+				time.AfterFunc(5*time.Millisecond, o.server.CloseClientConnections)
+				return o.returned(), nil
+			}), completes, scheduler.Completed{}, []int64{after}, []int64{0},
+		},
+		"the next owner dies": {returns, dies, scheduler.Unknown{Reason: scheduler.ReasonOwnerLost}, []int64{after}, []int64{0}},
+		"the reply is lost": {
+			first(func(o *fakeOwner, ctx context.Context) (*wire.RunReply, error) {
+				o.mu.Lock()
+				o.lost = o.returned()
+				o.mu.Unlock()
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}), completes, scheduler.Completed{}, []int64{after}, []int64{0},
+		},
+		"the next owner is overloaded": {
+			returns, func(o *fakeOwner) {
+				o.run = func(context.Context, int, *wire.RunRequest) (*wire.RunReply, error) {
+					return o.reply(wire.RunState_RUN_STATE_REFUSED, scheduler.ReasonOverloaded), nil
+				}
+			}, scheduler.Refused{Reason: scheduler.ReasonOverloaded}, []int64{after}, []int64{0},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			best, other := &fakeOwner{}, &fakeOwner{wait: 200 * time.Millisecond}
+			tc.best(best)
+			tc.other(other)
+			f := newFrontendOf(t, best, other)
+			// The owner that returns a job is behind a longer queue than it had reported.
+			best.wait = 400 * time.Millisecond
+			now := time.Now()
+			j := scheduler.Job{
+				ID: "j", Service: "s", Arrived: now, Deadline: now.Add(5 * time.Second),
+				Steps: []scheduler.Step{{Count: 1, CPU: 8_000, Estimate: time.Second}},
+			}
+			if o := f.Submit(context.Background(), j); o != tc.want {
+				t.Errorf("the outcome is %#v, want %#v", o, tc.want)
+			}
+			if got := best.received(); !slices.Equal(got, tc.atBest) {
+				t.Errorf("the best owner got requests with ReturnAfter %v, want %v", got, tc.atBest)
+			}
+			if got := other.received(); !slices.Equal(got, tc.atOther) {
+				t.Errorf("the other owner got requests with ReturnAfter %v, want %v", got, tc.atOther)
+			}
+		})
+	}
+}
+
+// Guards against a job that is sent back and forth to the only owner.
+func TestOnlyOwnerKeepsJobs(t *testing.T) {
+	o := &fakeOwner{}
+	o.run = func(context.Context, int, *wire.RunRequest) (*wire.RunReply, error) {
+		return o.reply(wire.RunState_RUN_STATE_COMPLETED, ""), nil
+	}
+	now := time.Now()
+	newFrontendOf(t, o).Submit(context.Background(), scheduler.Job{ID: "j", Service: "s", Arrived: now, Deadline: now.Add(time.Second)})
+	if got := o.received(); !slices.Equal(got, []int64{0}) {
+		t.Errorf("the owner got requests with ReturnAfter %v, want one without", got)
+	}
+}
--- a/pool/metrics/metrics.go
+++ b/pool/metrics/metrics.go
@@ -22,6 +22,7 @@
 	"marigold_pool_answers_total":                "Answers to callers by state and reason.",
 	"marigold_pool_answer_seconds":               "Time from a submission to its answer, in seconds, by state.",
 	"marigold_pool_asked_owners_total":           "Owners that were asked to run a job, by where they are and whether they took it.",
+	"marigold_pool_returned_jobs_total":          "Jobs that an owner returned because they had not started, by what happened to them next.",
 	"marigold_pool_starts_total":                 "Starts sent to targets, by result.",
 	"marigold_pool_crashes_total":                "Crashes of targets with running tasks, by what is known of them.",
 	"marigold_pool_crash_tasks_total":            "Tasks on targets that have crashed, by what is known of the crash.",
@@ -99,6 +100,12 @@
 	m.count("asked_owners_total", map[string]string{"where": where, "result": result})
 }
 
+// ReturnedJob counts a job that an owner has returned, by what happened to it next:
+// "started_elsewhere", "queued_elsewhere" or "queued_again".
+func (m *Metrics) ReturnedJob(result string) {
+	m.count("returned_jobs_total", map[string]string{"result": result})
+}
+
 // Start counts a request to start a run, by its result.
 func (m *Metrics) Start(r scheduler.StartResult) {
 	m.count("starts_total", map[string]string{"result": r.String()})
--- a/pool/run/outcomes.go
+++ b/pool/run/outcomes.go
@@ -23,7 +23,7 @@
 	case scheduler.Completed:
 		level = zap.DebugLevel
 	case scheduler.Refused:
-		if o.Reason == scheduler.ReasonBusy {
+		if o.Reason == scheduler.ReasonBusy || o.Reason == scheduler.ReasonReturned {
 			// The job is sent to another owner next.
 			level = zap.DebugLevel
 		}
