--- a/pool/frontend/return_test.go
+++ b/pool/frontend/return_test.go
@@ -59,11 +59,18 @@
 	return out, nil
 }
 
-// received returns the ReturnAfter of each request in milliseconds.
+// startNow stands in received for a request to start a job at once.
+const startNow = -1
+
+// received returns the ReturnAfter of each request in milliseconds, or startNow.
 func (o *fakeOwner) received() (all []int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, in := range o.requests {
+		if in.OnlyNow {
+			all = append(all, startNow)
+			continue
+		}
 		all = append(all, in.ReturnAfterMs)
 	}
 	return all
@@ -119,6 +126,11 @@
 		}
 	}
 	returns := first(func(o *fakeOwner, _ context.Context) (*wire.RunReply, error) { return o.returned(), nil })
+	// Meanwhile the load report of the other owner gets too old to show that it is full.
+	returnsLate := first(func(o *fakeOwner, _ context.Context) (*wire.RunReply, error) {
+		time.Sleep(maxFullReportAge + 20*time.Millisecond)
+		return o.returned(), nil
+	})
 	dies := func(o *fakeOwner) {
 		o.run = func(ctx context.Context, _ int, _ *wire.RunRequest) (*wire.RunReply, error) {
 			go o.server.CloseClientConnections()
@@ -138,7 +150,11 @@
 		// atBest and atOther are the ReturnAfter of the requests there.
 		atBest, atOther []int64
 	}{
-		"another owner takes it": {returns, completes, scheduler.Completed{}, []int64{after}, []int64{0}},
+		"another owner takes it":          {returns, completes, scheduler.Completed{}, []int64{after}, []int64{0}},
+		"another owner starts it at once": {returnsLate, completes, scheduler.Completed{}, []int64{after}, []int64{startNow}},
+		"the owner that starts it at once dies": {
+			returnsLate, dies, scheduler.Unknown{Reason: scheduler.ReasonOwnerLost}, []int64{after}, []int64{startNow},
+		},
 		"the owner dies before it returns it": {
 			dies, completes, scheduler.Unknown{Reason: scheduler.ReasonOwnerLost}, []int64{after}, nil,
 		},
