--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -165,8 +165,8 @@
 	// ReasonBusy refuses a job with MustStartNow that cannot start at once. The
 	// sender can try another owner.
 	ReasonBusy Reason = "busy"
-	// ReasonReturned refuses a job with ReturnAfter that has not started in this time.
-	// The sender asks other owners.
+	// ReasonReturned refuses a job with ReturnAfter that has not started in this time
+	// and is about to miss its objective. The sender can try another owner.
 	ReasonReturned  Reason = "returned"
 	ReasonDeadline  Reason = "deadline"
 	ReasonNoTarget  Reason = "no_target"
--- a/core/scheduler/return_test.go
+++ b/core/scheduler/return_test.go
@@ -18,10 +18,11 @@
 	return h
 }
 
-// returnableJob returns a job that waits for at most 25 ms.
+// returnableJob returns a job that waits for at most 25 ms. Its objective leaves 180 ms
+// for a wait.
 func returnableJob(id string) Job {
 	j := testJob(id, 1)
-	j.Slack, j.ReturnAfter = time.Second, 25*time.Millisecond
+	j.ReturnAfter = 25 * time.Millisecond
 	return j
 }
 
@@ -47,6 +48,17 @@
 	}
 }
 
+// Guards against jobs that are sent from owner to owner although they have the time to
+// wait, which costs a call for each.
+func TestJobThatHasTimeIsNotReturned(t *testing.T) {
+	h := fullHarness(t)
+	j := returnableJob("waiting")
+	j.Slack = 5 * time.Second
+	h.submit(2, j)
+	h.advance(200 * time.Millisecond)
+	none[Reply](h)
+}
+
 // Guards against a job that runs at two owners or is said not to have run: it has
 // started, or another sender awaits it too, or one of its tasks may have run before.
 func TestJobThatMayRunIsNotReturned(t *testing.T) {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -180,7 +180,7 @@
 		if !j.started {
 			next = earliest(next, s.nextRefusalCheck(j))
 		}
-		if s.mayReturn(j) {
+		if j.queued {
 			next = earliest(next, j.returnAt)
 		}
 		if j.suspected {
--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -27,9 +27,9 @@
 	maxStartNowOwners = 3
 	// maxStartNowAfterReturn is the same after an owner has returned the job.
 	maxStartNowAfterReturn = 2
-	// returnAfter is the time after which an owner returns a job that it has not
+	// returnAfter is the time after which an owner may return a job that it has not
 	// started, once. Runs of an owner end every few milliseconds, so that a job that
-	// has waited for longer is behind a queue, and load reports are as old as this.
+	// has waited for longer is behind a queue.
 	returnAfter = 25 * time.Millisecond
 	// ownerRetryInterval is the time between two attempts to find an owner while
 	// the owners change.
@@ -271,8 +271,8 @@
 // at once, and skips those that have just reported too little free capacity. If
 // none accepts it, the best owner queues the job. If all owners are full, each
 // further request would delay the job and cost the owners processor time.
-// An owner returns a job that it has not started in returnAfter, once, and other
-// owners are asked in the same way.
+// An owner returns a job that it has not started in returnAfter and that is about to
+// miss its objective, once, and other owners are asked in the same way.
 func (f *Frontend) runAtOwners(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
 	if o, owner, ok := f.startNow(ctx, j, f.rankedOwners(j), maxStartNowOwners); ok {
 		return o, owner
