pool/frontend: the tests of returned jobs do not depend on the age of load reports

A load report that was 100 ms old decided whether an owner was asked to start a job at once, so that a case failed in one of five runs beside load.

--- a/pool/frontend/return_test.go
+++ b/pool/frontend/return_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,11 +24,13 @@
 type fakeOwner struct {
 	wire.Pool
 	server *httptest.Server
-	// wait is the wait that it reports. The job is queued at the owner with the
+	// waitMS is the wait that it reports. The job is queued at the owner with the
 	// shortest one.
-	wait time.Duration
-	// run replies to the nth request to run a job, counted from 0.
-	run func(ctx context.Context, n int, in *wire.RunRequest) (*wire.RunReply, error)
+	waitMS atomic.Int64
+	// run replies to the nth request to run a job, counted from 0. Requests to start it
+	// at once are declined and not counted, unless startsNow returns true.
+	run       func(ctx context.Context, n int) (*wire.RunReply, error)
+	startsNow func() bool
 
 	mu       sync.Mutex
 	requests []*wire.RunRequest
@@ -36,15 +39,18 @@
 }
 
 func (o *fakeOwner) load() *wire.PoolLoad {
-	return &wire.PoolLoad{WaitMs: o.wait.Milliseconds(), Cpu: 1000, Queued: 1}
+	return &wire.PoolLoad{WaitMs: o.waitMS.Load(), Cpu: 1_000_000, FreeCpu: 1_000_000}
 }
 
 func (o *fakeOwner) Run(ctx context.Context, in *wire.RunRequest) (*wire.RunReply, error) {
+	if in.OnlyNow && (o.startsNow == nil || !o.startsNow()) {
+		return o.reply(wire.RunState_RUN_STATE_REFUSED, scheduler.ReasonBusy), nil
+	}
 	o.mu.Lock()
 	n := len(o.requests)
 	o.requests = append(o.requests, in)
 	o.mu.Unlock()
-	return o.run(ctx, n, in)
+	return o.run(ctx, n)
 }
 
 func (o *fakeOwner) Beat(_ context.Context, in *wire.BeatRequest) (*wire.BeatReply, error) {
@@ -80,7 +86,10 @@
 	return &wire.RunReply{State: state, Reason: string(reason), Load: o.load(), Epoch: 1}
 }
 
+// returned returns the reply of an owner that is behind a longer queue than it had
+// reported.
 func (o *fakeOwner) returned() *wire.RunReply {
+	o.waitMS.Store(400)
 	return o.reply(wire.RunState_RUN_STATE_REFUSED, scheduler.ReasonReturned)
 }
 
@@ -117,7 +126,7 @@
 func TestReturnedJobIsHeldByOneOwner(t *testing.T) {
 	first := func(reply func(o *fakeOwner, ctx context.Context) (*wire.RunReply, error)) func(*fakeOwner) {
 		return func(o *fakeOwner) {
-			o.run = func(ctx context.Context, n int, _ *wire.RunRequest) (*wire.RunReply, error) {
+			o.run = func(ctx context.Context, n int) (*wire.RunReply, error) {
 				if n > 0 {
 					return o.reply(wire.RunState_RUN_STATE_REFUSED, scheduler.ReasonOverloaded), nil
 				}
@@ -126,45 +135,42 @@
 		}
 	}
 	returns := first(func(o *fakeOwner, _ context.Context) (*wire.RunReply, error) { return o.returned(), nil })
-	// Meanwhile the load report of the other owner gets too old to show that it is full.
-	returnsLate := first(func(o *fakeOwner, _ context.Context) (*wire.RunReply, error) {
-		time.Sleep(maxFullReportAge + 20*time.Millisecond)
-		return o.returned(), nil
-	})
 	dies := func(o *fakeOwner) {
-		o.run = func(ctx context.Context, _ int, _ *wire.RunRequest) (*wire.RunReply, error) {
+		o.run = func(ctx context.Context, _ int) (*wire.RunReply, error) {
 			go o.server.CloseClientConnections()
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
 	}
 	completes := func(o *fakeOwner) {
-		o.run = func(context.Context, int, *wire.RunRequest) (*wire.RunReply, error) {
+		o.run = func(context.Context, int) (*wire.RunReply, error) {
 			return o.reply(wire.RunState_RUN_STATE_COMPLETED, ""), nil
 		}
 	}
 	const after = int64(returnAfter / time.Millisecond)
 	for name, tc := range map[string]struct {
 		best, other func(*fakeOwner)
-		want        scheduler.Outcome
+		// otherHasRoom is set if the other owner has room once the job is returned.
+		otherHasRoom bool
+		want         scheduler.Outcome
 		// atBest and atOther are the ReturnAfter of the requests there.
 		atBest, atOther []int64
 	}{
-		"another owner takes it":          {returns, completes, scheduler.Completed{}, []int64{after}, []int64{0}},
-		"another owner starts it at once": {returnsLate, completes, scheduler.Completed{}, []int64{after}, []int64{startNow}},
+		"another owner takes it":          {returns, completes, false, scheduler.Completed{}, []int64{after}, []int64{0}},
+		"another owner starts it at once": {returns, completes, true, scheduler.Completed{}, []int64{after}, []int64{startNow}},
 		"the owner that starts it at once dies": {
-			returnsLate, dies, scheduler.Unknown{Reason: scheduler.ReasonOwnerLost}, []int64{after}, []int64{startNow},
+			returns, dies, true, scheduler.Unknown{Reason: scheduler.ReasonOwnerLost}, []int64{after}, []int64{startNow},
 		},
 		"the owner dies before it returns it": {
-			dies, completes, scheduler.Unknown{Reason: scheduler.ReasonOwnerLost}, []int64{after}, nil,
+			dies, completes, false, scheduler.Unknown{Reason: scheduler.ReasonOwnerLost}, []int64{after}, nil,
 		},
 		"the owner dies after it has returned it": {
 			first(func(o *fakeOwner, _ context.Context) (*wire.RunReply, error) {
 				time.AfterFunc(5*time.Millisecond, o.server.CloseClientConnections)
 				return o.returned(), nil
-			}), completes, scheduler.Completed{}, []int64{after}, []int64{0},
+			}), completes, false, scheduler.Completed{}, []int64{after}, []int64{0},
 		},
-		"the next owner dies": {returns, dies, scheduler.Unknown{Reason: scheduler.ReasonOwnerLost}, []int64{after}, []int64{0}},
+		"the next owner dies": {returns, dies, false, scheduler.Unknown{Reason: scheduler.ReasonOwnerLost}, []int64{after}, []int64{0}},
 		"the reply is lost": {
 			first(func(o *fakeOwner, ctx context.Context) (*wire.RunReply, error) {
 				o.mu.Lock()
@@ -172,23 +178,23 @@
 				o.mu.Unlock()
 				<-ctx.Done()
 				return nil, ctx.Err()
-			}), completes, scheduler.Completed{}, []int64{after}, []int64{0},
+			}), completes, false, scheduler.Completed{}, []int64{after}, []int64{0},
 		},
 		"the next owner is overloaded": {
 			returns, func(o *fakeOwner) {
-				o.run = func(context.Context, int, *wire.RunRequest) (*wire.RunReply, error) {
+				o.run = func(context.Context, int) (*wire.RunReply, error) {
 					return o.reply(wire.RunState_RUN_STATE_REFUSED, scheduler.ReasonOverloaded), nil
 				}
-			}, scheduler.Refused{Reason: scheduler.ReasonOverloaded}, []int64{after}, []int64{0},
+			}, false, scheduler.Refused{Reason: scheduler.ReasonOverloaded}, []int64{after}, []int64{0},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			best, other := &fakeOwner{}, &fakeOwner{wait: 200 * time.Millisecond}
+			best, other := &fakeOwner{}, &fakeOwner{}
+			other.waitMS.Store(200)
+			other.startsNow = func() bool { return tc.otherHasRoom && len(best.received()) > 0 }
 			tc.best(best)
 			tc.other(other)
 			f := newFrontendOf(t, best, other)
-			// The owner that returns a job is behind a longer queue than it had reported.
-			best.wait = 400 * time.Millisecond
 			now := time.Now()
 			j := scheduler.Job{
 				ID: "j", Service: "s", Arrived: now, Deadline: now.Add(5 * time.Second),
@@ -210,7 +216,7 @@
 // Guards against a job that is sent back and forth to the only owner.
 func TestOnlyOwnerKeepsJobs(t *testing.T) {
 	o := &fakeOwner{}
-	o.run = func(context.Context, int, *wire.RunRequest) (*wire.RunReply, error) {
+	o.run = func(context.Context, int) (*wire.RunReply, error) {
 		return o.reply(wire.RunState_RUN_STATE_COMPLETED, ""), nil
 	}
 	now := time.Now()
