--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"marigoldfront.dev/core/packing"
 )
 
 const (
@@ -162,23 +160,11 @@
 }
 
 // preference ranks targets with similar expected values: slow ones first,
-// because other tasks need the fast ones, then those on which the task leaves a rest
-// that others can use, and those with little CPU left.
+// because other tasks need the fast ones, then those with little CPU left.
 func (s *Scheduler) preference(k *task, t *target, slownessWeight float64) float64 {
 	slow := math.Log(s.model.Slowness(t.ID))
 	rest := float64(t.free.cpu-k.step.CPU) / float64(max(t.CPU, 1))
-	loss := s.packingOf(t.Service).Loss(t.free.cpu, k.step.CPU)
-	return slownessWeight*min(max(slow, -1), 1) - s.policy.PackingWeight*loss - s.policy.FreeCapacityWeight*rest
-}
-
-// packingOf returns the sizes of the tasks of a service.
-func (s *Scheduler) packingOf(service string) *packing.Model {
-	m := s.packing[service]
-	if m == nil {
-		m = &packing.Model{}
-		s.packing[service] = m
-	}
-	return m
+	return slownessWeight*min(max(slow, -1), 1) - s.policy.FreeCapacityWeight*rest
 }
 
 // waitForCapacity forecasts the time until enough runs of a target have ended to
--- a/core/scheduler/policy.go
+++ b/core/scheduler/policy.go
@@ -20,9 +20,6 @@
 	// applies in proportion to the used share of the fast targets.
 	SlownessWeight     float64
 	FreeCapacityWeight float64
-	// PackingWeight converts the capacity that becomes unusable on a target into
-	// expected value, per mean size of a task.
-	PackingWeight float64
 	// ForecastStdDev is the standard deviation of the logarithm of the run time of
 	// a job's longest task relative to its forecast, on a target of known speed.
 	ForecastStdDev float64
@@ -47,8 +44,8 @@
 // DefaultPolicy returns the policy that is used unless Config sets another.
 func DefaultPolicy() Policy {
 	return Policy{
-		HoldShare: 0.25, LateFactor: 3, WaitGain: 0.1, SlownessWeight: 0.04, FreeCapacityWeight: 0.02, PackingWeight: 0.1,
-		ForecastStdDev: 0.37, UnknownCost: 0.7, MinExpectedValue: 0.04, MaxValueLoss: 0.05, OverdueFactor: 3, OverdueMS: 300, EjectAfter: 2,
+		HoldShare: 0.25, LateFactor: 3, WaitGain: 0.1, SlownessWeight: 0.04, FreeCapacityWeight: 0.02, ForecastStdDev: 0.37,
+		UnknownCost: 0.7, MinExpectedValue: 0.04, MaxValueLoss: 0.05, OverdueFactor: 3, OverdueMS: 300, EjectAfter: 2,
 	}
 }
 
--- a/core/scheduler/run.go
+++ b/core/scheduler/run.go
@@ -115,7 +115,6 @@
 	}
 	k.job.started, k.job.mayHaveRun = true, true
 	k.job.summary.Starts++
-	s.packingOf(t.Service).Observe(k.step.CPU)
 	t.runs[r.id] = r
 	t.free.add(r.need, -1)
 	t.nextPoll = s.now
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -6,7 +6,6 @@
 
 	"marigoldfront.dev/core/cancellation"
 	"marigoldfront.dev/core/forecast"
-	"marigoldfront.dev/core/packing"
 )
 
 // Config holds the settings of a Scheduler.
@@ -36,7 +35,6 @@
 	policy        Policy
 	now           time.Time
 	model         *forecast.Model
-	packing       map[string]*packing.Model // by service
 	targets       map[string]*target
 	sortedTargets []*target // by ID, so that decisions are deterministic
 	jobs          map[string]*job
@@ -82,7 +80,6 @@
 		cfg:      cfg,
 		policy:   cfg.Policy,
 		model:    forecast.New(),
-		packing:  map[string]*packing.Model{},
 		targets:  map[string]*target{},
 		jobs:     map[string]*job{},
 		requests: map[RequestID]*job{},
