--- a/pool/metrics/metrics.go
+++ b/pool/metrics/metrics.go
@@ -20,36 +20,38 @@
 
 // help holds the help text of each metric.
 var help = map[string]string{
-	"marigold_pool_answers_total":            "Answers to callers by state and reason.",
-	"marigold_pool_answer_seconds":           "Time from a submission to its answer, in seconds, by state.",
-	"marigold_pool_asked_owners_total":       "Owners that were asked to run a job, by where they are and whether they took it.",
-	"marigold_pool_starts_total":             "Starts sent to targets, by result.",
-	"marigold_pool_crashes_total":            "Crashes of targets with running tasks, by what is known of them.",
-	"marigold_pool_crash_tasks_total":        "Tasks on targets that have crashed, by what is known of the crash.",
-	"marigold_pool_stops_total":              "Stops sent to targets, by result.",
-	"marigold_pool_cancels_total":            "Cancellations of jobs by callers, by where the job was.",
-	"marigold_pool_cancel_seconds":           "Time from the cancellation of a job to its answer, in seconds, by result.",
-	"marigold_pool_given_up_runs_total":      "Runs that were over after their job had ended, by how this became known.",
-	"marigold_pool_given_up_run_seconds":     "Time from the end of a job until its last runs were known to be over, in seconds.",
-	"marigold_pool_looks_total":              "Looks at targets, by result.",
-	"marigold_pool_store_calls_total":        "Calls to the store, by kind and result.",
-	"marigold_pool_store_call_seconds":       "Time of a call to the store that does not wait for changes, in seconds.",
-	"marigold_pool_owned_shards":             "Shards of targets that this instance holds.",
-	"marigold_pool_targets":                  "Targets that this instance owns.",
-	"marigold_pool_usable_targets":           "Owned targets that take work.",
-	"marigold_pool_free_cores":               "Free processor cores of the usable targets.",
-	"marigold_pool_queued_jobs":              "Jobs with tasks that wait for a target.",
-	"marigold_pool_running_tasks":            "Tasks on owned targets.",
-	"marigold_pool_forecast_wait_seconds":    "Forecast time until a new task starts, in seconds.",
-	"marigold_pool_evacuated_zones":          "Availability zones that the instance knows to be evacuated.",
-	"marigold_pool_evacuated_cores":          "Processor cores of the serving targets in evacuated availability zones.",
-	"marigold_pool_evacuated_running_tasks":  "Tasks on owned targets in evacuated availability zones.",
-	"marigold_pool_configuration_version":    "Version of the configuration in force.",
-	"marigold_pool_request_bytes":            "Memory of connections, requests and jobs, in bytes, as far as it is limited.",
-	"marigold_pool_connections":              "Open connections of clients.",
-	"marigold_pool_unfinished_requests":      "Connections on which a request is awaited or has not arrived completely.",
-	"marigold_pool_refused_requests_total":   "Requests refused before they were served, by limit.",
-	"marigold_pool_closed_connections_total": "Connections closed because of a limit, by limit.",
+	"marigold_pool_answers_total":                "Answers to callers by state and reason.",
+	"marigold_pool_answer_seconds":               "Time from a submission to its answer, in seconds, by state.",
+	"marigold_pool_asked_owners_total":           "Owners that were asked to run a job, by where they are and whether they took it.",
+	"marigold_pool_starts_total":                 "Starts sent to targets, by result.",
+	"marigold_pool_crashes_total":                "Crashes of targets with running tasks, by what is known of them.",
+	"marigold_pool_crash_tasks_total":            "Tasks on targets that have crashed, by what is known of the crash.",
+	"marigold_pool_stops_total":                  "Stops sent to targets, by result.",
+	"marigold_pool_cancels_total":                "Cancellations of jobs by callers, by where the job was.",
+	"marigold_pool_cancel_seconds":               "Time from the cancellation of a job to its answer, in seconds, by result.",
+	"marigold_pool_given_up_runs_total":          "Runs that were over after their job had ended, by how this became known.",
+	"marigold_pool_given_up_run_seconds":         "Time from the end of a job until its last runs were known to be over, in seconds.",
+	"marigold_pool_looks_total":                  "Looks at targets, by result.",
+	"marigold_pool_store_calls_total":            "Calls to the store, by kind and result.",
+	"marigold_pool_store_call_seconds":           "Time of a call to the store that does not wait for changes, in seconds.",
+	"marigold_pool_owned_shards":                 "Shards of targets that this instance holds.",
+	"marigold_pool_targets":                      "Targets that this instance owns.",
+	"marigold_pool_usable_targets":               "Owned targets that take work.",
+	"marigold_pool_free_cores":                   "Free processor cores of the usable targets.",
+	"marigold_pool_queued_jobs":                  "Jobs with tasks that wait for a target.",
+	"marigold_pool_running_tasks":                "Tasks on owned targets.",
+	"marigold_pool_forecast_wait_seconds":        "Forecast time until a new task starts, in seconds.",
+	"marigold_pool_evacuated_zones":              "Availability zones that the instance knows to be evacuated.",
+	"marigold_pool_evacuated_cores":              "Processor cores of the serving targets in evacuated availability zones.",
+	"marigold_pool_evacuated_running_tasks":      "Tasks on owned targets in evacuated availability zones.",
+	"marigold_pool_configuration_version":        "Version of the configuration in force.",
+	"marigold_pool_request_bytes":                "Memory of connections, requests and jobs, in bytes, as far as it is limited.",
+	"marigold_pool_connections":                  "Open connections of clients.",
+	"marigold_pool_unfinished_requests":          "Connections on which a request is awaited or has not arrived completely.",
+	"marigold_pool_refused_requests_total":       "Requests refused before they were served, by limit.",
+	"marigold_pool_closed_connections_total":     "Connections closed because of a limit, by limit.",
+	"marigold_pool_returned_jobs_total":          "Jobs that an owner returned because they had not started, by what happened to them next.",
+	"marigold_pool_idle_core_milliseconds_total": "Free processor time of the owned targets while a job waited for longer than 50 ms, by reason, in core-milliseconds.",
 }
 
 // Metrics holds the metrics of one instance. Its methods may be called from
@@ -107,6 +109,12 @@
 	m.count("asked_owners_total", map[string]string{"where": where, "result": result})
 }
 
+// ReturnedJob counts a job that an owner has returned, by what happened to it next:
+// "started_elsewhere", "queued_elsewhere" or "queued_again".
+func (m *Metrics) ReturnedJob(result string) {
+	m.count("returned_jobs_total", map[string]string{"result": result})
+}
+
 // Start counts a request to start a run, by its result.
 func (m *Metrics) Start(r scheduler.StartResult) {
 	m.count("starts_total", map[string]string{"result": r.String()})
@@ -196,5 +204,12 @@
 	m.count("closed_connections_total", map[string]string{"limit": string(l)})
 }
 
+// Idle counts CPU that was free while jobs waited since the last call.
+func (m *Metrics) Idle(c scheduler.IdleCPU) {
+	for r, v := range c {
+		m.scope.Tagged(map[string]string{"reason": scheduler.IdleReason(r).String()}).Counter("idle_core_milliseconds_total").Inc(v)
+	}
+}
+
 // Close reports the last values and stops reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
