--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -16,6 +16,7 @@
 	"marigoldfront.dev/core/ledger"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/disconnect"
+	"marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
@@ -61,6 +62,8 @@
 	OnNewerConfiguration func(version int64)
 	// Incarnation identifies this run of the instance.
 	Incarnation uint64
+	// Guard bounds the connections and messages.
+	Guard *intake.Guard
 }
 
 // Server implements wire.Pool: it runs jobs of other instances on the targets of
@@ -94,11 +97,11 @@
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{cfg: cfg, done: make(chan struct{}), senders: map[string]*sender{}}
 	s.server = &http.Server{
-		Handler:           http.MaxBytesHandler(wire.NewPoolServer(s), maxMessageBytes),
+		Handler:           readMessages(wire.NewPoolServer(s)),
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
-		ConnContext:       disconnect.ConnContext,
 	}
+	cfg.Guard.Protect(s.server)
 	return s
 }
 
@@ -134,13 +137,16 @@
 			zap.Duration("under_way", underWay), zap.Bool("same_incarnation", ok))
 		return s.refuseUnstarted(), nil
 	}
+	j := jobFromWire(sent, in)
+	if err := intake.Hold(ctx, j.Memory()); err != nil {
+		return nil, twirp.NewError(twirp.ResourceExhausted, err.Error())
+	}
 	p := s.addJob(in, sent, cancel)
 	if p == nil {
 		return s.refuseUnstarted(), nil
 	}
 	ctx, span := s.cfg.Tracer.Start(tracing.Extract(ctx, in.Traceparent), "run at owner")
 	defer span.End()
-	j := jobFromWire(sent, in)
 	j.TraceID = tracing.TraceID(ctx)
 	o, err := s.cfg.Submit(ctx, j)
 	out, err := s.encodeReply(ctx, o, err)
--- a/pool/relay/stale_test.go
+++ b/pool/relay/stale_test.go
@@ -13,6 +13,7 @@
 
 	"marigoldfront.dev/core/evacuation"
 	"marigoldfront.dev/core/scheduler"
+	"marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
@@ -139,6 +140,7 @@
 		Configuration: func() (int64, []byte) { return 0, nil },
 		Evacuation:    func() evacuation.Set { return evacuation.Set{} },
 		OnEvacuation:  func(evacuation.Set) {},
+		Guard:         intake.New(intake.Config{}),
 	})
 	go func() { _ = o.server.Serve(l) }()
 	t.Cleanup(func() { _ = o.server.server.Close(); close(o.server.done) })
