--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -14,6 +14,9 @@
 	// submitted again. It suits refusals that do not depend on the load, because
 	// another instance takes over within about a second.
 	minRetryAfter = time.Second
+	// targetWait is how long a started job waits for targets if this instance has none.
+	// The owners of targets settle within it after a change.
+	targetWait = 3 * time.Second
 )
 
 // job is a job that has not been answered yet.
@@ -39,6 +42,8 @@
 	// returnAt is when a job without a start is returned to its sender, or zero.
 	returnAt time.Time
 	queued   bool
+	// lacksTargetsSince is since when the job lacks targets for its tasks, or zero.
+	lacksTargetsSince time.Time
 	// suspected is set once a task was suspect. isolatedSuccess is set once a suspect
 	// task has succeeded.
 	suspected, isolatedSuccess bool
@@ -109,6 +114,10 @@
 	j := s.newJob(ev.Job)
 	j.waiters = []waiter{s.newWaiter(ev)}
 	s.jobs[j.ID] = j
+	s.nextDeadline = earliest(s.nextDeadline, j.Deadline)
+	if j.suspected {
+		s.suspectedJobs++
+	}
 	s.requests[ev.Request] = j
 	j.summary.Backlog = s.forecastWait(j)
 	switch {
@@ -246,11 +255,23 @@
 // expire ends the jobs whose deadline has passed and handles the due runs of all
 // targets.
 func (s *Scheduler) expire() {
+	s.expireJobs()
+	for _, t := range s.sortedTargets {
+		s.expireRuns(t)
+	}
+}
+
+// expireJobs ends the jobs whose deadline has passed.
+func (s *Scheduler) expireJobs() {
+	if s.now.Before(s.nextDeadline) {
+		return
+	}
 	for _, j := range s.jobsWhere(func(j *job) bool { return !s.now.Before(j.Deadline) }) {
 		s.giveUp(j, ReasonDeadline)
 	}
-	for _, t := range s.sortedTargets {
-		s.expireRuns(t)
+	s.nextDeadline = time.Time{}
+	for _, j := range s.jobs {
+		s.nextDeadline = earliest(s.nextDeadline, j.Deadline)
 	}
 }
 
@@ -258,22 +279,43 @@
 // this instance has no targets left. It is called after place, so that a job that
 // arrives late can still use free capacity.
 func (s *Scheduler) refuseLateJobs() {
-	for _, j := range s.jobsWhere(s.lacksTargets) {
+	s.recordLackOfTargets()
+	for _, j := range s.queuedWhere(func(j *job) bool { return !j.lacksTargetsSince.IsZero() && !s.mayAwaitTargets(j) }) {
 		s.giveUp(j, ReasonNoTarget)
 	}
-	for _, j := range s.jobsWhere(func(j *job) bool {
+	for _, j := range s.queuedWhere(func(j *job) bool {
 		return !j.started && !s.now.Before(j.refuseAt) && s.willMissObjective(j)
 	}) {
 		s.giveUp(j, ReasonOverloaded)
 	}
 }
 
+// recordLackOfTargets records since when the queued jobs lack targets.
+func (s *Scheduler) recordLackOfTargets() {
+	for _, j := range s.queue {
+		switch {
+		case !s.lacksTargets(j):
+			j.lacksTargetsSince = time.Time{}
+		case j.lacksTargetsSince.IsZero():
+			j.lacksTargetsSince = s.now
+		}
+	}
+}
+
+// mayAwaitTargets reports whether a job without targets is kept: it has started, and
+// its remaining tasks could still end in time if this instance gets targets within
+// targetWait.
+func (s *Scheduler) mayAwaitTargets(j *job) bool {
+	end := j.lacksTargetsSince.Add(targetWait)
+	return j.started && !s.draining && s.now.Before(end) && end.Add(j.criticalPath).Before(s.latestUsefulEnd(j))
+}
+
 // lacksTargets reports whether tasks of a job need a target, but all targets of
-// its service are draining or owned by other instances. A job that has started may
-// still use targets that have just begun to drain.
+// its service are draining, evacuated or owned by other instances. A job that has
+// started may still use targets that have just begun to drain or to be evacuated.
 func (s *Scheduler) lacksTargets(j *job) bool {
 	return j.unplaced > 0 && !slices.ContainsFunc(s.sortedTargets, func(t *target) bool {
-		return t.Service == j.Service && !t.removed && (!t.Draining || j.started && t.hasJustBegunToDrain(s.now))
+		return t.Service == j.Service && !t.removed && (!t.Draining && !t.evacuated() || s.mayFinishOn(t, j))
 	})
 }
 
@@ -285,10 +327,25 @@
 			out = append(out, j)
 		}
 	}
-	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, compareIDs)
 	return out
 }
 
+// queuedWhere returns the queued jobs that satisfy a condition, sorted by ID. All jobs
+// with tasks to place are queued.
+func (s *Scheduler) queuedWhere(ok func(*job) bool) []*job {
+	var out []*job
+	for _, j := range s.queue {
+		if ok(j) {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, compareIDs)
+	return out
+}
+
+func compareIDs(a, b *job) int { return cmp.Compare(a.ID, b.ID) }
+
 // finish answers a job, records its run times and stops its remaining runs.
 func (s *Scheduler) finish(j *job, o Outcome) {
 	requests := make([]RequestID, len(j.waiters))
@@ -300,6 +357,9 @@
 		s.emit(Reply{Requests: requests, Job: j.ID, Outcome: o, Summary: s.summarize(j)})
 	}
 	delete(s.jobs, j.ID)
+	if j.suspected {
+		s.suspectedJobs--
+	}
 	s.dequeue(j)
 	for i, r := range j.stepRuns {
 		if len(r.samples) > 0 {
@@ -360,5 +420,5 @@
 }
 
 func (s *Scheduler) sortedJobs() []*job {
-	return slices.SortedFunc(maps.Values(s.jobs), func(a, b *job) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.SortedFunc(maps.Values(s.jobs), compareIDs)
 }
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -21,6 +21,10 @@
 	// counted from when it stopped waiting. It defaults to
 	// DefaultResubmissionDelay.
 	ResubmissionDelay time.Duration
+	// EvacuationStartTime is how long after this instance has learned of the evacuation
+	// of an availability zone tasks of jobs that have started before may still start
+	// there, where their owner has no other targets.
+	EvacuationStartTime time.Duration
 	// Policy defaults to DefaultPolicy.
 	Policy Policy
 }
@@ -40,6 +44,10 @@
 	jobs          map[string]*job
 	queue         []*job // jobs with tasks to place, in the order of compareJobs
 	requests      map[RequestID]*job
+	// nextDeadline is not after the deadline of any job.
+	nextDeadline time.Time
+	// suspectedJobs counts the jobs that are suspected.
+	suspectedJobs int
 	draining      bool
 	actions       []Action
 	crashLog      *crashLog
@@ -59,6 +67,9 @@
 	// over.
 	givenUpRuns map[TaskID]int
 	cancelled   *cancellation.Log
+	// evacuatedSince holds when the instance learned of the evacuation of each
+	// evacuated availability zone.
+	evacuatedSince map[string]time.Time
 	// stallBegan and stallEnded delimit the last time in which the instance may have
 	// been paused while it had jobs.
 	stallBegan, stallEnded time.Time
@@ -84,7 +95,7 @@
 		jobs:     map[string]*job{},
 		requests: map[RequestID]*job{},
 		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{}, lastSubmit: map[string]time.Time{},
-		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(),
+		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), evacuatedSince: map[string]time.Time{},
 	}
 }
 
@@ -140,6 +151,8 @@
 		s.recall(s.jobs[ev.Job])
 	case TargetsChanged:
 		s.changeTargets(ev.Targets)
+	case ZonesEvacuated:
+		s.evacuate(ev.Zones)
 	case CrashRecorded:
 		s.crashRecorded(ev.Crash)
 	case CrashReported:
@@ -170,18 +183,19 @@
 	var next time.Time
 	if len(s.jobs) > 0 {
 		// Handle detects a pause of the instance by a longer gap.
-		next = s.now.Add(maxWakeInterval)
+		next = earliest(s.now.Add(maxWakeInterval), s.nextDeadline)
 	}
-	for _, j := range s.jobs {
-		next = earliest(next, j.Deadline)
+	for _, j := range s.queue {
 		if !j.started {
 			next = earliest(next, s.nextRefusalCheck(j))
 		}
-		if j.queued {
-			next = earliest(next, j.returnAt)
-		}
-		if j.suspected {
-			next = earliest(next, s.nextRecordTimeout(j))
+		next = earliest(next, j.returnAt)
+	}
+	if s.suspectedJobs > 0 {
+		for _, j := range s.jobs {
+			if j.suspected {
+				next = earliest(next, s.nextRecordTimeout(j))
+			}
 		}
 	}
 	for _, t := range s.sortedTargets {
@@ -218,6 +232,10 @@
 	// FreeCPU and CPU are totals of the usable targets, in thousandths of a
 	// core.
 	FreeCPU, CPU int64
+	// EvacuatedCPU is the total of the targets that serve in evacuated availability
+	// zones. EvacuatedRunning counts the runs there.
+	EvacuatedCPU     int64
+	EvacuatedRunning int
 	// ForecastWait is the forecast time until a new task starts.
 	ForecastWait time.Duration
 	// Contained is the queue whose tasks crash their targets and run apart from
@@ -236,6 +254,12 @@
 	}
 	for _, t := range s.sortedTargets {
 		st.Running += len(t.runs)
+		if t.evacuated() {
+			st.EvacuatedRunning += len(t.runs)
+			if t.serving() {
+				st.EvacuatedCPU += t.CPU
+			}
+		}
 		if t.usable() {
 			st.Usable++
 			st.CPU += t.CPU
@@ -265,6 +289,21 @@
 	return 0
 }
 
+// RunsEndingBy returns the number of runs on a target that their jobs await and that
+// are forecast to end by a time.
+func (s *Scheduler) RunsEndingBy(target string, limit time.Time) int {
+	t, n := s.targets[target], 0
+	if t == nil {
+		return 0
+	}
+	for _, r := range t.runs {
+		if r.task != nil && !r.end().After(limit) {
+			n++
+		}
+	}
+	return n
+}
+
 // drain refuses the jobs of which no task can have run, and lets the others
 // complete.
 func (s *Scheduler) drain() {
--- a/pool/frontend/return_test.go
+++ b/pool/frontend/return_test.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"marigoldfront.dev/core/evacuation"
 	"marigoldfront.dev/core/ownership"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/tracing"
@@ -101,7 +102,7 @@
 	}
 	m := metrics.New()
 	client := relay.NewClient(zap.NewNop(), tracer, "self", 1, time.Now, func() time.Duration { return 0 },
-		func() int64 { return 0 }, func(wire.Pool) {})
+		func() int64 { return 0 }, func(wire.Pool) {}, func() evacuation.Set { return evacuation.Set{} }, func(evacuation.Set) {})
 	t.Cleanup(func() { client.Close(); _ = m.Close() })
 	holders := map[ownership.Shard]ownership.Claim{}
 	for i, o := range owners {
--- a/pool/metrics/metrics.go
+++ b/pool/metrics/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"marigoldfront.dev/core/intake"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/registry"
 	"marigoldfront.dev/pool/port"
@@ -22,7 +23,6 @@
 	"marigold_pool_answers_total":                "Answers to callers by state and reason.",
 	"marigold_pool_answer_seconds":               "Time from a submission to its answer, in seconds, by state.",
 	"marigold_pool_asked_owners_total":           "Owners that were asked to run a job, by where they are and whether they took it.",
-	"marigold_pool_returned_jobs_total":          "Jobs that an owner returned because they had not started, by what happened to them next.",
 	"marigold_pool_starts_total":                 "Starts sent to targets, by result.",
 	"marigold_pool_crashes_total":                "Crashes of targets with running tasks, by what is known of them.",
 	"marigold_pool_crash_tasks_total":            "Tasks on targets that have crashed, by what is known of the crash.",
@@ -38,11 +38,20 @@
 	"marigold_pool_targets":                      "Targets that this instance owns.",
 	"marigold_pool_usable_targets":               "Owned targets that take work.",
 	"marigold_pool_free_cores":                   "Free processor cores of the usable targets.",
-	"marigold_pool_idle_core_milliseconds_total": "Free processor time of the owned targets while a job waited for longer than 50 ms, by reason, in core-milliseconds.",
 	"marigold_pool_queued_jobs":                  "Jobs with tasks that wait for a target.",
 	"marigold_pool_running_tasks":                "Tasks on owned targets.",
 	"marigold_pool_forecast_wait_seconds":        "Forecast time until a new task starts, in seconds.",
+	"marigold_pool_evacuated_zones":              "Availability zones that the instance knows to be evacuated.",
+	"marigold_pool_evacuated_cores":              "Processor cores of the serving targets in evacuated availability zones.",
+	"marigold_pool_evacuated_running_tasks":      "Tasks on owned targets in evacuated availability zones.",
 	"marigold_pool_configuration_version":        "Version of the configuration in force.",
+	"marigold_pool_request_bytes":                "Memory of connections, requests and jobs, in bytes, as far as it is limited.",
+	"marigold_pool_connections":                  "Open connections of clients.",
+	"marigold_pool_unfinished_requests":          "Connections on which a request is awaited or has not arrived completely.",
+	"marigold_pool_refused_requests_total":       "Requests refused before they were served, by limit.",
+	"marigold_pool_closed_connections_total":     "Connections closed because of a limit, by limit.",
+	"marigold_pool_returned_jobs_total":          "Jobs that an owner returned because they had not started, by what happened to them next.",
+	"marigold_pool_idle_core_milliseconds_total": "Free processor time of the owned targets while a job waited for longer than 50 ms, by reason, in core-milliseconds.",
 }
 
 // Metrics holds the metrics of one instance. Its methods may be called from
@@ -163,12 +172,14 @@
 }
 
 // SetGauges sets the gauges from the scheduler's statistics, the number of owned
-// shards and the version of the configuration.
-func (m *Metrics) SetGauges(st scheduler.Stats, shards int, version int64) {
+// shards, the version of the configuration and the number of evacuated zones.
+func (m *Metrics) SetGauges(st scheduler.Stats, shards int, version int64, evacuatedZones int) {
 	for name, v := range map[string]float64{
 		"owned_shards": float64(shards), "targets": float64(st.Targets), "usable_targets": float64(st.Usable),
 		"free_cores": float64(st.FreeCPU) / 1000, "queued_jobs": float64(st.Queued), "running_tasks": float64(st.Running),
 		"forecast_wait_seconds": st.ForecastWait.Seconds(), "configuration_version": float64(version),
+		"evacuated_zones": float64(evacuatedZones), "evacuated_cores": float64(st.EvacuatedCPU) / 1000,
+		"evacuated_running_tasks": float64(st.EvacuatedRunning),
 	} {
 		m.scope.Gauge(name).Update(v)
 	}
@@ -181,5 +192,24 @@
 	}
 }
 
+// SetRequests sets the gauges of what clients hold.
+func (m *Metrics) SetRequests(st intake.Stats) {
+	for name, v := range map[string]float64{
+		"request_bytes": float64(st.Bytes), "connections": float64(st.Connections), "unfinished_requests": float64(st.Unfinished),
+	} {
+		m.scope.Gauge(name).Update(v)
+	}
+}
+
+// RefusedRequest counts a request that was refused because of a limit.
+func (m *Metrics) RefusedRequest(l intake.Limit) {
+	m.count("refused_requests_total", map[string]string{"limit": string(l)})
+}
+
+// ClosedConnection counts a connection that was closed because of a limit.
+func (m *Metrics) ClosedConnection(l intake.Limit) {
+	m.count("closed_connections_total", map[string]string{"limit": string(l)})
+}
+
 // Close reports the last values and stops reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,11 +18,12 @@
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/catalog"
+	"marigoldfront.dev/core/evacuation"
 	"marigoldfront.dev/core/finding"
 	"marigoldfront.dev/core/ownership"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/clock"
-	"marigoldfront.dev/infra/disconnect"
+	"marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/infra/logging"
 	"marigoldfront.dev/infra/stall"
 	"marigoldfront.dev/infra/tracing"
@@ -47,7 +49,7 @@
 	// according to the platform's specification.
 	maxClockDrift = 0.02
 	// headerTime bounds the time to read the header of a request, and idleTime the
-	// time for which a connection of a caller may be idle.
+	// time for which a connection may be idle.
 	headerTime = 3 * time.Second
 	idleTime   = time.Minute
 	// reportEvery is the interval at which the gauges are set and the state of the
@@ -103,6 +105,8 @@
 	// an address.
 	metricsServer *http.Server
 	wg            sync.WaitGroup
+	// guard keeps the connections of all servers within the limits of the process.
+	guard *intake.Guard
 
 	draining atomic.Bool
 	load     atomic.Pointer[relay.Load]
@@ -145,6 +149,11 @@
 	jobLogger := func(name string) *zap.Logger { return logging.ForComponent(in.jobLog, name) }
 	sched := scheduler.New(scheduler.Config{
 		Lease: cfg.Lease(), MaxClockDrift: maxClockDrift, RemoteRackFactor: cfg.RemoteRackFactor, ResubmissionDelay: cfg.ResubmissionDelay(),
+		EvacuationStartTime: cfg.EvacuationStartTime(),
+	})
+	in.guard = intake.New(intake.Config{
+		Limits: requestLimits(&cfg), Log: in.logger("intake"),
+		Refused: in.metrics.RefusedRequest, Closed: in.metrics.ClosedConnection,
 	})
 	in.stalls = stall.New(clock.Now)
 	in.loop = loop.New(sched, clock.Now, loop.Handlers{
@@ -171,28 +180,37 @@
 		Clock: clock.Now,
 	})
 	in.targets = targetlist.New(in.logger("listing"), store, p.Formats, in.claims, cfg.Shards, clock.Now, in.loop.Post)
-	in.configuration = configuration.New(in.logger("configuration"), store, p.Formats, func(c *catalog.Catalog) {
-		in.claims.SetServices(c.Services)
+	in.configuration = configuration.New(configuration.Config{
+		Log: in.logger("configuration"), Store: store, Formats: p.Formats,
+		OnConfiguration: func(c *catalog.Catalog) { in.claims.SetServices(c.Services) },
+		OnEvacuation:    func(s evacuation.Set) { in.loop.Post(scheduler.ZonesEvacuated{Zones: s.Zones}) },
+		AskInstance:     in.askInstance,
 	})
-	in.relayClient = relay.NewClient(in.logger("relay"), in.tracer, cfg.Name, in.self.Incarnation, clock.Now, in.stalls.MaxAge, in.configuration.Version, in.fetchConfiguration)
+	in.relayClient = relay.NewClient(in.logger("relay"), in.tracer, cfg.Name, in.self.Incarnation, clock.Now, in.stalls.MaxAge,
+		in.configuration.Version, in.fetchConfiguration, in.configuration.Evacuation, in.applyEvacuation)
 	in.relayServer = relay.NewServer(relay.ServerConfig{
 		Log: in.logger("relay"), Tracer: in.tracer, Submit: in.loop.Submit, Clock: clock.Now, Load: in.wireLoad,
 		Recall:        func(job string) { in.loop.Post(scheduler.Recall{Job: job}) },
 		Cancel:        in.canceller.CancelForPeer,
 		Awaited:       func(ev scheduler.Awaited) { in.loop.Post(ev) },
-		Configuration: in.configuration.Value, Incarnation: in.self.Incarnation,
+		Configuration: in.configuration.Value, Incarnation: in.self.Incarnation, Guard: in.guard,
+		Evacuation: in.configuration.Evacuation, OnEvacuation: in.applyEvacuation,
 	})
 	in.frontend = frontend.New(frontend.Config{
 		Log: jobLogger("desk"), Metrics: in.metrics, Tracer: in.tracer, Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.configuration.Catalog,
-		ShardHolders: in.claims.Holders, OwnersChanging: in.claims.Settling, RelayClient: in.relayClient, SelfAddress: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
+		ShardHolders: in.holders, OwnersChanging: in.claims.Settling, RelayClient: in.relayClient, SelfAddress: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
 		WaitingJobs: in.waiting, Draining: in.draining.Load, MayHaveRun: in.mayHaveRun, Cancel: in.cancel,
 	})
-	in.callerServer = &http.Server{
-		Handler:           in.withTrace(p.Handler(in.frontend, clock.Now, in.logger("callers"))),
-		ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ConnContext: disconnect.ConnContext,
-	}
-	in.metricsServer = &http.Server{Handler: in.operatorHandler(), ReadHeaderTimeout: headerTime}
-	in.readyServer = &http.Server{Handler: p.Ready(in.isReady), ReadHeaderTimeout: headerTime}
+	in.callerServer = in.newServer(in.withTrace(p.Handler(in.frontend, clock.Now, in.logger("callers"))))
+	in.metricsServer = in.newServer(in.operatorHandler())
+	in.readyServer = in.newServer(p.Ready(in.isReady))
+}
+
+// newServer returns a server whose connections count toward the limits of the process.
+func (in *Instance) newServer(h http.Handler) *http.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	in.guard.Protect(s)
+	return s
 }
 
 // withTrace continues the traces whose context callers send in a header.
@@ -266,6 +284,7 @@
 	in.loop.Inspect(func(s *scheduler.Scheduler) {
 		st := s.Stats()
 		l.ForecastWait, l.FreeCPU, l.CPU, l.Queued = st.ForecastWait, st.FreeCPU, st.CPU, st.Queued
+		l.EvacuatedCPU = st.EvacuatedCPU
 	})
 	in.load.Store(&l)
 	return l
@@ -275,6 +294,29 @@
 	l := in.ownLoad()
 	return &wire.PoolLoad{
 		WaitMs: l.ForecastWait.Milliseconds(), FreeCpu: l.FreeCPU, Cpu: l.CPU, Queued: int32(l.Queued), Draining: l.Draining,
+		EvacuatedCpu: l.EvacuatedCPU,
+	}
+}
+
+// holders returns the claims of all instances to the shards of a service, without those
+// in evacuated zones.
+func (in *Instance) holders(service string) map[ownership.Shard]ownership.Claim {
+	all, set := in.claims.Holders(service), in.configuration.Evacuation()
+	if len(set.Zones) > 0 {
+		maps.DeleteFunc(all, func(s ownership.Shard, _ ownership.Claim) bool { return set.Contains(s.Zone) })
+	}
+	return all
+}
+
+// applyEvacuation applies the set of evacuated zones of another instance.
+func (in *Instance) applyEvacuation(s evacuation.Set) {
+	in.configuration.ApplyEvacuation(s, "instance")
+}
+
+// askInstance asks another instance, chosen at random, for what is in force there.
+func (in *Instance) askInstance() {
+	if peers := in.claims.Peers(); len(peers) > 0 {
+		in.relayClient.Ask(peers[rand.IntN(len(peers))])
 	}
 }
 
@@ -288,26 +330,32 @@
 		in.log.Info("A newer configuration could not be fetched.", zap.Error(err))
 		return
 	}
+	in.applyEvacuation(relay.EvacuationFromWire(out.Evacuation))
 	in.configuration.ApplyIfNewer(out.Value, "instance")
 }
 
 // Serve runs the instance until a signal arrives on stop or a listener fails. It
 // returns the error of the listener.
 func (in *Instance) Serve(stop <-chan os.Signal) error {
-	addresses := map[string]func(net.Listener) error{
-		in.cfg.PeerListen: in.relayServer.Serve, in.cfg.Listen: in.callerServer.Serve, in.cfg.ReadyListen: in.readyServer.Serve,
+	type endpoint struct {
+		address string
+		serve   func(net.Listener) error
+		share   float64
+	}
+	endpoints := []endpoint{
+		{in.cfg.PeerListen, in.relayServer.Serve, 1}, {in.cfg.Listen, in.callerServer.Serve, callerShare}, {in.cfg.ReadyListen, in.readyServer.Serve, 1},
 	}
 	if in.cfg.MetricsListen != "" {
-		addresses[in.cfg.MetricsListen] = in.metricsServer.Serve
+		endpoints = append(endpoints, endpoint{in.cfg.MetricsListen, in.metricsServer.Serve, scraperShare})
 	}
-	failed := make(chan error, len(addresses))
-	for address, serve := range addresses {
-		l, err := net.Listen("tcp", address)
+	failed := make(chan error, len(endpoints))
+	for _, e := range endpoints {
+		l, err := in.guard.Listen(e.address, e.share)
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
 		in.wg.Go(func() {
-			if err := serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err := e.serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
 			}
 		})
@@ -351,7 +399,8 @@
 		if !in.loop.Inspect(func(s *scheduler.Scheduler) { st = s.Stats() }) {
 			return
 		}
-		in.metrics.SetGauges(st, len(in.claims.Owned()), in.configuration.Version())
+		in.metrics.SetGauges(st, len(in.claims.Owned()), in.configuration.Version(), len(in.configuration.Evacuation().Zones))
+		in.metrics.SetRequests(in.guard.Stats())
 		sinceLast := st.IdleCPU.Minus(idle)
 		idle = st.IdleCPU
 		in.metrics.Idle(sinceLast)
@@ -359,15 +408,25 @@
 			in.log.Info("State of the owned targets.", zap.Int("targets", st.Targets), zap.Int("usable", st.Usable),
 				zap.Int64("cpu", st.CPU), zap.Int64("free_cpu", st.FreeCPU), zap.Int("jobs", st.Jobs),
 				zap.Int("queued", st.Queued), zap.Int("running", st.Running), zap.Duration("wait", st.ForecastWait),
-				zap.String("contained", st.Contained), zap.Bool("contained_full", st.ContainedFull), zap.Int64s("idle_core_ms", sinceLast[:]))
+				zap.Int64("evacuated_cpu", st.EvacuatedCPU), zap.Int("evacuated_running", st.EvacuatedRunning),
+				zap.String("contained", st.Contained), zap.Bool("contained_full", st.ContainedFull),
+				zap.Int64s("idle_core_ms", sinceLast[:]))
 		}
 	}
 }
 
-// busy reports whether any task runs on the targets of a shard.
-func (in *Instance) busy(shard ownership.Shard) bool {
+// busy reports whether a task runs on the targets of a shard that is forecast to end by
+// a time of the wall clock, or any task if that is zero.
+func (in *Instance) busy(shard ownership.Shard, endBy time.Time) bool {
 	busy := false
-	in.loop.Inspect(func(s *scheduler.Scheduler) { busy = in.targets.Busy(shard, s.RunCount) })
+	in.loop.Inspect(func(s *scheduler.Scheduler) {
+		runs := s.RunCount
+		if !endBy.IsZero() {
+			limit := clock.Now().Add(time.Until(endBy))
+			runs = func(target string) int { return s.RunsEndingBy(target, limit) }
+		}
+		busy = in.targets.Busy(shard, runs)
+	})
 	return busy
 }
 
--- a/pool/run/status.go
+++ b/pool/run/status.go
@@ -23,7 +23,7 @@
 			in.log.Info("The status was not written.", zap.Error(err))
 		}
 	})
-	return mux
+	return rendered(mux)
 }
 
 // status returns the state of the instance, its view of the claims of all
@@ -33,6 +33,8 @@
 		Instance: in.cfg.Name, AvailabilityZone: in.cfg.AvailabilityZone, PeerAddress: in.cfg.PeerAddress,
 		State: "serving", Configuration: in.configuration.Version(), Claims: []poolstatus.Claim{},
 	}
+	set := in.configuration.Evacuation()
+	out.EvacuatedZones, out.EvacuationRevision = append([]string{}, set.Zones...), set.Revision
 	c := in.configuration.Catalog()
 	switch {
 	case in.draining.Load():
--- a/pool/settings/settings.go
+++ b/pool/settings/settings.go
@@ -34,6 +34,9 @@
 	Store string `toml:"store"`
 	// MemoryMB is the memory limit of the process, in MiB.
 	MemoryMB int `toml:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may have open. The
+	// default is the limit that the operating system has set.
+	MaxDescriptors int `toml:"max_descriptors"`
 	// Weight is the number of cores, or the fraction of a core, that the instance
 	// may use. Instances with more cores are preferred as owners of targets.
 	Weight float64 `toml:"weight"`
@@ -45,6 +48,10 @@
 	// ResendMS is the shortest time after which a caller submits a job again that it
 	// has no result of, in milliseconds.
 	ResendMS int `toml:"resend_ms"`
+	// EvacuationMS is the time after the request to evacuate an availability zone from
+	// which on no task may start there, in milliseconds. Jobs that have started use less
+	// than half of it for their remaining tasks; 0 leaves them none.
+	EvacuationMS int `toml:"evacuation_ms"`
 	// RemoteRackFactor is the factor by which a task takes longer outside the rack
 	// of its data.
 	RemoteRackFactor float64 `toml:"far_factor"`
@@ -109,9 +116,15 @@
 	if s.ResendMS < 800 || s.ResendMS > 600_000 {
 		add("resend_ms", "must be 800 to 600000")
 	}
+	if s.EvacuationMS < 0 || s.EvacuationMS > 600_000 {
+		add("evacuation_ms", "must be 0 to 600000")
+	}
 	if s.MemoryMB < 16 {
 		add("memory_mb", "must be at least 16")
 	}
+	if s.MaxDescriptors != 0 && s.MaxDescriptors < 256 {
+		add("max_descriptors", "must be at least 256")
+	}
 	if s.Shards < 1 || s.Shards > 16 {
 		add("shards", "must be 1 to 16")
 	}
@@ -139,5 +152,15 @@
 	return time.Duration(s.ResendMS) * time.Millisecond
 }
 
+// evacuationStartShare is the share of EvacuationMS in which jobs that have started may
+// start their remaining tasks. The rest is for instances that learn of the request late.
+const evacuationStartShare = 0.4
+
+// EvacuationStartTime returns how long after an instance has learned of the evacuation of
+// a zone jobs that have started may start their remaining tasks there.
+func (s *Settings) EvacuationStartTime() time.Duration {
+	return time.Duration(float64(s.EvacuationMS) * evacuationStartShare * float64(time.Millisecond))
+}
+
 // Grace returns the time between SIGTERM and SIGKILL.
 func (s *Settings) Grace() time.Duration { return time.Duration(s.GraceS * float64(time.Second)) }
