--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -27,10 +27,6 @@
 	maxStartNowOwners = 3
 	// maxStartNowAfterReturn is the same after an owner has returned the job.
 	maxStartNowAfterReturn = 2
-	// returnAfter is the time after which an owner may return a job that it has not
-	// started, once. Runs of an owner end every few milliseconds, so that a job that
-	// has waited for longer is behind a queue.
-	returnAfter = 25 * time.Millisecond
 	// ownerRetryInterval is the time between two attempts to find an owner while
 	// the owners change.
 	ownerRetryInterval = 15 * time.Millisecond
@@ -59,6 +55,9 @@
 	Load        func() relay.Load
 	WaitingJobs func(queue string) int
 	Draining    func() bool
+	// ReturnAfter is the time after which an owner may return a job that it has not
+	// started, once; 0 means never.
+	ReturnAfter time.Duration
 	// MayHaveRun reports whether tasks of an earlier submission of a job are known to
 	// have run, or may have.
 	MayHaveRun func(job string) bool
@@ -271,14 +270,14 @@
 // at once, and skips those that have just reported too little free capacity. If
 // none accepts it, the best owner queues the job. If all owners are full, each
 // further request would delay the job and cost the owners processor time.
-// An owner returns a job that it has not started in returnAfter and that is about to
+// An owner returns a job that it has not started in ReturnAfter and that is about to
 // miss its objective, once, and other owners are asked in the same way.
 func (f *Frontend) runAtOwners(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
 	if o, owner, ok := f.startNow(ctx, j, f.rankedOwners(j), maxStartNowOwners); ok {
 		return o, owner
 	}
 	returnable := *j
-	returnable.ReturnAfter = returnAfter
+	returnable.ReturnAfter = f.cfg.ReturnAfter
 	if o, owner = f.queue(ctx, &returnable); !isReturned(o) || ctx.Err() != nil {
 		return o, owner
 	}
--- a/pool/frontend/return_test.go
+++ b/pool/frontend/return_test.go
@@ -21,6 +21,8 @@
 	"marigoldfront.dev/wire"
 )
 
+const testReturnAfter = 25 * time.Millisecond
+
 // fakeOwner is an owner whose replies a test determines.
 type fakeOwner struct {
 	wire.Pool
@@ -119,6 +121,7 @@
 		Log: zap.NewNop(), Metrics: m, Tracer: tracer, Zone: "a", Clock: time.Now, SelfAddress: "self:1", RelayClient: client,
 		ShardHolders:   func(string) map[ownership.Shard]ownership.Claim { return holders },
 		OwnersChanging: func() bool { return false }, MayHaveRun: func(string) bool { return false },
+		ReturnAfter: testReturnAfter,
 	})
 }
 
@@ -148,7 +151,7 @@
 			return o.reply(wire.RunState_RUN_STATE_COMPLETED, ""), nil
 		}
 	}
-	const after = int64(returnAfter / time.Millisecond)
+	after := testReturnAfter.Milliseconds()
 	for name, tc := range map[string]struct {
 		best, other func(*fakeOwner)
 		// otherHasRoom is set if the other owner has room once the job is returned.
@@ -227,3 +230,19 @@
 		t.Errorf("the owner got requests with ReturnAfter %v, want one without", got)
 	}
 }
+
+// Guards against jobs that are returned in deployments whose settings do not ask for it.
+func TestJobsAreKeptWithoutTheSetting(t *testing.T) {
+	best, other := &fakeOwner{}, &fakeOwner{}
+	other.waitMS.Store(1e6)
+	best.run = func(context.Context, int) (*wire.RunReply, error) {
+		return best.reply(wire.RunState_RUN_STATE_COMPLETED, ""), nil
+	}
+	f := newFrontendOf(t, best, other)
+	f.cfg.ReturnAfter = 0
+	now := time.Now()
+	f.Submit(context.Background(), scheduler.Job{ID: "j", Service: "s", Arrived: now, Deadline: now.Add(time.Second)})
+	if got := best.received(); !slices.Equal(got, []int64{0}) {
+		t.Errorf("the owner got requests with ReturnAfter %v, want one without", got)
+	}
+}
