--- a/core/scheduler/return.go
+++ b/core/scheduler/return.go
@@ -31,5 +31,6 @@
 // have run, also in an earlier submission, and no second sender awaits it, which would
 // send it elsewhere too.
 func (s *Scheduler) mayReturn(j *job) bool {
-	return !j.started && !j.mayHaveRun && !j.suspected && len(j.waiters) == 1
+	return !j.started && !j.mayHaveRun && len(j.waiters) == 1 && !s.MayHaveRun(j.ID) &&
+		!j.anyTask(func(k *task) bool { return s.givenUpRuns[k.id] > 0 })
 }
--- a/core/scheduler/return_test.go
+++ b/core/scheduler/return_test.go
@@ -73,6 +73,15 @@
 			h.submit(2, returnableJob("j"))
 			h.submit(3, returnableJob("j"))
 		},
+		"run of an earlier submission": func(h *harness) {
+			j := testJob("j", 1)
+			j.Steps[0].CPU = 10_000
+			h.submit(2, j)
+			h.answerStart(one[Start](h), StartAccepted)
+			h.send(Withdraw{Request: 2})
+			take[Reply](h)
+			h.submit(3, returnableJob("j"))
+		},
 		"crash in an earlier submission": func(h *harness) {
 			h.send(CrashReported{Crash: Crash{
 				Target: "b", Incarnation: 3, State: CrashConfirmed, Tasks: []TaskID{{Job: "j"}},
