--- a/pool/metrics/metrics.go
+++ b/pool/metrics/metrics.go
@@ -185,6 +185,13 @@
 	}
 }
 
+// Idle counts CPU that was free while jobs waited since the last call.
+func (m *Metrics) Idle(c scheduler.IdleCPU) {
+	for r, v := range c {
+		m.scope.Tagged(map[string]string{"reason": scheduler.IdleReason(r).String()}).Counter("idle_core_milliseconds_total").Inc(v)
+	}
+}
+
 // SetRequests sets the gauges of what clients hold.
 func (m *Metrics) SetRequests(st intake.Stats) {
 	for name, v := range map[string]float64{
@@ -204,12 +211,5 @@
 	m.count("closed_connections_total", map[string]string{"limit": string(l)})
 }
 
-// Idle counts CPU that was free while jobs waited since the last call.
-func (m *Metrics) Idle(c scheduler.IdleCPU) {
-	for r, v := range c {
-		m.scope.Tagged(map[string]string{"reason": scheduler.IdleReason(r).String()}).Counter("idle_core_milliseconds_total").Inc(v)
-	}
-}
-
 // Close reports the last values and stops reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -199,7 +199,7 @@
 	in.frontend = frontend.New(frontend.Config{
 		Log: jobLogger("desk"), Metrics: in.metrics, Tracer: in.tracer, Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.configuration.Catalog,
 		ShardHolders: in.holders, OwnersChanging: in.claims.Settling, RelayClient: in.relayClient, SelfAddress: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
-		WaitingJobs: in.waiting, Draining: in.draining.Load, MayHaveRun: in.mayHaveRun, Cancel: in.cancel,
+		WaitingJobs: in.waiting, Draining: in.draining.Load, ReturnAfter: time.Duration(cfg.ReturnAfterMS) * time.Millisecond, MayHaveRun: in.mayHaveRun, Cancel: in.cancel,
 	})
 	in.callerServer = in.newServer(in.withTrace(p.Handler(in.frontend, clock.Now, in.logger("callers"))))
 	in.metricsServer = in.newServer(in.operatorHandler())
@@ -409,7 +409,8 @@
 				zap.Int64("cpu", st.CPU), zap.Int64("free_cpu", st.FreeCPU), zap.Int("jobs", st.Jobs),
 				zap.Int("queued", st.Queued), zap.Int("running", st.Running), zap.Duration("wait", st.ForecastWait),
 				zap.Int64("evacuated_cpu", st.EvacuatedCPU), zap.Int("evacuated_running", st.EvacuatedRunning),
-				zap.String("contained", st.Contained), zap.Bool("contained_full", st.ContainedFull), zap.Int64s("idle_core_ms", sinceLast[:]))
+				zap.String("contained", st.Contained), zap.Bool("contained_full", st.ContainedFull),
+				zap.Int64s("idle_core_ms", sinceLast[:]))
 		}
 	}
 }
