infra/intake: close unfinished headers without a response

The server answered the part of a header of an evicted connection with 400, because the error of the read was no timeout for it. Refusals after an eviction name the limit that caused it. TestUnfinishedHeaderGetsNoResponse failed without the change.

--- a/infra/intake/conn.go
+++ b/infra/intake/conn.go
@@ -2,10 +2,8 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -19,9 +17,21 @@
 	lingerBytes = 1 << 20
 )
 
-// errEvicted is the error of reads from a connection that gives way to others. Servers
-// treat it as a timeout.
-var errEvicted = fmt.Errorf("the connection gives way to others: %w", os.ErrDeadlineExceeded)
+// evictedError is the error of reads from a connection that gives way to others. It is a
+// timeout, so that a server closes the connection without a response to the part of a
+// header that has arrived.
+type evictedError struct{}
+
+var _ net.Error = evictedError{}
+
+// Error implements error.
+func (evictedError) Error() string { return "the connection gives way to others" }
+
+// Timeout implements net.Error.
+func (evictedError) Timeout() bool { return true }
+
+// Temporary implements net.Error.
+func (evictedError) Temporary() bool { return true }
 
 // listener accepts connections that count.
 type listener struct {
@@ -80,13 +90,18 @@
 	guard   *Guard
 	id      uint64
 	evicted atomic.Bool
+	// evictedBy is the limit for which the connection was evicted. It is guarded by the
+	// mutex of the Guard.
+	evictedBy intake.Limit
 	// refused is set if the client has to read a refusal before the connection closes,
 	// although a part of the request was not read.
 	refused atomic.Bool
 }
 
-// interrupt makes the pending and all later reads fail.
-func (c *conn) interrupt() {
+// interrupt makes the pending and all later reads fail. The caller holds the lock of the
+// Guard.
+func (c *conn) interrupt(limit intake.Limit) {
+	c.evictedBy = limit
 	c.evicted.Store(true)
 	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
 }
@@ -94,11 +109,11 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.evicted.Load() {
-		return 0, errEvicted
+		return 0, evictedError{}
 	}
 	n, err := c.TCPConn.Read(b)
 	if err != nil && c.evicted.Load() {
-		return n, errEvicted
+		return n, evictedError{}
 	}
 	c.guard.received(c, n, err)
 	return n, err
--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -150,6 +150,14 @@
 	return &RefusedError{Limit: limit}
 }
 
+// refuseEvicted counts and logs the refusal of a request that gives way to others.
+func (g *Guard) refuseEvicted(c *conn) error {
+	g.mu.Lock()
+	limit := c.evictedBy
+	g.mu.Unlock()
+	return g.refuse(c, limit)
+}
+
 // Stop evicts the requests that have not arrived and make no progress, until done is
 // closed.
 func (g *Guard) Stop(done <-chan struct{}) {
@@ -184,7 +192,7 @@
 			_ = c.TCPConn.Close()
 			continue
 		}
-		c.interrupt()
+		c.interrupt(e.Limit)
 	}
 }
 
@@ -236,6 +244,7 @@
 	if err := hold(size); err != nil {
 		return nil, err
 	}
+	var evicted evictedError
 	body := make([]byte, 0, size)
 	for {
 		n, err := r.Body.Read(body[len(body):cap(body)])
@@ -243,11 +252,11 @@
 		switch {
 		case int64(len(body)) > maxBytes:
 			return nil, &http.MaxBytesError{Limit: maxBytes}
-		case errors.Is(err, errEvicted):
-			return nil, c.guard.refuse(c, intake.Memory)
+		case errors.As(err, &evicted):
+			return nil, c.guard.refuseEvicted(c)
 		case errors.Is(err, io.EOF):
 			if c != nil && !c.guard.complete(c) {
-				return nil, c.guard.refuse(c, intake.Memory)
+				return nil, c.guard.refuseEvicted(c)
 			}
 			return body, nil
 		case err != nil:
--- a/infra/intake/guard_test.go
+++ b/infra/intake/guard_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -210,7 +211,7 @@
 		<-held
 	}
 	third := s.dial(t)
-	if _, err := third.Read(make([]byte, 1)); err == nil || errors.Is(err, errEvicted) {
+	if _, err := third.Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
 		t.Errorf("a connection above the limit was not closed: %v", err)
 	}
 	close(release)
@@ -221,6 +222,20 @@
 	}
 }
 
+// Guards against a response to a part of a header: an error that no page names.
+func TestUnfinishedHeaderGetsNoResponse(t *testing.T) {
+	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 1})
+	first := s.dial(t)
+	send(t, first, "POST / HTTP/1.1\r\nHost: a\r\n")
+	eventually(t, func() bool { return s.guard.Stats().Unfinished == 1 })
+	second := s.dial(t)
+	send(t, second, post(1)+"x")
+	response(t, bufio.NewReader(second))
+	if text, _ := io.ReadAll(first); len(text) > 0 {
+		t.Errorf("the response is %q", text)
+	}
+}
+
 // Guards against a planned stop that breaks off a request that is served, or keeps one
 // that does not arrive.
 func TestStop(t *testing.T) {
--- a/pool/relay/stale_test.go
+++ b/pool/relay/stale_test.go
@@ -11,8 +11,9 @@
 
 	"go.uber.org/zap"
 
+	"marigoldfront.dev/core/intake"
 	"marigoldfront.dev/core/scheduler"
-	"marigoldfront.dev/infra/intake"
+	infraintake "marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
@@ -117,11 +118,17 @@
 func newTestOwner(t *testing.T) *testOwner { return startTestOwner(t, "127.0.0.1:0", testIncarnation) }
 
 func startTestOwner(t *testing.T, address string, incarnation uint64) *testOwner {
+	return startLimitedOwner(t, address, incarnation, intake.Limits{Memory: 1 << 30, Connections: 1000, Unfinished: 1000})
+}
+
+// startLimitedOwner is like startTestOwner, with limits for its senders.
+func startLimitedOwner(t *testing.T, address string, incarnation uint64, limits intake.Limits) *testOwner {
 	tracer, err := tracing.New("off", "b")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", address)
+	guard := infraintake.New(infraintake.Config{Limits: limits, Log: zap.NewNop(), Refused: func(intake.Limit) {}, Closed: func(intake.Limit) {}})
+	l, err := guard.Listen(address, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -137,7 +144,7 @@
 		Cancel:        func([]string, bool) bool { return false },
 		Load:          func() *wire.PoolLoad { return &wire.PoolLoad{Cpu: 1} },
 		Configuration: func() (int64, []byte) { return 0, nil },
-		Guard:         intake.New(intake.Config{}),
+		Guard:         guard,
 	})
 	go func() { _ = o.server.Serve(l) }()
 	t.Cleanup(func() { _ = o.server.server.Close(); close(o.server.done) })
