platform/callers: count the decoded form of invalid strings

The response to a request whose body stopped could miss its own deadline, which began with the deadline of the body.

--- a/core/scheduler/memory.go
+++ b/core/scheduler/memory.go
@@ -4,7 +4,7 @@
 // owner and in the messages between them.
 func (j *Job) Memory() int64 {
 	const perStep, perTask, perDependency = 512, 256, 24
-	n := int64(len(j.Payload))
+	n := 2 * int64(len(j.Payload))
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		n += perStep + perTask*int64(s.Count) + perDependency*int64(len(s.After)) + int64(len(s.Label)+len(s.Rack))
--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -67,9 +67,8 @@
 }
 
 // Protect makes the connections of a server count and bounds the headers of requests. The
-// server must be given a listener
-// of the Guard. The bodies that a handler does not read with ReadBody count as
-// unfinished until the connection is used again.
+// server must be given a listener of the Guard. A request whose body is not read with
+// ReadBody counts as unfinished until its connection is idle.
 func (g *Guard) Protect(s *http.Server) {
 	s.MaxHeaderBytes = maxHeaderBytes
 	s.ConnContext = connContext
@@ -112,14 +111,14 @@
 		if r.ContentLength == 0 {
 			g.complete(c)
 		} else {
-			// A server keeps the deadline until the response is written: it reads
-			// the rest of a body that the handler has left.
+			// The deadline also holds for the rest of a body that the handler has
+			// left, which the server reads before it writes the response.
 			_ = control.SetReadDeadline(time.Now().Add(bodyTime))
 		}
 		// The deadline of the previous response on the connection may have passed.
 		_ = control.SetWriteDeadline(time.Time{})
 		next.ServeHTTP(deadlineWriter{w, control}, r)
-		_ = control.SetWriteDeadline(time.Now().Add(writeTime))
+		_ = control.SetWriteDeadline(time.Now().Add(bodyTime + writeTime))
 	})
 }
 
--- a/pool/relay/stale_test.go
+++ b/pool/relay/stale_test.go
@@ -13,7 +13,7 @@
 
 	"marigoldfront.dev/core/intake"
 	"marigoldfront.dev/core/scheduler"
-	infraintake "marigoldfront.dev/infra/intake"
+	infra "marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
@@ -127,7 +127,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	guard := infraintake.New(infraintake.Config{Limits: limits, Log: zap.NewNop(), Refused: func(intake.Limit) {}, Closed: func(intake.Limit) {}})
+	guard := infra.New(infra.Config{Limits: limits, Log: zap.NewNop(), Refused: func(intake.Limit) {}, Closed: func(intake.Limit) {}})
 	l, err := guard.Listen(address, 1)
 	if err != nil {
 		t.Fatal(err)
