--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -67,9 +67,8 @@
 }
 
 // Protect makes the connections of a server count and bounds the headers of requests. The
-// server must be given a listener
-// of the Guard. The bodies that a handler does not read with ReadBody count as
-// unfinished until the connection is used again.
+// server must be given a listener of the Guard. A request whose body is not read with
+// ReadBody counts as unfinished until its connection is idle.
 func (g *Guard) Protect(s *http.Server) {
 	s.MaxHeaderBytes = maxHeaderBytes
 	s.ConnContext = connContext
@@ -112,14 +111,14 @@
 		if r.ContentLength == 0 {
 			g.complete(c)
 		} else {
-			// A server keeps the deadline until the response is written: it reads
-			// the rest of a body that the handler has left.
+			// The deadline also holds for the rest of a body that the handler has
+			// left, which the server reads before it writes the response.
 			_ = control.SetReadDeadline(time.Now().Add(bodyTime))
 		}
 		// The deadline of the previous response on the connection may have passed.
 		_ = control.SetWriteDeadline(time.Time{})
 		next.ServeHTTP(deadlineWriter{w, control}, r)
-		_ = control.SetWriteDeadline(time.Now().Add(writeTime))
+		_ = control.SetWriteDeadline(time.Now().Add(bodyTime + writeTime))
 	})
 }
 
@@ -150,6 +149,14 @@
 	return &RefusedError{Limit: limit}
 }
 
+// refuseEvicted counts and logs the refusal of a request that gives way to others.
+func (g *Guard) refuseEvicted(c *conn) error {
+	g.mu.Lock()
+	limit := c.evictedBy
+	g.mu.Unlock()
+	return g.refuse(c, limit)
+}
+
 // Stop evicts the requests that have not arrived and make no progress, until done is
 // closed.
 func (g *Guard) Stop(done <-chan struct{}) {
@@ -184,7 +191,7 @@
 			_ = c.TCPConn.Close()
 			continue
 		}
-		c.interrupt()
+		c.interrupt(e.Limit)
 	}
 }
 
@@ -236,6 +243,7 @@
 	if err := hold(size); err != nil {
 		return nil, err
 	}
+	var evicted evictedError
 	body := make([]byte, 0, size)
 	for {
 		n, err := r.Body.Read(body[len(body):cap(body)])
@@ -243,11 +251,11 @@
 		switch {
 		case int64(len(body)) > maxBytes:
 			return nil, &http.MaxBytesError{Limit: maxBytes}
-		case errors.Is(err, errEvicted):
-			return nil, c.guard.refuse(c, intake.Memory)
+		case errors.As(err, &evicted):
+			return nil, c.guard.refuseEvicted(c)
 		case errors.Is(err, io.EOF):
 			if c != nil && !c.guard.complete(c) {
-				return nil, c.guard.refuse(c, intake.Memory)
+				return nil, c.guard.refuseEvicted(c)
 			}
 			return body, nil
 		case err != nil:
