core/scheduler: under shortage, what costs callers least gives way

A job was refused by the wait in front of it, whatever waited there. Now core/shedding decides about the whole queue: latest starts come first, and if not all can start in time, the jobs with the lowest price for each core-second give way, also those that have waited. core/demand learns the price: the queues count the same to their callers, weighted by priority. Jobs for which there is no room are refused at once, no longer after a quarter of the objective.

--- a/bench/policies/command.go
+++ b/bench/policies/command.go
@@ -52,6 +52,12 @@
 		change, stdErr := poolrun.EarnedChange(rows[:c.Seeds], runs)
 		fmt.Printf(rowFormat+"  %+.4f +- %.4f\n", append(rowValues(means[i], "mean"), change, stdErr)...)
 	}
+	fmt.Printf("\n%-32s %-24s %6s %7s\n", "policy", "kind", "worth", "refused")
+	for _, r := range means {
+		for _, k := range r.Kinds {
+			fmt.Printf("%-32s %-24s %6.3f %7.3f\n", r.Policy, k.Name, k.EarnedShare, k.Refused)
+		}
+	}
 	if c.OutputDir == "" {
 		return nil
 	}
--- a/bench/poolrun/experiment.go
+++ b/bench/poolrun/experiment.go
@@ -58,6 +58,10 @@
 	Tasks int `toml:"tasks"`
 	// CPU is what a task requires, in thousandths of a core.
 	CPU int64 `toml:"cpu"`
+	// CPUSpread is the standard deviation of the logarithm of CPU between jobs.
+	// MaxCPU limits it; 0 means no limit.
+	CPUSpread float64 `toml:"cpu_spread"`
+	MaxCPU    int64   `toml:"max_cpu"`
 	// WorkMS is the median run time of a task in milliseconds. WorkSpread is the
 	// standard deviation of its logarithm between jobs, TaskSpread that between
 	// the tasks of a job.
--- a/bench/poolrun/poolrun_test.go
+++ b/bench/poolrun/poolrun_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -34,7 +35,7 @@
 	}
 	exp.Seconds = 5
 	a, b := Run(exp, exp.Policies[0], 3), Run(exp, exp.Policies[0], 3)
-	if a != b {
+	if !reflect.DeepEqual(a, b) {
 		t.Errorf("two runs with the same seed differ:\n%+v\n%+v", a, b)
 	}
 	if a.Jobs < 500 || a.EarnedShare < 0.3 || a.Starts < a.Jobs {
--- a/bench/poolrun/result.go
+++ b/bench/poolrun/result.go
@@ -45,6 +45,15 @@
 	// WastedCoreSeconds is the work of runs that did not succeed, in
 	// core-seconds.
 	WastedCoreSeconds float64
+	// Kinds holds the results by kind of job, in the order of the experiment.
+	Kinds []KindResult
+}
+
+// KindResult is the result for one kind of job. EarnedShare and Refused are shares of
+// its jobs, by value and by number.
+type KindResult struct {
+	Name                 string
+	EarnedShare, Refused float64
 }
 
 // Run simulates an experiment with a policy. The result depends only on the
@@ -99,6 +108,7 @@
 	windows := make([]valueShare, int(math.Ceil(sim.exp.Seconds/windowLength.Seconds())))
 	kinds := map[string]*valueShare{}
 	scores := map[string][]jobScore{}
+	refused := map[string]int{}
 	var latencies []float64
 	for _, j := range sim.jobs {
 		if kinds[j.kind.Name] == nil {
@@ -110,6 +120,9 @@
 			s.earned += v
 			s.possible += j.kind.Worth
 		}
+		if _, ok := j.outcome.(scheduler.Refused); ok {
+			refused[j.kind.Name]++
+		}
 		if _, ok := j.outcome.(scheduler.Completed); ok {
 			latencies = append(latencies, float64(j.latency)/float64(time.Millisecond))
 		}
@@ -118,6 +131,13 @@
 		*n /= float64(max(1, r.Jobs))
 	}
 	r.EarnedShare, r.WorstKindShare, r.LargestShare = total.ratio(), 1, 1
+	for _, k := range sim.exp.Kinds {
+		s, n := kinds[k.Name], max(1, len(scores[k.Name]))
+		if s == nil {
+			s = &valueShare{}
+		}
+		r.Kinds = append(r.Kinds, KindResult{Name: k.Name, EarnedShare: s.ratio(), Refused: float64(refused[k.Name]) / float64(n)})
+	}
 	for name, s := range kinds {
 		r.WorstKindShare = min(r.WorstKindShare, s.ratio())
 		r.LargestShare = min(r.LargestShare, largestTenth(scores[name]).ratio())
@@ -171,6 +191,13 @@
 	out := Result{Policy: policy}
 	n := float64(max(1, len(rows)))
 	for _, r := range rows {
+		for i, k := range r.Kinds {
+			if i == len(out.Kinds) {
+				out.Kinds = append(out.Kinds, KindResult{Name: k.Name})
+			}
+			out.Kinds[i].EarnedShare += k.EarnedShare / n
+			out.Kinds[i].Refused += k.Refused / n
+		}
 		out.Jobs += r.Jobs / int(n)
 		out.Starts += r.Starts / int(n)
 		out.Polls += r.Polls / int(n)
--- a/bench/poolrun/simulation.go
+++ b/bench/poolrun/simulation.go
@@ -58,6 +58,7 @@
 	id       string
 	kind     *JobKind
 	tasks    []*task
+	cpu      int64
 	estimate time.Duration
 	arrival  time.Time
 	// objective and deadline are relative to the arrival.
@@ -177,6 +178,13 @@
 		longest = max(longest, t.runTime)
 		j.tasks = append(j.tasks, t)
 	}
+	j.cpu = k.CPU
+	if k.CPUSpread > 0 {
+		j.cpu = int64(float64(k.CPU) * math.Exp(jobRNG.NormFloat64()*k.CPUSpread))
+	}
+	if k.MaxCPU > 0 {
+		j.cpu = min(j.cpu, k.MaxCPU)
+	}
 	j.estimate = ms(work * math.Exp(jobRNG.NormFloat64()*k.EstimateSpread))
 	j.objective = time.Duration(float64(longest)*max(1, k.Stretch)) + time.Duration(k.SlackMS)*time.Millisecond
 	return j
@@ -190,7 +198,7 @@
 func (sim *simulation) submit(j *job) {
 	order := slices.Clone(sim.owners)
 	sim.rng.Shuffle(len(order), func(i, k int) { order[i], order[k] = order[k], order[i] })
-	neededCPU := int64(len(j.tasks)) * j.kind.CPU
+	neededCPU := int64(len(j.tasks)) * j.cpu
 	expectedWait := func(o *owner) time.Duration {
 		st := o.sched.Stats()
 		return st.ForecastWait + time.Duration(max(0, neededCPU-st.FreeCPU))*time.Microsecond/4
@@ -207,7 +215,7 @@
 		ID: j.id, Queue: j.kind.Name, Service: service, Priority: j.kind.Priority, MaxAttempts: max(1, j.kind.MaxAttempts),
 		Stretch: j.kind.Stretch, Slack: time.Duration(j.kind.SlackMS) * time.Millisecond, Arrived: j.arrival,
 		Deadline: j.arrival.Add(j.deadline), MustStartNow: len(startOwners) > 0,
-		Steps: []scheduler.Step{{Count: len(j.tasks), CPU: j.kind.CPU, Estimate: j.estimate}},
+		Steps: []scheduler.Step{{Count: len(j.tasks), CPU: j.cpu, Estimate: j.estimate}},
 	}
 	dest := queueOwner
 	if len(startOwners) > 0 {
--- a/bench/poolrun/target.go
+++ b/bench/poolrun/target.go
@@ -93,7 +93,7 @@
 func (t *target) startRun(a scheduler.Start) scheduler.StartResult {
 	sim := t.sim
 	planned := sim.taskOf(a.Run.Task)
-	cpu := planned.job.kind.CPU
+	cpu := planned.job.cpu
 	switch {
 	case t.crashed:
 		return scheduler.StartUnanswered
--- /dev/null
+++ b/core/demand/demand.go
@@ -0,0 +1,104 @@
+// Package demand measures how much work arrives through each queue, and what it costs
+// callers to turn it away.
+package demand
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// usualPeriod and currentPeriod are the time constants of the averages of the
+	// usual and of the current demand.
+	usualPeriod   = 2 * time.Minute
+	currentPeriod = 500 * time.Millisecond
+	// prioritiesPerDoubling is the number of priorities by which the price doubles.
+	prioritiesPerDoubling = 3
+	// minUsualTime bounds the time over which the usual demand is averaged.
+	minUsualTime = time.Second
+)
+
+// Demand holds the demand of the queues. The zero value is not usable; see New. A
+// Demand is not safe for concurrent use.
+type Demand struct {
+	since  time.Time
+	queues map[string]*queue
+}
+
+type queue struct {
+	priority       int
+	usual, current average
+}
+
+// average is a sum whose addends lose weight exponentially with time.
+type average struct {
+	sum float64
+	at  time.Time
+}
+
+// New returns a Demand without queues.
+func New() *Demand { return &Demand{queues: map[string]*queue{}} }
+
+// Add records work, in core-seconds, that arrives at a queue.
+func (d *Demand) Add(now time.Time, name string, priority int, coreSeconds float64) {
+	if d.since.IsZero() {
+		d.since = now
+	}
+	q := d.queues[name]
+	if q == nil {
+		q = &queue{}
+		d.queues[name] = q
+	}
+	q.priority = priority
+	q.usual.add(now, coreSeconds, usualPeriod)
+	q.current.add(now, coreSeconds, currentPeriod)
+}
+
+// Price returns what it costs the callers of a queue to turn work away, for each
+// core-second, relative to other queues. All queues count the same to their callers
+// together, so that a core-second costs more where less is asked for, and a queue that
+// asks for more than others gives way first. Higher priorities cost more.
+func (d *Demand) Price(now time.Time, name string) float64 {
+	q := d.queues[name]
+	if q == nil {
+		return 0
+	}
+	weight := math.Exp2(-float64(q.priority) / prioritiesPerDoubling)
+	return weight / max(q.usual.rate(now, usualPeriod, d.elapsed(now)), math.SmallestNonzeroFloat32)
+}
+
+// Current returns the current demand of a queue, in core-seconds per second.
+func (d *Demand) Current(now time.Time, name string) float64 {
+	q := d.queues[name]
+	if q == nil {
+		return 0
+	}
+	return q.current.rate(now, currentPeriod, d.elapsed(now))
+}
+
+// Queues returns the names of the queues with demand, in no order.
+func (d *Demand) Queues() []string {
+	names := make([]string, 0, len(d.queues))
+	for name := range d.queues {
+		names = append(names, name)
+	}
+	return names
+}
+
+func (d *Demand) elapsed(now time.Time) time.Duration { return max(now.Sub(d.since), minUsualTime) }
+
+func (a *average) add(now time.Time, v float64, period time.Duration) {
+	a.sum = a.decayed(now, period) + v
+	a.at = now
+}
+
+func (a *average) decayed(now time.Time, period time.Duration) float64 {
+	return a.sum * math.Exp(-now.Sub(a.at).Seconds()/period.Seconds())
+}
+
+// rate returns the mean per second over the period, or since the first addend if that
+// was later.
+func (a *average) rate(now time.Time, period, elapsed time.Duration) float64 {
+	mass := period.Seconds() * (1 - math.Exp(-elapsed.Seconds()/period.Seconds()))
+	return a.decayed(now, period) / mass
+}
--- /dev/null
+++ b/core/demand/demand_test.go
@@ -0,0 +1,60 @@
+package demand
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// record adds the demand of three queues for 20 s: one that asks for much, one for
+// little, and one of a lower priority that asks for as little.
+func record(d *Demand, from time.Time) time.Time {
+	now := from
+	for range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		d.Add(now, "much", 0, 20)
+		d.Add(now, "little", 0, 5)
+		d.Add(now, "lower", 3, 5)
+	}
+	return now
+}
+
+// Guards against a queue that floods and starves the others: its price must fall with
+// what it asks for. Also against a priority without effect.
+func TestPriceFallsWithDemandAndPriority(t *testing.T) {
+	d := New()
+	now := record(d, time.Unix(1000, 0))
+	little := d.Price(now, "little")
+	if r := little / d.Price(now, "much"); math.Abs(r-4) > 0.2 {
+		t.Errorf("a queue with a quarter of the demand costs %.2f times as much, want 4", r)
+	}
+	if r := little / d.Price(now, "lower"); math.Abs(r-2) > 0.1 {
+		t.Errorf("three priorities make a factor of %.2f, want 2", r)
+	}
+}
+
+// Guards against a short burst that turns the order of prices round.
+func TestBurstBarelyChangesThePrice(t *testing.T) {
+	d := New()
+	now := record(d, time.Unix(1000, 0))
+	before := d.Price(now, "little")
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		d.Add(now, "little", 0, 15)
+	}
+	if r := d.Price(now, "little") / before; r < 0.8 {
+		t.Errorf("a second with three times the demand lowers the price to %.2f", r)
+	}
+	if got := d.Current(now, "little"); got < 1000 || got > 1600 {
+		t.Errorf("the current demand is %.0f core-seconds per second, want about 1500", got)
+	}
+}
+
+// Guards against a demand that stays after its queue has fallen silent.
+func TestCurrentDemandEnds(t *testing.T) {
+	d := New()
+	now := record(d, time.Unix(1000, 0))
+	if got := d.Current(now.Add(5*time.Second), "much"); got > 1 {
+		t.Errorf("5 s after the last job the current demand is %.1f core-seconds per second", got)
+	}
+}
--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -72,6 +72,9 @@
 	Crashes int
 	// Unfinished lists some of the runs without a known end.
 	Unfinished []UnfinishedRun
+	// Preferred and PreferredQueue are a job for which this one was turned away, and
+	// its queue, or empty.
+	Preferred, PreferredQueue string
 }
 
 // UnfinishedRun describes a run without a known end.
--- a/core/scheduler/admission.go
+++ b/core/scheduler/admission.go
@@ -42,18 +42,13 @@
 	if j.MustStartNow {
 		return ReasonBusy, s.canStartAllNow(j)
 	}
-	wait := s.forecastWait(j)
-	end := s.now.Add(wait + j.criticalPath)
-	if wait > 0 && end.After(s.latestUsefulEnd(j)) {
-		return ReasonOverloaded, false
-	}
 	return "", true
 }
 
 // canStartAllNow reports whether all ready tasks can start at once on targets
 // whose expected value is close to that of the best target.
 func (s *Scheduler) canStartAllNow(j *job) bool {
-	if len(s.queue) > 0 {
+	if slices.ContainsFunc(s.queue, func(q *job) bool { return !q.late }) {
 		return false
 	}
 	type reservation struct {
@@ -94,12 +89,6 @@
 	return j.Arrived.Add(time.Duration(s.policy.LateFactor * float64(j.objective)))
 }
 
-// willMissObjective reports whether a job that has not started is forecast to
-// miss its objective.
-func (s *Scheduler) willMissObjective(j *job) bool {
-	return s.now.Add(s.forecastWait(j)).After(j.latestStart())
-}
-
 // forecastWait forecasts the time until the tasks of j start after the queued
 // jobs before it. If j is nil, it forecasts the wait behind the whole queue.
 func (s *Scheduler) forecastWait(j *job) time.Duration {
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -34,9 +34,9 @@
 	// criticalPath is the forecast run time of the longest chain of dependent
 	// steps. objective is the latency objective that is derived from it.
 	criticalPath, objective time.Duration
-	// refuseAt is the earliest time at which a job without a start is refused.
-	refuseAt time.Time
-	queued   bool
+	queued                  bool
+	// late is set while the job is forecast to miss its objective. Others come first.
+	late bool
 	// suspected is set once a task was suspect. isolatedSuccess is set once a suspect
 	// task has succeeded.
 	suspected, isolatedSuccess bool
@@ -125,7 +125,9 @@
 		s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter()})
 		return
 	}
+	s.recordDemand(j)
 	s.enqueue(j)
+	s.nextPlan = s.now
 }
 
 func (s *Scheduler) newJob(in Job) *job {
@@ -144,7 +146,6 @@
 		return s.model.BaseRunTime(in.Queue, estimate)
 	})
 	j.objective = in.objective(j.criticalPath)
-	j.refuseAt = in.Arrived.Add(time.Duration(float64(j.objective) * s.policy.HoldShare))
 	j.countUnplaced()
 	return j
 }
@@ -249,18 +250,11 @@
 	}
 }
 
-// refuseLateJobs ends the jobs that can no longer start in time or for which
-// this instance has no targets left. It is called after place, so that a job that
-// arrives late can still use free capacity.
-func (s *Scheduler) refuseLateJobs() {
+// refuseJobsWithoutTargets ends the jobs for which this instance has no targets left.
+func (s *Scheduler) refuseJobsWithoutTargets() {
 	for _, j := range s.jobsWhere(s.lacksTargets) {
 		s.giveUp(j, ReasonNoTarget)
 	}
-	for _, j := range s.jobsWhere(func(j *job) bool {
-		return !j.started && !s.now.Before(j.refuseAt) && s.willMissObjective(j)
-	}) {
-		s.giveUp(j, ReasonOverloaded)
-	}
 }
 
 // lacksTargets reports whether tasks of a job need a target, but all targets of
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -21,8 +21,9 @@
 	minForecastWait = 20 * time.Millisecond
 )
 
-// compareJobs orders the queue: first the jobs that have started, then by the
-// latest start that meets the objective.
+// compareJobs orders the queue: first the jobs that have started, then those that
+// are forecast to be in time, and among them by the latest start that meets the
+// objective.
 func compareJobs(a, b *job) int {
 	if a.started != b.started {
 		if a.started {
@@ -30,6 +31,12 @@
 		}
 		return 1
 	}
+	if a.late != b.late {
+		if b.late {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(a.latestStart().Compare(b.latestStart()), cmp.Compare(a.ID, b.ID))
 }
 
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marigoldfront.dev/core/cancellation"
+	"marigoldfront.dev/core/demand"
 	"marigoldfront.dev/core/forecast"
 )
 
@@ -59,6 +60,12 @@
 	// over.
 	givenUpRuns map[TaskID]int
 	cancelled   *cancellation.Log
+	// demands holds the demand by service.
+	demands map[string]*demand.Demand
+	// wastedShare is the share of the room that stays free because no waiting task
+	// fits. nextPlan is the earliest time of the next decision about the queue.
+	wastedShare float64
+	nextPlan    time.Time
 	// stallBegan and stallEnded delimit the last time in which the instance may have
 	// been paused while it had jobs.
 	stallBegan, stallEnded time.Time
@@ -80,7 +87,7 @@
 		jobs:     map[string]*job{},
 		requests: map[RequestID]*job{},
 		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{}, lastSubmit: map[string]time.Time{},
-		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(),
+		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), demands: map[string]*demand.Demand{},
 	}
 }
 
@@ -101,7 +108,8 @@
 	s.expire()
 	s.giveUpSuspects()
 	s.place()
-	s.refuseLateJobs()
+	s.refuseJobsWithoutTargets()
+	s.shed()
 	s.sendDuePolls()
 	s.emitCrashes()
 	return s.actions
@@ -181,13 +189,13 @@
 	return next
 }
 
-// nextRefusalCheck returns when a job without a start may have to be refused.
-// Between refuseAt and the job's latest start, only events change the decision.
+// nextRefusalCheck returns when a job without a start may have to be refused, unless
+// an event changes the decision before.
 func (s *Scheduler) nextRefusalCheck(j *job) time.Time {
-	if s.now.Before(j.refuseAt) {
-		return j.refuseAt
+	if at := j.latestStart(); s.now.Before(at) {
+		return at.Add(minWakeInterval)
 	}
-	return j.latestStart().Add(minWakeInterval)
+	return latest(s.latestUsefulEnd(j).Add(minWakeInterval-j.criticalPath), s.now.Add(planInterval))
 }
 
 // minWakeInterval is the shortest time between two decisions that no event
@@ -202,6 +210,13 @@
 	return a
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // Stats summarizes the state of a Scheduler for logs, metrics and load reports.
 type Stats struct {
 	Jobs, Queued, Running int
--- /dev/null
+++ b/core/shedding/shedding_test.go
@@ -0,0 +1,135 @@
+package shedding
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// busy returns room of which all cores are in use and become free one after the other
+// within a period.
+func busy(cores int, period time.Duration) Room {
+	r := Room{Cores: float64(cores)}
+	for i := range cores {
+		r.Releases = append(r.Releases, Release{At: period * time.Duration(i+1) / time.Duration(cores), Cores: 1})
+	}
+	return r
+}
+
+func refusedJobs(p Plan) map[int]Refusal {
+	out := map[int]Refusal{}
+	for _, r := range p.Refused {
+		out[r.Job] = r
+	}
+	return out
+}
+
+// Guards against refusals while there is room for all jobs, also if those that cost
+// less to turn away are more urgent.
+func TestNothingIsRefusedWhileAllCanBeInTime(t *testing.T) {
+	jobs := []Job{
+		{Cores: 4, RunTime: 500 * ms, Price: 9, LatestStart: 900 * ms, LatestUseful: 2 * time.Second},
+		{Cores: 4, RunTime: 50 * ms, Price: 1, LatestStart: 20 * ms, LatestUseful: 200 * ms},
+	}
+	p := New(jobs, busy(8, 40*ms))
+	if fmt.Sprint(p.Order, p.InTime, p.Refused) != "[1 0] 2 []" {
+		t.Errorf("order %v, %d in time, refused %v; want the urgent job first and both in time", p.Order, p.InTime, p.Refused)
+	}
+}
+
+// Guards against a queued job that keeps its place although a job that costs callers
+// more needs the room, and against a refusal that does not name that job.
+func TestCheaperJobGivesWay(t *testing.T) {
+	jobs := []Job{
+		{Cores: 8, RunTime: 400 * ms, Price: 1, LatestStart: 50 * ms, LatestUseful: 100 * ms, Age: 30 * ms},
+		{Cores: 8, RunTime: 100 * ms, Price: 3, LatestStart: 60 * ms, LatestUseful: 300 * ms},
+	}
+	p := New(jobs, busy(8, 40*ms))
+	r, ok := refusedJobs(p)[0]
+	if !ok || r.Reason != GaveWay || r.Preferred != 1 || len(p.Order) != 1 {
+		t.Errorf("%+v; want job 0 to give way to job 1", p)
+	}
+}
+
+// Guards against the reverse: a job that has waited gives way to one that costs less.
+func TestDearerJobKeepsItsPlace(t *testing.T) {
+	jobs := []Job{
+		{Cores: 8, RunTime: 400 * ms, Price: 3, LatestStart: 50 * ms, LatestUseful: 100 * ms, Age: 30 * ms},
+		{Cores: 8, RunTime: 100 * ms, Price: 1, LatestStart: 60 * ms, LatestUseful: 70 * ms},
+	}
+	p := New(jobs, busy(8, 40*ms))
+	r, ok := refusedJobs(p)[1]
+	if !ok || r.Preferred != 0 || len(p.Order) != 1 || p.Order[0] != 0 {
+		t.Errorf("%+v; want job 1 to be refused because of job 0", p)
+	}
+}
+
+// Guards against a job that is turned away although its tasks may have run.
+func TestStartedJobIsNeverRefused(t *testing.T) {
+	jobs := []Job{
+		{Cores: 8, RunTime: time.Second, Price: 0.1, LatestStart: -50 * ms, LatestUseful: -10 * ms, Started: true},
+		{Cores: 8, RunTime: 50 * ms, Price: 100, LatestStart: 60 * ms, LatestUseful: 100 * ms},
+	}
+	if _, refused := refusedJobs(New(jobs, busy(8, 40*ms)))[0]; refused {
+		t.Error("a job that has started was refused")
+	}
+}
+
+// Guards against jobs that wait until their answer is worthless although it is known
+// that work that costs more takes all room.
+func TestHopelessJobIsRefusedAtOnce(t *testing.T) {
+	room := busy(100, 200*ms)
+	room.Arriving = []Arrival{{Price: 5, Rate: 120}}
+	j := Job{Cores: 8, RunTime: 200 * ms, Price: 1, LatestStart: 150 * ms, LatestUseful: 700 * ms}
+	if p := New([]Job{j}, room); len(p.Refused) != 1 || p.Refused[0].Reason != NoRoom {
+		t.Errorf("%+v; want the job to be refused for want of room", p)
+	}
+	room.Arriving[0].Rate = 10
+	if p := New([]Job{j}, room); len(p.Order) != 1 {
+		t.Errorf("%+v; want the job to be served while little work of a higher price arrives", p)
+	}
+}
+
+// Guards against a caller whose job is turned away each time it comes back.
+func TestRefusedJobComesBeforeOthersOfItsPrice(t *testing.T) {
+	again := Job{Cores: 8, RunTime: 100 * ms, Price: 1, LatestStart: 45 * ms, LatestUseful: 90 * ms, Refusals: 2}
+	first := again
+	first.Refusals, first.LatestStart = 0, 44*ms
+	p := New([]Job{first, again}, busy(8, 40*ms))
+	if r := refusedJobs(p); len(r) != 1 || r[0].Reason != GaveWay {
+		t.Errorf("%+v; want only the job that was not turned away before to be refused", p)
+	}
+}
+
+// Guards against a decision that does not end, or that loses a job, for any queue and
+// any room, for example none at all.
+func TestEachJobIsOrderedOrRefused(t *testing.T) {
+	for seed := range uint64(400) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		room := busy(rng.IntN(40), time.Duration(1+rng.IntN(500))*ms)
+		room.Free = float64(rng.IntN(10))
+		jobs := make([]Job, rng.IntN(60))
+		for i := range jobs {
+			start := time.Duration(rng.IntN(800)-200) * ms
+			jobs[i] = Job{
+				Cores: float64(rng.IntN(20)), RunTime: time.Duration(rng.IntN(900)) * ms, Price: math.Exp(rng.NormFloat64()),
+				LatestStart: start, LatestUseful: start + time.Duration(rng.IntN(900))*ms, Started: rng.IntN(5) == 0,
+			}
+		}
+		p := New(jobs, room)
+		seen := map[int]bool{}
+		for _, i := range p.Order {
+			seen[i] = true
+		}
+		for i := range refusedJobs(p) {
+			seen[i] = true
+		}
+		if len(seen) != len(jobs) || len(p.Order)+len(p.Refused) != len(jobs) {
+			t.Fatalf("seed %d: %d ordered and %d refused of %d jobs", seed, len(p.Order), len(p.Refused), len(jobs))
+		}
+	}
+}
--- a/pool/run/outcomes.go
+++ b/pool/run/outcomes.go
@@ -39,7 +39,8 @@
 		zap.Duration("waited", m.Waited), zap.Duration("backlog", m.Backlog), zap.Duration("forecast", m.Forecast),
 		zap.Duration("objective", m.Objective), zap.Int("tasks", m.Tasks), zap.Int("starts", m.Starts),
 		zap.Int("failed", m.Failed), zap.Int("hung", m.Hung), zap.Int("lost", m.Lost),
-		zap.Int("crashes", m.Crashes), zap.Int("declined", m.RefusedStarts), zap.Stringers("open", m.Unfinished))
+		zap.Int("crashes", m.Crashes), zap.Int("declined", m.RefusedStarts), zap.Stringers("open", m.Unfinished),
+		zap.String("preferred", m.Preferred), zap.String("preferred_queue", m.PreferredQueue))
 }
 
 // recordCrash counts and logs the crash of a target, and reports it to the other
