pool: room by priority in load reports, offers to owners with room, costs in metrics

A job that an owner turns away is offered once more where the last report tells of room for its priority. Retry-After follows the forecast of room for the job's price and is spread over a factor of two.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -76,6 +76,26 @@
 	return q.current.rate(now, currentPeriod, d.elapsed(now))
 }
 
+// Priorities returns the highest price of the queues of each priority.
+func (d *Demand) Priorities(now time.Time) map[int]float64 {
+	prices := map[int]float64{}
+	for name, q := range d.queues {
+		prices[q.priority] = max(prices[q.priority], d.Price(now, name))
+	}
+	return prices
+}
+
+// CurrentAbove returns the current demand of all queues with a higher price, in
+// core-seconds per second.
+func (d *Demand) CurrentAbove(now time.Time, price float64) (rate float64) {
+	for name := range d.queues {
+		if d.Price(now, name) > price {
+			rate += d.Current(now, name)
+		}
+	}
+	return rate
+}
+
 // Queues returns the names of the queues with demand, in no order.
 func (d *Demand) Queues() []string {
 	names := make([]string, 0, len(d.queues))
--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -53,7 +53,11 @@
 
 // Summary describes how a job went, for logs.
 type Summary struct {
-	Queue string
+	Queue    string
+	Priority int
+	// Cost is what it costs callers if the job is not served, in seconds of the usual
+	// demand of its queue, weighted by priority.
+	Cost float64
 	// Forecast is the forecast run time of the job's critical path. Objective
 	// is the latency objective that is derived from it.
 	Forecast, Objective time.Duration
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -122,7 +122,7 @@
 		return
 	}
 	if reason, ok := s.admit(j); !ok {
-		s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter()})
+		s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter(j)})
 		return
 	}
 	s.recordDemand(j)
@@ -209,10 +209,6 @@
 	}
 }
 
-// retryAfter returns the time after which a refused job may be accepted, which
-// is the forecast wait behind the queue.
-func (s *Scheduler) retryAfter() time.Duration { return max(minRetryAfter, s.forecastWait(nil)) }
-
 // withdraw drops a request. A job without awaited requests is stopped.
 func (s *Scheduler) withdraw(r RequestID) {
 	j := s.requests[r]
@@ -236,7 +232,7 @@
 		s.finish(j, Unknown{Reason: reason})
 		return
 	}
-	s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter()})
+	s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter(j)})
 }
 
 // expire ends the jobs whose deadline has passed and handles the due runs of all
@@ -311,6 +307,7 @@
 	m := j.summary
 	m.Queue, m.Forecast, m.Objective = j.Queue, j.criticalPath, j.objective
 	m.Age = s.now.Sub(j.Arrived)
+	m.Priority, m.Cost = j.Priority, s.cost(j)
 	if !j.started {
 		m.Waited = m.Age
 	}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -66,6 +66,8 @@
 	// fits. nextPlan is the earliest time of the next decision about the queue.
 	wastedShare float64
 	nextPlan    time.Time
+	// turnedAwayAt is when a job was last turned away for want of room, by priority.
+	turnedAwayAt map[int]time.Time
 	// stallBegan and stallEnded delimit the last time in which the instance may have
 	// been paused while it had jobs.
 	stallBegan, stallEnded time.Time
@@ -87,7 +89,7 @@
 		jobs:     map[string]*job{},
 		requests: map[RequestID]*job{},
 		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{}, lastSubmit: map[string]time.Time{},
-		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), demands: map[string]*demand.Demand{},
+		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), demands: map[string]*demand.Demand{}, turnedAwayAt: map[int]time.Time{},
 	}
 }
 
@@ -226,6 +228,8 @@
 	FreeCPU, CPU int64
 	// ForecastWait is the forecast time until a new task starts.
 	ForecastWait time.Duration
+	// Rooms describes the room by priority, in the order of the priorities.
+	Rooms []PriorityRoom
 	// Contained is the queue whose tasks crash their targets and run apart from
 	// others, or empty. ContainedFull is set while its new jobs are refused.
 	Contained     string
@@ -247,6 +251,7 @@
 		}
 	}
 	st.ForecastWait = s.forecastWait(nil)
+	st.Rooms = s.rooms(st.ForecastWait, float64(st.CPU)/1000)
 	return st
 }
 
--- a/core/scheduler/shortage.go
+++ b/core/scheduler/shortage.go
@@ -1,9 +1,12 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"marigoldfront.dev/core/demand"
 	"marigoldfront.dev/core/shedding"
 )
@@ -15,8 +18,25 @@
 	// wasteWeight is the weight of one observation in the average of the room that
 	// cannot be used.
 	wasteWeight = 0.05
+	// turnsAwayPeriod is how long load reports tell that jobs were turned away.
+	turnsAwayPeriod = 300 * time.Millisecond
+	// maxDearerShare bounds the share of the room that work of higher prices is
+	// assumed to take when the time is forecast at which there is room.
+	maxDearerShare = 0.9
+	// maxRetryAfter is the longest time after which a refused job should be submitted
+	// again, without its spread.
+	maxRetryAfter = 10 * time.Second
 )
 
+// PriorityRoom is the room for the jobs of a priority.
+type PriorityRoom struct {
+	Priority int
+	// ForecastWait is the forecast time until a new task starts.
+	ForecastWait time.Duration
+	// TurnsAway is set if jobs were turned away of late for want of room.
+	TurnsAway bool
+}
+
 // shed turns away the queued jobs for which there is no room, and puts those last
 // that will be late. It is called after place, so that a job that has just arrived can
 // still use free capacity.
@@ -61,6 +81,7 @@
 			p := queued[r.Preferred]
 			j.summary.Preferred, j.summary.PreferredQueue = p.ID, p.Queue
 		}
+		s.turnedAwayAt[j.Priority] = s.now
 		s.giveUp(j, ReasonOverloaded)
 	}
 }
@@ -112,10 +133,72 @@
 
 // recordDemand records the work of a job that has arrived.
 func (s *Scheduler) recordDemand(j *job) {
+	s.demandOf(j.Service).Add(s.now, j.Queue, j.Priority, s.work(j))
+}
+
+// rooms returns the room for the priorities in use. wait is the forecast wait behind
+// the whole queue, and cores the room.
+func (s *Scheduler) rooms(wait time.Duration, cores float64) []PriorityRoom {
+	var all []PriorityRoom
+	for _, d := range s.demands {
+		for priority, price := range d.Priorities(s.now) {
+			r := PriorityRoom{
+				Priority: priority, ForecastWait: waitBeside(wait, d.CurrentAbove(s.now, price), cores),
+				TurnsAway: s.now.Sub(s.turnedAwayAt[priority]) < turnsAwayPeriod,
+			}
+			if i := slices.IndexFunc(all, func(o PriorityRoom) bool { return o.Priority == priority }); i >= 0 {
+				all[i].ForecastWait = max(all[i].ForecastWait, r.ForecastWait)
+				continue
+			}
+			all = append(all, r)
+		}
+	}
+	slices.SortFunc(all, func(a, b PriorityRoom) int { return cmp.Compare(a.Priority, b.Priority) })
+	return all
+}
+
+// waitBeside returns the wait for room of which work of higher prices takes a part, in
+// core-seconds per second.
+func waitBeside(wait time.Duration, dearer, cores float64) time.Duration {
+	share := maxDearerShare
+	if cores > 0 {
+		share = min(dearer/cores, maxDearerShare)
+	}
+	return time.Duration(float64(wait) / (1 - share))
+}
+
+// retryAfter returns the time after which there is likely to be room for a refused job.
+// It differs from job to job by a factor of up to two, so that callers do not come back
+// at once.
+func (s *Scheduler) retryAfter(j *job) time.Duration {
+	cores := 0.0
+	for _, t := range s.sortedTargets {
+		if t.usable() && t.Service == j.Service {
+			cores += float64(t.CPU) / 1000
+		}
+	}
+	d := s.demandOf(j.Service)
+	wait := waitBeside(s.forecastWait(nil), d.CurrentAbove(s.now, d.Price(s.now, j.Queue)), cores)
+	wait = min(max(minRetryAfter, wait), maxRetryAfter)
+	if wait == minRetryAfter && s.now.Sub(s.turnedAwayAt[j.Priority]) >= turnsAwayPeriod {
+		return wait
+	}
+	spread := float64(xxhash.Sum64String(j.ID)>>11) / (1 << 53)
+	return time.Duration(float64(wait) * (1 + spread))
+}
+
+// cost returns what it costs callers to turn a job away, in seconds of the usual demand
+// of its queue, weighted by priority.
+func (s *Scheduler) cost(j *job) float64 {
+	return s.demandOf(j.Service).Price(s.now, j.Queue) * s.work(j)
+}
+
+// work forecasts the work of all tasks of a job, in core-seconds.
+func (s *Scheduler) work(j *job) float64 {
 	work := 0.0
 	for i := range j.Steps {
 		st := &j.Steps[i]
 		work += float64(st.Count) * float64(st.CPU) / 1000 * s.model.BaseRunTime(j.Queue, st.Estimate).Seconds()
 	}
-	s.demandOf(j.Service).Add(s.now, j.Queue, j.Priority, work)
+	return work
 }
--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -24,6 +24,9 @@
 const (
 	// maxStartNowOwners limits the owners that are asked to start a job at once.
 	maxStartNowOwners = 3
+	// maxFurtherOwners limits the owners with room that are asked to queue a job which
+	// another one has turned away.
+	maxFurtherOwners = 1
 	// ownerRetryInterval is the time between two attempts to find an owner while
 	// the owners change.
 	ownerRetryInterval = 15 * time.Millisecond
@@ -262,8 +265,9 @@
 // It tries the next owner only if the previous one has certainly started
 // nothing. It first asks the best owners to accept the job only if it can start
 // at once, and skips those that have just reported too little free capacity. If
-// none accepts it, the best owner queues the job. If all owners are full, each
-// further request would delay the job and cost the owners processor time.
+// none accepts it, the best owner queues the job. If that one turns it away, the job is
+// offered to another one that has reported room for its priority. If all owners are
+// full, each further request would delay the job and cost the owners processor time.
 func (f *Frontend) runAtOwners(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
 	all, need := f.rankedOwners(j), cpuToStart(j)
 	all = all[:min(len(all), maxStartNowOwners)]
@@ -278,12 +282,22 @@
 		}
 	}
 	o = scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
+	turnedAway := 0
 	for _, c := range f.rankedOwners(j) {
+		if turnedAway > 0 && !c.hasRoom(time.Now(), j.Priority, j.LatestStart().Sub(f.cfg.Clock())) {
+			continue
+		}
 		owner = c.address
 		o = f.runAt(ctx, owner, j)
-		if r, ok := o.(scheduler.Refused); !ok || r.Reason == scheduler.ReasonOverloaded || isFinal(o) || ctx.Err() != nil {
+		r, refused := o.(scheduler.Refused)
+		if !refused || isFinal(o) || ctx.Err() != nil {
 			break
 		}
+		if r.Reason == scheduler.ReasonOverloaded {
+			if turnedAway++; turnedAway > maxFurtherOwners {
+				break
+			}
+		}
 	}
 	return o, owner
 }
--- a/pool/frontend/owners.go
+++ b/pool/frontend/owners.go
@@ -73,6 +73,16 @@
 	return now.Sub(c.load.ReportedAt) < maxFullReportAge && (c.load.Queued > 0 || c.load.FreeCPU < need)
 }
 
+// hasRoom reports whether a recent load report of the owner shows that it turns away no
+// jobs of a priority and starts them within a time.
+func (c candidate) hasRoom(now time.Time, priority int, within time.Duration) bool {
+	if now.Sub(c.load.ReportedAt) >= maxLoadAge || c.load.Draining || c.load.Overdue {
+		return false
+	}
+	i := slices.IndexFunc(c.load.Rooms, func(r scheduler.PriorityRoom) bool { return r.Priority == priority })
+	return i >= 0 && !c.load.Rooms[i].TurnsAway && c.load.Rooms[i].ForecastWait < within
+}
+
 // rankedOwners returns the owners of targets of the job's service, the one with
 // the lowest cost first. It leaves out unresponsive owners, because the outcome of
 // a job that is sent to an owner behind a network partition is unknown.
--- a/pool/metrics/metrics.go
+++ b/pool/metrics/metrics.go
@@ -4,6 +4,8 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -40,6 +42,10 @@
 	"marigold_pool_queued_jobs":           "Jobs with tasks that wait for a target.",
 	"marigold_pool_running_tasks":         "Tasks on owned targets.",
 	"marigold_pool_forecast_wait_seconds": "Forecast time until a new task starts, in seconds.",
+	"marigold_pool_turned_away_total":     "Jobs that this instance as an owner has turned away for want of room, by priority and reason.",
+	"marigold_pool_turned_away_cost":      "What jobs that were turned away cost callers, in seconds of the usual demand of their queues, by priority.",
+	"marigold_pool_served_cost":           "The same of the jobs that have completed.",
+	"marigold_pool_queue_seconds":         "Time in the queue of an owner until the first start or the refusal, in seconds, by priority.",
 	"marigold_pool_configuration_version": "Version of the configuration in force.",
 }
 
@@ -50,6 +56,8 @@
 	scope    tally.Scope
 	closer   io.Closer
 	buckets  tally.DurationBuckets
+	// servedCost and turnedAwayCost are the sums behind the gauges.
+	servedCost, turnedAwayCost costs
 }
 
 // New returns the metrics of an instance. Close must be called to stop reporting.
@@ -87,6 +95,47 @@
 	m.scope.Tagged(map[string]string{"state": state}).Histogram("answer_seconds", m.buckets).RecordDuration(took)
 }
 
+// Served records a job that has completed, or was turned away for want of room, at this
+// instance as an owner.
+func (m *Metrics) Served(a scheduler.Reply) {
+	scope := m.scope.Tagged(map[string]string{"priority": strconv.Itoa(a.Summary.Priority)})
+	switch o := a.Outcome.(type) {
+	case scheduler.Completed:
+		m.addCost(&m.servedCost, "served_cost", a.Summary)
+	case scheduler.Refused:
+		if o.Reason != scheduler.ReasonOverloaded {
+			return
+		}
+		m.addCost(&m.turnedAwayCost, "turned_away_cost", a.Summary)
+		reason := "no_room"
+		if a.Summary.Preferred != "" {
+			reason = "gave_way"
+		}
+		m.count("turned_away_total", map[string]string{"priority": strconv.Itoa(a.Summary.Priority), "reason": reason})
+	default:
+		return
+	}
+	scope.Histogram("queue_seconds", m.buckets).RecordDuration(a.Summary.Waited)
+}
+
+// costs holds a cost by priority.
+type costs struct {
+	mu         sync.Mutex
+	byPriority map[int]float64
+}
+
+// addCost adds the cost of a job to a gauge that only rises, because counters hold whole
+// numbers.
+func (m *Metrics) addCost(c *costs, name string, s scheduler.Summary) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byPriority == nil {
+		c.byPriority = map[int]float64{}
+	}
+	c.byPriority[s.Priority] += s.Cost
+	m.scope.Tagged(map[string]string{"priority": strconv.Itoa(s.Priority)}).Gauge(name).Update(c.byPriority[s.Priority])
+}
+
 // RunRequest counts a request to an owner to run a job, by whether the owner is
 // this instance ("self") or another one ("other"), and by whether it accepted the
 // job.
--- a/pool/relay/convert.go
+++ b/pool/relay/convert.go
@@ -89,3 +89,22 @@
 	}
 	return scheduler.Unknown{Reason: scheduler.Reason(r.Reason)}
 }
+
+// RoomsToWire converts the room by priority for a load report.
+func RoomsToWire(rooms []scheduler.PriorityRoom) []*wire.PriorityRoom {
+	out := make([]*wire.PriorityRoom, len(rooms))
+	for i, r := range rooms {
+		out[i] = &wire.PriorityRoom{Priority: int32(r.Priority), WaitMs: r.ForecastWait.Milliseconds(), TurnsAway: r.TurnsAway}
+	}
+	return out
+}
+
+func roomsFromWire(rooms []*wire.PriorityRoom) []scheduler.PriorityRoom {
+	out := make([]scheduler.PriorityRoom, len(rooms))
+	for i, r := range rooms {
+		out[i] = scheduler.PriorityRoom{
+			Priority: int(r.Priority), ForecastWait: time.Duration(r.WaitMs) * time.Millisecond, TurnsAway: r.TurnsAway,
+		}
+	}
+	return out
+}
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -73,6 +73,9 @@
 	CPU     int64
 	// Queued is the number of queued jobs.
 	Queued int
+	// Rooms describes the room by priority. It is empty if the owner does not report
+	// it.
+	Rooms []scheduler.PriorityRoom
 	// Draining is set while the owner shuts down.
 	Draining bool
 	// ReportedAt is the time of the report, or zero if there is none.
@@ -298,7 +301,7 @@
 	o.heartbeatSent, o.unresponsiveSince = time.Time{}, time.Time{}
 	o.load = Load{
 		ForecastWait: time.Duration(l.WaitMs) * time.Millisecond, FreeCPU: l.FreeCpu, CPU: l.Cpu,
-		Queued: int(l.Queued), Draining: l.Draining, ReportedAt: time.Now(),
+		Queued: int(l.Queued), Rooms: roomsFromWire(l.Rooms), Draining: l.Draining, ReportedAt: time.Now(),
 	}
 }
 
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -265,7 +265,7 @@
 	l := relay.Load{ReportedAt: time.Now(), Draining: in.draining.Load()}
 	in.loop.Inspect(func(s *scheduler.Scheduler) {
 		st := s.Stats()
-		l.ForecastWait, l.FreeCPU, l.CPU, l.Queued = st.ForecastWait, st.FreeCPU, st.CPU, st.Queued
+		l.ForecastWait, l.FreeCPU, l.CPU, l.Queued, l.Rooms = st.ForecastWait, st.FreeCPU, st.CPU, st.Queued, st.Rooms
 	})
 	in.load.Store(&l)
 	return l
@@ -275,6 +275,7 @@
 	l := in.ownLoad()
 	return &wire.PoolLoad{
 		WaitMs: l.ForecastWait.Milliseconds(), FreeCpu: l.FreeCPU, Cpu: l.CPU, Queued: int32(l.Queued), Draining: l.Draining,
+		Rooms: relay.RoomsToWire(l.Rooms),
 	}
 }
 
