--- a/bench/poolrun/experiment.go
+++ b/bench/poolrun/experiment.go
@@ -100,6 +100,8 @@
 	// seconds after which lost requests are carried out.
 	Share     float64 `toml:"share"`
 	Magnitude float64 `toml:"x"`
+	// JobKind limits a burst to jobs of one kind, by its name. Empty means all.
+	JobKind string `toml:"job_kind"`
 }
 
 // Policy is a named policy. Overrides replaces fields of the default policy; the
--- a/bench/poolrun/simulation.go
+++ b/bench/poolrun/simulation.go
@@ -139,26 +139,17 @@
 // drawJobs draws all jobs of the run and queues their submissions. Arrivals are a
 // Poisson process whose rate increases during bursts.
 func (sim *simulation) drawJobs(jobRNG *rand.Rand) {
-	total := 0.0
-	for _, k := range sim.exp.Kinds {
-		total += k.Share
-	}
 	at := 0.0
 	for n := 0; ; n++ {
-		rate := sim.exp.Rate
-		for _, f := range sim.exp.Faults {
-			if f.Kind == "burst" && at >= f.StartSeconds && at < f.StartSeconds+f.DurationSeconds {
-				rate *= f.Magnitude
-			}
-		}
-		at += jobRNG.ExpFloat64() / rate
+		rates, total := sim.rates(at)
+		at += jobRNG.ExpFloat64() / total
 		if at >= sim.exp.Seconds {
 			return
 		}
 		pick := jobRNG.Float64() * total
 		i := 0
-		for ; i < len(sim.exp.Kinds)-1 && pick >= sim.exp.Kinds[i].Share; i++ {
-			pick -= sim.exp.Kinds[i].Share
+		for ; i < len(rates)-1 && pick >= rates[i]; i++ {
+			pick -= rates[i]
 		}
 		j := drawJob(jobRNG, &sim.exp.Kinds[i], fmt.Sprintf("j%06d", n), sim.begin.Add(seconds(at)))
 		sim.jobs = append(sim.jobs, j)
@@ -167,6 +158,25 @@
 	}
 }
 
+// rates returns the arrivals per second of each kind of job at a time, and their sum.
+func (sim *simulation) rates(at float64) (rates []float64, total float64) {
+	shares := 0.0
+	for _, k := range sim.exp.Kinds {
+		shares += k.Share
+	}
+	for _, k := range sim.exp.Kinds {
+		rate := sim.exp.Rate * k.Share / shares
+		for _, f := range sim.exp.Faults {
+			if f.Kind == "burst" && at >= f.StartSeconds && at < f.StartSeconds+f.DurationSeconds && (f.JobKind == "" || f.JobKind == k.Name) {
+				rate *= f.Magnitude
+			}
+		}
+		rates = append(rates, rate)
+		total += rate
+	}
+	return rates, total
+}
+
 // drawJob draws the tasks of a job. The latency objective is derived from the
 // longest task.
 func drawJob(jobRNG *rand.Rand, k *JobKind, id string, at time.Time) *job {
--- /dev/null
+++ b/core/scheduler/shortage_test.go
@@ -0,0 +1,82 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// fillQueue fills the only target with jobs of the queue "bulk" and lets as many wait as
+// can be in time.
+func fillQueue(t *testing.T) *harness {
+	h := newHarness(t, testTarget("a"))
+	for i := range 6 {
+		h.submit(RequestID(i+1), shortageJob(fmt.Sprintf("bulk%d", i), "bulk", 1, 200*time.Millisecond))
+		h.now = h.now.Add(time.Microsecond)
+	}
+	if n := len(take[Reply](h)); n != 0 {
+		t.Fatalf("%d jobs were answered although all can be in time", n)
+	}
+	return h
+}
+
+func shortageJob(id, queue string, priority int, estimate time.Duration) Job {
+	j := testJob(id, 1)
+	j.Queue, j.Priority, j.Slack = queue, priority, 300*time.Millisecond
+	j.Steps[0].Estimate = estimate
+	return j
+}
+
+// Guards against a queued job that keeps its place although one that costs callers more
+// arrives, against a refusal that comes only when its caller stops waiting, and against
+// one that does not name what was preferred.
+func TestQueuedJobGivesWayAtOnce(t *testing.T) {
+	h := fillQueue(t)
+	h.submit(10, shortageJob("rare", "rare", 0, 20*time.Millisecond))
+	r := one[Reply](h)
+	if refused, ok := r.Outcome.(Refused); !ok || refused.Reason != ReasonOverloaded || r.Job[:4] != "bulk" {
+		t.Fatalf("%+v; want a job of the queue bulk to be refused", r)
+	}
+	if m := r.Summary; m.Preferred != "rare" || m.PreferredQueue != "rare" || m.Starts != 0 || m.Cost <= 0 || m.Priority != 1 {
+		t.Errorf("%+v; want the job rare to be named", m)
+	}
+	rooms := h.s.Stats().Rooms
+	if len(rooms) != 2 || rooms[0].TurnsAway || !rooms[1].TurnsAway || rooms[0].ForecastWait > rooms[1].ForecastWait {
+		t.Errorf("the report is %+v; want that jobs of priority 1 are turned away", rooms)
+	}
+	h.advance(2 * turnsAwayPeriod)
+	if rooms := h.s.Stats().Rooms; rooms[1].TurnsAway {
+		t.Errorf("the report is %+v after %v without a refusal", rooms, 2*turnsAwayPeriod)
+	}
+}
+
+// Guards against callers that all come back at the same time after a shortage.
+func TestRetryAfterIsSpread(t *testing.T) {
+	h := fillQueue(t)
+	times := map[time.Duration]bool{}
+	for i := range 40 {
+		h.submit(RequestID(100+i), shortageJob(fmt.Sprintf("more%d", i), "bulk", 1, 200*time.Millisecond))
+		for _, r := range take[Reply](h) {
+			after := r.Outcome.(Refused).RetryAfter
+			if after < minRetryAfter || after > 2*maxRetryAfter {
+				t.Errorf("retry after %v", after)
+			}
+			times[after.Round(100*time.Millisecond)] = true
+		}
+	}
+	if len(times) < 8 {
+		t.Errorf("the refused jobs come back at %d different times of 100 ms", len(times))
+	}
+}
+
+// Guards against a refusal while room is free: a job for which nothing else waits starts
+// at once, also when its objective is missed already.
+func TestLateJobUsesFreeRoom(t *testing.T) {
+	h := newHarness(t, testTarget("a"))
+	j := shortageJob("late", "bulk", 1, 200*time.Millisecond)
+	j.Arrived, j.Deadline = h.now.Add(-700*time.Millisecond), h.now.Add(time.Second)
+	h.send(Submit{Request: 1, Job: j})
+	if n := len(take[Start](h)); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
--- a/pool/frontend/frontend_test.go
+++ b/pool/frontend/frontend_test.go
@@ -185,6 +185,31 @@
 	}
 }
 
+// Guards against an offer of a job that was turned away to an owner that would turn it
+// away as well, and against a refusal while another owner has room for its priority.
+func TestOwnerWithRoomForThePriority(t *testing.T) {
+	now := time.Now()
+	load := relay.Load{ReportedAt: now, Rooms: []scheduler.PriorityRoom{
+		{Priority: 0, ForecastWait: 20 * time.Millisecond}, {Priority: 1, ForecastWait: time.Second}, {Priority: 2, TurnsAway: true},
+	}}
+	for priority, want := range []bool{true, false, false, false} {
+		if got := (candidate{load: load}).hasRoom(now, priority, 100*time.Millisecond); got != want {
+			t.Errorf("priority %d: room %v, want %v", priority, got, want)
+		}
+	}
+	for name, edit := range map[string]func(*relay.Load){
+		"old report": func(l *relay.Load) { l.ReportedAt = now.Add(-maxLoadAge) },
+		"draining":   func(l *relay.Load) { l.Draining = true },
+		"overdue":    func(l *relay.Load) { l.Overdue = true },
+	} {
+		l := load
+		edit(&l)
+		if (candidate{load: l}).hasRoom(now, 0, 100*time.Millisecond) {
+			t.Errorf("%s: the owner has room", name)
+		}
+	}
+}
+
 // Guards against a job that is sent to an unresponsive owner, whose outcome would
 // be unknown, and against an owner that gets no jobs after it has recovered.
 func TestUnresponsiveOwnerGetsNoJobs(t *testing.T) {
