--- a/bench/poolrun/experiment.go
+++ b/bench/poolrun/experiment.go
@@ -109,6 +109,9 @@
 type Policy struct {
 	Name      string             `toml:"name"`
 	Overrides map[string]float64 `toml:"set"`
+	// KnownRunTimes gives the scheduler the mean run time of each job's tasks instead
+	// of the caller's estimate. It bounds what better forecasts could gain.
+	KnownRunTimes bool `toml:"known_run_times"`
 }
 
 // policySetters sets the fields of a policy by their keys in TOML.
--- a/bench/poolrun/simulation.go
+++ b/bench/poolrun/simulation.go
@@ -32,6 +32,7 @@
 type simulation struct {
 	eventclock.Clock
 	exp         Experiment
+	policy      Policy
 	begin       time.Time
 	targetDelay time.Duration
 	// rng is the source for the events at the targets. The jobs are drawn from
@@ -75,7 +76,7 @@
 
 func newSimulation(exp Experiment, p Policy, seed uint64) *simulation {
 	sim := &simulation{
-		exp: exp, begin: time.Unix(1_700_000_000, 0), targetDelay: ms(exp.Targets.DelayMS), rng: rand.New(rand.NewPCG(seed, 1)),
+		exp: exp, policy: p, begin: time.Unix(1_700_000_000, 0), targetDelay: ms(exp.Targets.DelayMS), rng: rand.New(rand.NewPCG(seed, 1)),
 		jobsByID: map[string]*job{}, replyHandlers: map[scheduler.RequestID]func(scheduler.Outcome){},
 		result: Result{Policy: p.Name, Seed: seed},
 	}
@@ -227,6 +228,9 @@
 		Deadline: j.arrival.Add(j.deadline), MustStartNow: len(startOwners) > 0,
 		Steps: []scheduler.Step{{Count: len(j.tasks), CPU: j.cpu, Estimate: j.estimate}},
 	}
+	if sim.policy.KnownRunTimes {
+		in.Steps[0].Estimate = j.work() / time.Duration(len(j.tasks))
+	}
 	dest := queueOwner
 	if len(startOwners) > 0 {
 		dest = startOwners[0]
