--- a/bench/poolrun/experiment.go
+++ b/bench/poolrun/experiment.go
@@ -116,7 +116,6 @@
 
 // policySetters sets the fields of a policy by their keys in TOML.
 var policySetters = map[string]func(*scheduler.Policy, float64){
-	"hold_share":     func(p *scheduler.Policy, v float64) { p.HoldShare = v },
 	"late_factor":    func(p *scheduler.Policy, v float64) { p.LateFactor = v },
 	"wait_gain":      func(p *scheduler.Policy, v float64) { p.WaitGain = v },
 	"slow_weight":    func(p *scheduler.Policy, v float64) { p.SlownessWeight = v },
--- a/core/scheduler/policy.go
+++ b/core/scheduler/policy.go
@@ -5,10 +5,6 @@
 // Policy holds the parameters of decisions that favor some jobs at the expense
 // of others. The command "marigold-bench policies" compares policies.
 type Policy struct {
-	// HoldShare is the fraction of the latency objective that a job may spend in
-	// the queue. After that, a job without a start is refused if it is forecast
-	// to miss its objective.
-	HoldShare float64
 	// LateFactor is the multiple of the latency objective after which an answer
 	// has no value to the caller.
 	LateFactor float64
@@ -44,7 +40,7 @@
 // DefaultPolicy returns the policy that is used unless Config sets another.
 func DefaultPolicy() Policy {
 	return Policy{
-		HoldShare: 0.25, LateFactor: 3, WaitGain: 0.1, SlownessWeight: 0.04, FreeCapacityWeight: 0.02, ForecastStdDev: 0.37,
+		LateFactor: 3, WaitGain: 0.1, SlownessWeight: 0.04, FreeCapacityWeight: 0.02, ForecastStdDev: 0.37,
 		UnknownCost: 0.7, MinExpectedValue: 0.04, MaxValueLoss: 0.05, OverdueFactor: 3, OverdueMS: 300, EjectAfter: 2,
 	}
 }
--- a/core/shedding/shedding.go
+++ b/core/shedding/shedding.go
@@ -80,8 +80,6 @@
 	// InTime is the number of jobs in Order that are forecast to be in time.
 	InTime  int
 	Refused []Refusal
-	// Wait is the forecast time until all jobs that are to be in time have started.
-	Wait time.Duration
 }
 
 const (
@@ -104,7 +102,7 @@
 	slices.SortStableFunc(p.kept, p.compare)
 	for p.removeLate() {
 	}
-	out := Plan{Order: p.kept, InTime: len(p.kept), Wait: p.wait}
+	out := Plan{Order: p.kept, InTime: len(p.kept)}
 	slices.SortStableFunc(p.late, func(a, b int) int { return cmp.Compare(p.price[b], p.price[a]) })
 	for _, i := range p.late {
 		if start := p.start(i, true); start <= jobs[i].LatestUseful && p.arrivingShare(p.price[i], true) < maxArrivingShare {
