--- a/bench/poolrun/poolrun_test.go
+++ b/bench/poolrun/poolrun_test.go
@@ -131,7 +131,7 @@
 		"rate = 140.0":                "rate = -1.0",
 		"owners = 3":                  "owners = 300",
 		`kind = "burst"`:              `kind = "flood"`,
-		"hold_share = 0.6":            "hold = 0.6",
+		"overdue_factor = 1.6":        "overdue = 1.6",
 		"work_ms = 60.0":              "work_ms = 0.0",
 		"cpu = [64000, 64000, 96000]": "cpu = []",
 		"slack_ms = 60":               "slack = 60",
