--- a/bench/poolrun/experiment.go
+++ b/bench/poolrun/experiment.go
@@ -58,6 +58,10 @@
 	Tasks int `toml:"tasks"`
 	// CPU is what a task requires, in thousandths of a core.
 	CPU int64 `toml:"cpu"`
+	// CPUSpread is the standard deviation of the logarithm of CPU between jobs.
+	// MaxCPU limits it; 0 means no limit.
+	CPUSpread float64 `toml:"cpu_spread"`
+	MaxCPU    int64   `toml:"max_cpu"`
 	// WorkMS is the median run time of a task in milliseconds. WorkSpread is the
 	// standard deviation of its logarithm between jobs, TaskSpread that between
 	// the tasks of a job.
@@ -101,6 +105,8 @@
 	// seconds after which lost requests are carried out.
 	Share     float64 `toml:"share"`
 	Magnitude float64 `toml:"x"`
+	// JobKind limits a burst to jobs of one kind, by its name. Empty means all.
+	JobKind string `toml:"job_kind"`
 }
 
 // Policy is a named policy. Overrides replaces fields of the default policy; the
@@ -108,11 +114,13 @@
 type Policy struct {
 	Name      string             `toml:"name"`
 	Overrides map[string]float64 `toml:"set"`
+	// KnownRunTimes gives the scheduler the mean run time of each job's tasks instead
+	// of the caller's estimate. It bounds what better forecasts could gain.
+	KnownRunTimes bool `toml:"known_run_times"`
 }
 
 // policySetters sets the fields of a policy by their keys in TOML.
 var policySetters = map[string]func(*scheduler.Policy, float64){
-	"hold_share":     func(p *scheduler.Policy, v float64) { p.HoldShare = v },
 	"late_factor":    func(p *scheduler.Policy, v float64) { p.LateFactor = v },
 	"wait_gain":      func(p *scheduler.Policy, v float64) { p.WaitGain = v },
 	"slow_weight":    func(p *scheduler.Policy, v float64) { p.SlownessWeight = v },
--- a/bench/poolrun/poolrun_test.go
+++ b/bench/poolrun/poolrun_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -34,7 +35,7 @@
 	}
 	exp.Seconds = 5
 	a, b := Run(exp, exp.Policies[0], 3), Run(exp, exp.Policies[0], 3)
-	if a != b {
+	if !reflect.DeepEqual(a, b) {
 		t.Errorf("two runs with the same seed differ:\n%+v\n%+v", a, b)
 	}
 	if a.Jobs < 500 || a.EarnedShare < 0.3 || a.Starts < a.Jobs {
@@ -162,7 +163,7 @@
 		"rate = 140.0":                "rate = -1.0",
 		"owners = 3":                  "owners = 300",
 		`kind = "burst"`:              `kind = "flood"`,
-		"hold_share = 0.6":            "hold = 0.6",
+		"overdue_factor = 1.6":        "overdue = 1.6",
 		"work_ms = 60.0":              "work_ms = 0.0",
 		"cpu = [64000, 64000, 96000]": "cpu = []",
 		"slack_ms = 60":               "slack = 60",
--- a/bench/poolrun/simulation.go
+++ b/bench/poolrun/simulation.go
@@ -32,6 +32,7 @@
 type simulation struct {
 	eventclock.Clock
 	exp         Experiment
+	policy      Policy
 	begin       time.Time
 	targetDelay time.Duration
 	// rng is the source for the events at the targets. The jobs are drawn from
@@ -60,6 +61,7 @@
 	id       string
 	kind     *JobKind
 	tasks    []*task
+	cpu      int64
 	estimate time.Duration
 	arrival  time.Time
 	// objective and deadline are relative to the arrival.
@@ -76,7 +78,7 @@
 
 func newSimulation(exp Experiment, p Policy, seed uint64) *simulation {
 	sim := &simulation{
-		exp: exp, begin: time.Unix(1_700_000_000, 0), targetDelay: ms(exp.Targets.DelayMS), rng: rand.New(rand.NewPCG(seed, 1)),
+		exp: exp, policy: p, begin: time.Unix(1_700_000_000, 0), targetDelay: ms(exp.Targets.DelayMS), rng: rand.New(rand.NewPCG(seed, 1)),
 		jobsByID: map[string]*job{}, replyHandlers: map[scheduler.RequestID]func(scheduler.Outcome){},
 		result: Result{Policy: p.Name, Seed: seed},
 	}
@@ -140,26 +142,17 @@
 // drawJobs draws all jobs of the run and queues their submissions. Arrivals are a
 // Poisson process whose rate increases during bursts.
 func (sim *simulation) drawJobs(jobRNG *rand.Rand) {
-	total := 0.0
-	for _, k := range sim.exp.Kinds {
-		total += k.Share
-	}
 	at := 0.0
 	for n := 0; ; n++ {
-		rate := sim.exp.Rate
-		for _, f := range sim.exp.Faults {
-			if f.Kind == "burst" && at >= f.StartSeconds && at < f.StartSeconds+f.DurationSeconds {
-				rate *= f.Magnitude
-			}
-		}
-		at += jobRNG.ExpFloat64() / rate
+		rates, total := sim.rates(at)
+		at += jobRNG.ExpFloat64() / total
 		if at >= sim.exp.Seconds {
 			return
 		}
 		pick := jobRNG.Float64() * total
 		i := 0
-		for ; i < len(sim.exp.Kinds)-1 && pick >= sim.exp.Kinds[i].Share; i++ {
-			pick -= sim.exp.Kinds[i].Share
+		for ; i < len(rates)-1 && pick >= rates[i]; i++ {
+			pick -= rates[i]
 		}
 		j := drawJob(jobRNG, &sim.exp.Kinds[i], fmt.Sprintf("j%06d", n), sim.begin.Add(seconds(at)))
 		sim.jobs = append(sim.jobs, j)
@@ -171,6 +164,25 @@
 	}
 }
 
+// rates returns the arrivals per second of each kind of job at a time, and their sum.
+func (sim *simulation) rates(at float64) (rates []float64, total float64) {
+	shares := 0.0
+	for _, k := range sim.exp.Kinds {
+		shares += k.Share
+	}
+	for _, k := range sim.exp.Kinds {
+		rate := sim.exp.Rate * k.Share / shares
+		for _, f := range sim.exp.Faults {
+			if f.Kind == "burst" && at >= f.StartSeconds && at < f.StartSeconds+f.DurationSeconds && (f.JobKind == "" || f.JobKind == k.Name) {
+				rate *= f.Magnitude
+			}
+		}
+		rates = append(rates, rate)
+		total += rate
+	}
+	return rates, total
+}
+
 // drawJob draws the tasks of a job. The latency objective is derived from the
 // longest task.
 func drawJob(jobRNG *rand.Rand, k *JobKind, id string, at time.Time) *job {
@@ -182,6 +194,13 @@
 		longest = max(longest, t.runTime)
 		j.tasks = append(j.tasks, t)
 	}
+	j.cpu = k.CPU
+	if k.CPUSpread > 0 {
+		j.cpu = int64(float64(k.CPU) * math.Exp(jobRNG.NormFloat64()*k.CPUSpread))
+	}
+	if k.MaxCPU > 0 {
+		j.cpu = min(j.cpu, k.MaxCPU)
+	}
 	j.estimate = ms(work * math.Exp(jobRNG.NormFloat64()*k.EstimateSpread))
 	j.objective = time.Duration(float64(longest)*max(1, k.Stretch)) + time.Duration(k.SlackMS)*time.Millisecond
 	if k.Patience > 0 {
@@ -198,7 +217,7 @@
 func (sim *simulation) submit(j *job) {
 	order := slices.Clone(sim.owners)
 	sim.rng.Shuffle(len(order), func(i, k int) { order[i], order[k] = order[k], order[i] })
-	neededCPU := int64(len(j.tasks)) * j.kind.CPU
+	neededCPU := int64(len(j.tasks)) * j.cpu
 	expectedWait := func(o *owner) time.Duration {
 		st := o.sched.Stats()
 		return st.ForecastWait + time.Duration(max(0, neededCPU-st.FreeCPU))*time.Microsecond/4
@@ -215,7 +234,10 @@
 		ID: j.id, Queue: j.kind.Name, Service: service, Priority: j.kind.Priority, MaxAttempts: max(1, j.kind.MaxAttempts),
 		Stretch: j.kind.Stretch, Slack: time.Duration(j.kind.SlackMS) * time.Millisecond, Arrived: j.arrival,
 		Deadline: j.arrival.Add(j.deadline), MustStartNow: len(startOwners) > 0,
-		Steps: []scheduler.Step{{Count: len(j.tasks), CPU: j.kind.CPU, Estimate: j.estimate}},
+		Steps: []scheduler.Step{{Count: len(j.tasks), CPU: j.cpu, Estimate: j.estimate}},
+	}
+	if sim.policy.KnownRunTimes {
+		in.Steps[0].Estimate = j.work() / time.Duration(len(j.tasks))
 	}
 	dest := queueOwner
 	if len(startOwners) > 0 {
--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -53,7 +53,11 @@
 
 // Summary describes how a job went, for logs.
 type Summary struct {
-	Queue string
+	Queue    string
+	Priority int
+	// Cost is what it costs callers if the job is not served, in seconds of the usual
+	// demand of its queue, weighted by priority.
+	Cost float64
 	// Forecast is the forecast run time of the job's critical path. Objective
 	// is the latency objective that is derived from it.
 	Forecast, Objective time.Duration
@@ -72,6 +76,9 @@
 	Crashes int
 	// Unfinished lists some of the runs without a known end.
 	Unfinished []UnfinishedRun
+	// Preferred and PreferredQueue are a job for which this one was turned away, and
+	// its queue, or empty.
+	Preferred, PreferredQueue string
 }
 
 // UnfinishedRun describes a run without a known end.
--- a/core/scheduler/benchmark_test.go
+++ b/core/scheduler/benchmark_test.go
@@ -16,7 +16,7 @@
 	tb.Helper()
 	now := time.Unix(1000, 0)
 	s := New(Config{Lease: testLease, MaxClockDrift: testClockDrift, RemoteRackFactor: 2})
-	s.policy.HoldShare, s.policy.MinExpectedValue, s.policy.LateFactor = 1e6, -1e6, 1e6
+	s.policy.MinExpectedValue, s.policy.LateFactor = -1e6, 1e6
 	var all []Target
 	for i := range targets {
 		all = append(all, testTarget(fmt.Sprintf("t%03d", i)))
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -37,13 +37,13 @@
 	// criticalPath is the forecast run time of the longest chain of dependent
 	// steps. objective is the latency objective that is derived from it.
 	criticalPath, objective time.Duration
-	// refuseAt is the earliest time at which a job without a start is refused.
-	refuseAt time.Time
 	// returnAt is when a job without a start is returned to its sender, or zero.
 	returnAt time.Time
 	queued   bool
 	// lacksTargetsSince is since when the job lacks targets for its tasks, or zero.
 	lacksTargetsSince time.Time
+	// late is set while the job is forecast to miss its objective. Others come first.
+	late bool
 	// suspected is set once a task was suspect. isolatedSuccess is set once a suspect
 	// task has succeeded.
 	suspected, isolatedSuccess bool
@@ -133,10 +133,12 @@
 		return
 	}
 	if reason, ok := s.admit(j); !ok {
-		s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter()})
+		s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter(j)})
 		return
 	}
+	s.recordDemand(j)
 	s.enqueue(j)
+	s.nextPlan = s.now
 }
 
 func (s *Scheduler) newJob(in Job) *job {
@@ -155,7 +157,6 @@
 		return s.model.BaseRunTime(in.Queue, estimate)
 	})
 	j.objective = in.objective(j.criticalPath)
-	j.refuseAt = in.Arrived.Add(time.Duration(float64(j.objective) * s.policy.HoldShare))
 	if in.ReturnAfter > 0 {
 		j.returnAt = s.now.Add(in.ReturnAfter)
 	}
@@ -222,10 +223,6 @@
 	}
 }
 
-// retryAfter returns the time after which a refused job may be accepted, which
-// is the forecast wait behind the queue.
-func (s *Scheduler) retryAfter() time.Duration { return max(minRetryAfter, s.forecastWait(nil)) }
-
 // withdraw drops a request. A job without awaited requests is stopped.
 func (s *Scheduler) withdraw(r RequestID) {
 	j := s.requests[r]
@@ -249,7 +246,7 @@
 		s.finish(j, Unknown{Reason: reason})
 		return
 	}
-	s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter()})
+	s.finish(j, Refused{Reason: reason, RetryAfter: s.retryAfter(j)})
 }
 
 // expire ends the jobs whose deadline has passed and handles the due runs of all
@@ -275,19 +272,12 @@
 	}
 }
 
-// refuseLateJobs ends the jobs that can no longer start in time or for which
-// this instance has no targets left. It is called after place, so that a job that
-// arrives late can still use free capacity.
-func (s *Scheduler) refuseLateJobs() {
+// refuseJobsWithoutTargets ends the jobs for which this instance has no targets left.
+func (s *Scheduler) refuseJobsWithoutTargets() {
 	s.recordLackOfTargets()
 	for _, j := range s.queuedWhere(func(j *job) bool { return !j.lacksTargetsSince.IsZero() && !s.mayAwaitTargets(j) }) {
 		s.giveUp(j, ReasonNoTarget)
 	}
-	for _, j := range s.queuedWhere(func(j *job) bool {
-		return !j.started && !s.now.Before(j.refuseAt) && s.willMissObjective(j)
-	}) {
-		s.giveUp(j, ReasonOverloaded)
-	}
 }
 
 // recordLackOfTargets records since when the queued jobs lack targets.
@@ -382,6 +372,7 @@
 	m := j.summary
 	m.Queue, m.Forecast, m.Objective = j.Queue, j.criticalPath, j.objective
 	m.Age = s.now.Sub(j.Arrived)
+	m.Priority, m.Cost = j.Priority, s.cost(j)
 	if !j.started {
 		m.Waited = m.Age
 	}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marigoldfront.dev/core/cancellation"
+	"marigoldfront.dev/core/demand"
 	"marigoldfront.dev/core/forecast"
 )
 
@@ -70,6 +71,14 @@
 	// evacuatedSince holds when the instance learned of the evacuation of each
 	// evacuated availability zone.
 	evacuatedSince map[string]time.Time
+	// demands holds the demand by service.
+	demands map[string]*demand.Demand
+	// wastedShare is the share of the room that stays free because no waiting task
+	// fits. nextPlan is the earliest time of the next decision about the queue.
+	wastedShare float64
+	nextPlan    time.Time
+	// turnedAwayAt is when a job was last turned away for want of room, by priority.
+	turnedAwayAt map[int]time.Time
 	// stallBegan and stallEnded delimit the last time in which the instance may have
 	// been paused while it had jobs.
 	stallBegan, stallEnded time.Time
@@ -96,6 +105,7 @@
 		requests: map[RequestID]*job{},
 		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{}, lastSubmit: map[string]time.Time{},
 		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), evacuatedSince: map[string]time.Time{},
+		demands: map[string]*demand.Demand{}, turnedAwayAt: map[int]time.Time{},
 	}
 }
 
@@ -118,7 +128,8 @@
 	s.place()
 	s.sampleIdle()
 	s.returnWaitingJobs()
-	s.refuseLateJobs()
+	s.refuseJobsWithoutTargets()
+	s.shed()
 	s.sendDuePolls()
 	s.emitCrashes()
 	return s.actions
@@ -204,13 +215,13 @@
 	return next
 }
 
-// nextRefusalCheck returns when a job without a start may have to be refused.
-// Between refuseAt and the job's latest start, only events change the decision.
+// nextRefusalCheck returns when a job without a start may have to be refused, unless
+// an event changes the decision before.
 func (s *Scheduler) nextRefusalCheck(j *job) time.Time {
-	if s.now.Before(j.refuseAt) {
-		return j.refuseAt
+	if at := j.latestStart(); s.now.Before(at) {
+		return at.Add(minWakeInterval)
 	}
-	return j.latestStart().Add(minWakeInterval)
+	return latest(s.latestUsefulEnd(j).Add(minWakeInterval-j.criticalPath), s.now.Add(planInterval))
 }
 
 // minWakeInterval is the shortest time between two decisions that no event
@@ -225,6 +236,13 @@
 	return a
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // Stats summarizes the state of a Scheduler for logs, metrics and load reports.
 type Stats struct {
 	Jobs, Queued, Running int
@@ -238,6 +256,8 @@
 	EvacuatedRunning int
 	// ForecastWait is the forecast time until a new task starts.
 	ForecastWait time.Duration
+	// Rooms describes the room by priority, in the order of the priorities.
+	Rooms []PriorityRoom
 	// Contained is the queue whose tasks crash their targets and run apart from
 	// others, or empty. ContainedFull is set while its new jobs are refused.
 	Contained     string
@@ -267,6 +287,7 @@
 		}
 	}
 	st.ForecastWait = s.forecastWait(nil)
+	st.Rooms = s.rooms(st.ForecastWait, float64(st.CPU)/1000)
 	return st
 }
 
--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -27,6 +27,9 @@
 	maxStartNowOwners = 3
 	// maxStartNowAfterReturn is the same after an owner has returned the job.
 	maxStartNowAfterReturn = 2
+	// maxFurtherOwners limits the owners with room that are asked to queue a job which
+	// another one has turned away.
+	maxFurtherOwners = 1
 	// ownerRetryInterval is the time between two attempts to find an owner while
 	// the owners change.
 	ownerRetryInterval = 15 * time.Millisecond
@@ -314,8 +317,9 @@
 	return nil, "", false
 }
 
-// queue asks the owners, the best one first, to queue the job, until one accepts it or
-// is overloaded. An only owner keeps the job.
+// queue asks the owners, the best one first, to queue the job, until one accepts it. If
+// an owner turns it away, the job is offered only to another one that has reported room
+// for its priority. An only owner keeps the job.
 func (f *Frontend) queue(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
 	o = scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
 	owners := f.rankedOwners(j)
@@ -323,12 +327,22 @@
 	if len(owners) < 2 {
 		queued.ReturnAfter = 0
 	}
+	turnedAway := 0
 	for _, c := range owners {
+		if turnedAway > 0 && !c.hasRoom(time.Now(), j.Priority, j.LatestStart().Sub(f.cfg.Clock())) {
+			continue
+		}
 		owner = c.address
 		o = f.runAt(ctx, owner, &queued)
-		if r, ok := o.(scheduler.Refused); !ok || r.Reason == scheduler.ReasonOverloaded || isReturned(o) || isFinal(o) || ctx.Err() != nil {
+		r, refused := o.(scheduler.Refused)
+		if !refused || isReturned(o) || isFinal(o) || ctx.Err() != nil {
 			break
 		}
+		if r.Reason == scheduler.ReasonOverloaded {
+			if turnedAway++; turnedAway > maxFurtherOwners {
+				break
+			}
+		}
 	}
 	return o, owner
 }
--- a/pool/metrics/metrics.go
+++ b/pool/metrics/metrics.go
@@ -4,6 +4,8 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -52,6 +54,10 @@
 	"marigold_pool_closed_connections_total":     "Connections closed because of a limit, by limit.",
 	"marigold_pool_returned_jobs_total":          "Jobs that an owner returned because they had not started, by what happened to them next.",
 	"marigold_pool_idle_core_milliseconds_total": "Free processor time of the owned targets while a job waited for longer than 50 ms, by reason, in core-milliseconds.",
+	"marigold_pool_turned_away_total":            "Jobs that this instance as an owner has turned away for want of room, by priority and reason.",
+	"marigold_pool_turned_away_cost":             "What jobs that were turned away cost callers, in seconds of the usual demand of their queues, by priority.",
+	"marigold_pool_served_cost":                  "The same of the jobs that have completed.",
+	"marigold_pool_queue_seconds":                "Time in the queue of an owner until the first start or the refusal, in seconds, by priority.",
 }
 
 // Metrics holds the metrics of one instance. Its methods may be called from
@@ -61,6 +67,8 @@
 	scope    tally.Scope
 	closer   io.Closer
 	buckets  tally.DurationBuckets
+	// servedCost and turnedAwayCost are the sums behind the gauges.
+	servedCost, turnedAwayCost costs
 }
 
 // New returns the metrics of an instance. Close must be called to stop reporting.
@@ -98,6 +106,47 @@
 	m.scope.Tagged(map[string]string{"state": state}).Histogram("answer_seconds", m.buckets).RecordDuration(took)
 }
 
+// Served records a job that has completed, or was turned away for want of room, at this
+// instance as an owner.
+func (m *Metrics) Served(a scheduler.Reply) {
+	scope := m.scope.Tagged(map[string]string{"priority": strconv.Itoa(a.Summary.Priority)})
+	switch o := a.Outcome.(type) {
+	case scheduler.Completed:
+		m.addCost(&m.servedCost, "served_cost", a.Summary)
+	case scheduler.Refused:
+		if o.Reason != scheduler.ReasonOverloaded {
+			return
+		}
+		m.addCost(&m.turnedAwayCost, "turned_away_cost", a.Summary)
+		reason := "no_room"
+		if a.Summary.Preferred != "" {
+			reason = "gave_way"
+		}
+		m.count("turned_away_total", map[string]string{"priority": strconv.Itoa(a.Summary.Priority), "reason": reason})
+	default:
+		return
+	}
+	scope.Histogram("queue_seconds", m.buckets).RecordDuration(a.Summary.Waited)
+}
+
+// costs holds a cost by priority.
+type costs struct {
+	mu         sync.Mutex
+	byPriority map[int]float64
+}
+
+// addCost adds the cost of a job to a gauge that only rises, because counters hold whole
+// numbers.
+func (m *Metrics) addCost(c *costs, name string, s scheduler.Summary) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byPriority == nil {
+		c.byPriority = map[int]float64{}
+	}
+	c.byPriority[s.Priority] += s.Cost
+	m.scope.Tagged(map[string]string{"priority": strconv.Itoa(s.Priority)}).Gauge(name).Update(c.byPriority[s.Priority])
+}
+
 // RunRequest counts a request to an owner to run a job, by whether the owner is
 // this instance ("self") or another one ("other"), and by whether it accepted the
 // job.
--- a/pool/run/outcomes.go
+++ b/pool/run/outcomes.go
@@ -14,9 +14,10 @@
 // are over in this time are not logged.
 const maxStopTime = 100 * time.Millisecond
 
-// logReply logs the outcome of a job and the figures behind it. Completed jobs are
+// logReply counts and logs the outcome of a job and the figures behind it. Completed jobs are
 // logged at the level debug, because there are hundreds per second.
 func (in *Instance) logReply(a scheduler.Reply) {
+	in.metrics.Served(a)
 	m := a.Summary
 	level := zap.InfoLevel
 	switch o := a.Outcome.(type) {
@@ -39,7 +40,8 @@
 		zap.Duration("waited", m.Waited), zap.Duration("backlog", m.Backlog), zap.Duration("forecast", m.Forecast),
 		zap.Duration("objective", m.Objective), zap.Int("tasks", m.Tasks), zap.Int("starts", m.Starts),
 		zap.Int("failed", m.Failed), zap.Int("hung", m.Hung), zap.Int("lost", m.Lost),
-		zap.Int("crashes", m.Crashes), zap.Int("declined", m.RefusedStarts), zap.Stringers("open", m.Unfinished))
+		zap.Int("crashes", m.Crashes), zap.Int("declined", m.RefusedStarts), zap.Stringers("open", m.Unfinished),
+		zap.String("preferred", m.Preferred), zap.String("preferred_queue", m.PreferredQueue))
 }
 
 // recordCrash counts and logs the crash of a target, and reports it to the other
