pool, core/scheduler: queued jobs are no longer returned to their senders

Cause: with the order under shortage, a job that would wait for too long is refused on arrival and offered once to an owner with room.

--- a/core/scheduler/action.go
+++ b/core/scheduler/action.go
@@ -171,10 +171,7 @@
 	ReasonOverloaded Reason = "overloaded"
 	// ReasonBusy refuses a job with MustStartNow that cannot start at once. The
 	// sender can try another owner.
-	ReasonBusy Reason = "busy"
-	// ReasonReturned refuses a job with ReturnAfter that has not started in this time
-	// and is about to miss its objective. The sender can try another owner.
-	ReasonReturned  Reason = "returned"
+	ReasonBusy      Reason = "busy"
 	ReasonDeadline  Reason = "deadline"
 	ReasonNoTarget  Reason = "no_target"
 	ReasonNeverFits Reason = "never_fits"
--- a/core/scheduler/event.go
+++ b/core/scheduler/event.go
@@ -40,10 +40,6 @@
 	// MustStartNow refuses the job unless all of its tasks can start at once and
 	// end in time, so that the sender can try another owner.
 	MustStartNow bool
-	// ReturnAfter, if positive, is the wait after which the job is refused if it has not
-	// started and is about to miss its objective, so that the sender can try other
-	// owners.
-	ReturnAfter time.Duration
 	// Sender is the instance that has sent the job to this one, or empty if a caller
 	// has. SentAt is when it sent the job. It reports with Awaited events that it still
 	// awaits the job.
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -37,9 +37,7 @@
 	// criticalPath is the forecast run time of the longest chain of dependent
 	// steps. objective is the latency objective that is derived from it.
 	criticalPath, objective time.Duration
-	// returnAt is when a job without a start is returned to its sender, or zero.
-	returnAt time.Time
-	queued   bool
+	queued                  bool
 	// lacksTargetsSince is since when the job lacks targets for its tasks, or zero.
 	lacksTargetsSince time.Time
 	// late is set while the job is forecast to miss its objective. Others come first.
@@ -157,9 +155,6 @@
 		return s.model.BaseRunTime(in.Queue, estimate)
 	})
 	j.objective = in.objective(j.criticalPath)
-	if in.ReturnAfter > 0 {
-		j.returnAt = s.now.Add(in.ReturnAfter)
-	}
 	j.countUnplaced()
 	return j
 }
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -127,7 +127,6 @@
 	s.giveUpSuspects()
 	s.place()
 	s.sampleIdle()
-	s.returnWaitingJobs()
 	s.refuseJobsWithoutTargets()
 	s.shed()
 	s.sendDuePolls()
@@ -200,7 +199,6 @@
 		if !j.started {
 			next = earliest(next, s.nextRefusalCheck(j))
 		}
-		next = earliest(next, j.returnAt)
 	}
 	if s.suspectedJobs > 0 {
 		for _, j := range s.jobs {
--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,8 +24,6 @@
 const (
 	// maxStartNowOwners limits the owners that are asked to start a job at once.
 	maxStartNowOwners = 3
-	// maxStartNowAfterReturn is the same after an owner has returned the job.
-	maxStartNowAfterReturn = 2
 	// maxFurtherOwners limits the owners with room that are asked to queue a job which
 	// another one has turned away.
 	maxFurtherOwners = 1
@@ -58,9 +55,6 @@
 	Load        func() relay.Load
 	WaitingJobs func(queue string) int
 	Draining    func() bool
-	// ReturnAfter is the time after which an owner may return a job that it has not
-	// started, once; 0 means never.
-	ReturnAfter time.Duration
 	// MayHaveRun reports whether tasks of an earlier submission of a job are known to
 	// have run, or may have.
 	MayHaveRun func(job string) bool
@@ -273,30 +267,11 @@
 // at once, and skips those that have just reported too little free capacity. If
 // none accepts it, the best owner queues the job. If all owners are full, each
 // further request would delay the job and cost the owners processor time.
-// An owner returns a job that it has not started in ReturnAfter and that is about to
-// miss its objective, once, and other owners are asked in the same way.
 func (f *Frontend) runAtOwners(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
 	if o, owner, ok := f.startNow(ctx, j, f.rankedOwners(j), maxStartNowOwners); ok {
 		return o, owner
 	}
-	returnable := *j
-	returnable.ReturnAfter = f.cfg.ReturnAfter
-	if o, owner = f.queue(ctx, &returnable); !isReturned(o) || ctx.Err() != nil {
-		return o, owner
-	}
-	first := owner
-	others := slices.DeleteFunc(f.rankedOwners(j), func(c candidate) bool { return c.address == first })
-	if o, owner, ok := f.startNow(ctx, j, others, maxStartNowAfterReturn); ok {
-		f.cfg.Metrics.ReturnedJob("started_elsewhere")
-		return o, owner
-	}
-	o, owner = f.queue(ctx, j)
-	if owner == first {
-		f.cfg.Metrics.ReturnedJob("queued_again")
-	} else {
-		f.cfg.Metrics.ReturnedJob("queued_elsewhere")
-	}
-	return o, owner
+	return f.queue(ctx, j)
 }
 
 // startNow asks up to n owners to accept the job if it can start at once, and skips
@@ -319,23 +294,18 @@
 
 // queue asks the owners, the best one first, to queue the job, until one accepts it. If
 // an owner turns it away, the job is offered only to another one that has reported room
-// for its priority. An only owner keeps the job.
+// for its priority.
 func (f *Frontend) queue(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
 	o = scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
-	owners := f.rankedOwners(j)
-	queued := *j
-	if len(owners) < 2 {
-		queued.ReturnAfter = 0
-	}
 	turnedAway := 0
-	for _, c := range owners {
+	for _, c := range f.rankedOwners(j) {
 		if turnedAway > 0 && !c.hasRoom(time.Now(), j.Priority, j.LatestStart().Sub(f.cfg.Clock())) {
 			continue
 		}
 		owner = c.address
-		o = f.runAt(ctx, owner, &queued)
+		o = f.runAt(ctx, owner, j)
 		r, refused := o.(scheduler.Refused)
-		if !refused || isReturned(o) || isFinal(o) || ctx.Err() != nil {
+		if !refused || isFinal(o) || ctx.Err() != nil {
 			break
 		}
 		if r.Reason == scheduler.ReasonOverloaded {
@@ -347,12 +317,6 @@
 	return o, owner
 }
 
-// isReturned reports whether an owner has returned the job for other owners to try.
-func isReturned(o scheduler.Outcome) bool {
-	r, ok := o.(scheduler.Refused)
-	return ok && r.Reason == scheduler.ReasonReturned
-}
-
 // isFinal reports whether the job must not be sent to another owner, because it
 // may have run or was cancelled. Other refusals are not final: a job that fits
 // no target of one owner may fit a target of another.
--- a/pool/metrics/metrics.go
+++ b/pool/metrics/metrics.go
@@ -52,7 +52,6 @@
 	"marigold_pool_unfinished_requests":          "Connections on which a request is awaited or has not arrived completely.",
 	"marigold_pool_refused_requests_total":       "Requests refused before they were served, by limit.",
 	"marigold_pool_closed_connections_total":     "Connections closed because of a limit, by limit.",
-	"marigold_pool_returned_jobs_total":          "Jobs that an owner returned because they had not started, by what happened to them next.",
 	"marigold_pool_idle_core_milliseconds_total": "Free processor time of the owned targets while a job waited for longer than 50 ms, by reason, in core-milliseconds.",
 	"marigold_pool_turned_away_total":            "Jobs that this instance as an owner has turned away for want of room, by priority and reason.",
 	"marigold_pool_turned_away_cost":             "What jobs that were turned away cost callers, in seconds of the usual demand of their queues, by priority.",
@@ -158,12 +157,6 @@
 	m.count("asked_owners_total", map[string]string{"where": where, "result": result})
 }
 
-// ReturnedJob counts a job that an owner has returned, by what happened to it next:
-// "started_elsewhere", "queued_elsewhere" or "queued_again".
-func (m *Metrics) ReturnedJob(result string) {
-	m.count("returned_jobs_total", map[string]string{"result": result})
-}
-
 // Start counts a request to start a run, by its result.
 func (m *Metrics) Start(r scheduler.StartResult) {
 	m.count("starts_total", map[string]string{"result": r.String()})
--- a/pool/relay/convert.go
+++ b/pool/relay/convert.go
@@ -16,7 +16,6 @@
 		Job: j.ID, Queue: j.Queue, Service: j.Service, Priority: int32(j.Priority), Attempts: int32(j.MaxAttempts),
 		Stretch: j.Stretch, SlackMs: j.Slack.Milliseconds(), AgeMs: now.Sub(j.Arrived).Milliseconds(),
 		RemainingMs: j.Deadline.Sub(now).Milliseconds(), Payload: j.Payload, OnlyNow: j.MustStartNow,
-		ReturnAfterMs: j.ReturnAfter.Milliseconds(),
 	}
 	for _, s := range j.Steps {
 		st := &wire.PoolStep{
@@ -38,8 +37,7 @@
 		Stretch: in.Stretch, Slack: time.Duration(in.SlackMs) * time.Millisecond,
 		Arrived:  sent.Add(-time.Duration(in.AgeMs) * time.Millisecond),
 		Deadline: sent.Add(time.Duration(in.RemainingMs) * time.Millisecond), Payload: in.Payload, MustStartNow: in.OnlyNow,
-		ReturnAfter: time.Duration(in.ReturnAfterMs) * time.Millisecond,
-		Sender:      senderID(in.Sender, in.Incarnation), SentAt: sent,
+		Sender: senderID(in.Sender, in.Incarnation), SentAt: sent,
 	}
 	for _, s := range in.Steps {
 		st := scheduler.Step{
--- a/pool/run/outcomes.go
+++ b/pool/run/outcomes.go
@@ -24,7 +24,7 @@
 	case scheduler.Completed:
 		level = zap.DebugLevel
 	case scheduler.Refused:
-		if o.Reason == scheduler.ReasonBusy || o.Reason == scheduler.ReasonReturned {
+		if o.Reason == scheduler.ReasonBusy {
 			// The job is sent to another owner next.
 			level = zap.DebugLevel
 		}
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -199,7 +199,7 @@
 	in.frontend = frontend.New(frontend.Config{
 		Log: jobLogger("desk"), Metrics: in.metrics, Tracer: in.tracer, Zone: cfg.AvailabilityZone, Clock: clock.Now, Catalog: in.configuration.Catalog,
 		ShardHolders: in.holders, OwnersChanging: in.claims.Settling, RelayClient: in.relayClient, SelfAddress: cfg.PeerAddress, Submit: in.loop.Submit, Load: in.ownLoad,
-		WaitingJobs: in.waiting, Draining: in.draining.Load, ReturnAfter: time.Duration(cfg.ReturnAfterMS) * time.Millisecond, MayHaveRun: in.mayHaveRun, Cancel: in.cancel,
+		WaitingJobs: in.waiting, Draining: in.draining.Load, MayHaveRun: in.mayHaveRun, Cancel: in.cancel,
 	})
 	in.callerServer = in.newServer(in.withTrace(p.Handler(in.frontend, clock.Now, in.logger("callers"))))
 	in.metricsServer = in.newServer(in.operatorHandler())
--- a/pool/settings/settings.go
+++ b/pool/settings/settings.go
@@ -52,10 +52,6 @@
 	// which on no task may start there, in milliseconds. Jobs that have started use less
 	// than half of it for their remaining tasks; 0 leaves them none.
 	EvacuationMS int `toml:"evacuation_ms"`
-	// ReturnAfterMS is the time after which an owner may return a queued job to the
-	// instance that has sent it, which then asks other owners, in milliseconds; 0 keeps
-	// the jobs where they are queued.
-	ReturnAfterMS int `toml:"return_after_ms"`
 	// RemoteRackFactor is the factor by which a task takes longer outside the rack
 	// of its data.
 	RemoteRackFactor float64 `toml:"far_factor"`
@@ -117,9 +113,6 @@
 	if s.LeaseMS < 100 || s.LeaseMS > 60_000 {
 		add("lease_ms", "must be 100 to 60000")
 	}
-	if s.ReturnAfterMS < 0 || s.ReturnAfterMS > 10_000 {
-		add("return_after_ms", "must be 0 to 10000")
-	}
 	if s.ResendMS < 800 || s.ResendMS > 600_000 {
 		add("resend_ms", "must be 800 to 600000")
 	}
