--- a/pool/settings/settings.go
+++ b/pool/settings/settings.go
@@ -50,7 +50,7 @@
 	ResendMS int `toml:"resend_ms"`
 	// EvacuationMS is the time after the request to evacuate an availability zone from
 	// which on no task may start there, in milliseconds. Jobs that have started use less
-	// than half of it for their remaining tasks; 0 leaves them none.
+	// than a third of it for their remaining tasks; 0 leaves them none.
 	EvacuationMS int `toml:"evacuation_ms"`
 	// RemoteRackFactor is the factor by which a task takes longer outside the rack
 	// of its data.
@@ -154,7 +154,7 @@
 
 // evacuationStartShare is the share of EvacuationMS in which jobs that have started may
 // start their remaining tasks. The rest is for instances that learn of the request late.
-const evacuationStartShare = 0.4
+const evacuationStartShare = 0.3
 
 // EvacuationStartTime returns how long after an instance has learned of the evacuation of
 // a zone jobs that have started may start their remaining tasks there.
