core/shedding: a decision about a long queue takes bounded time

Each job that would be late made the whole forecast start again, which is quadratic in the queue. A job that gives way itself now leaves the forecast as it is, and after 64 rounds of others giving way the next decision goes on.

--- a/core/shedding/shedding.go
+++ b/core/shedding/shedding.go
@@ -89,6 +89,9 @@
 	// refusalWeight is by how much each earlier refusal raises the price of a job, so
 	// that no caller is turned away again and again while others are served.
 	refusalWeight = 0.5
+	// maxPasses bounds the time of a decision about a long queue. After so many, jobs
+	// that would be late give way themselves, and the next decision goes on.
+	maxPasses = 64
 )
 
 // New decides about jobs.
@@ -105,10 +108,13 @@
 	out := Plan{Order: p.kept, InTime: len(p.kept)}
 	slices.SortStableFunc(p.late, func(a, b int) int { return cmp.Compare(p.price[b], p.price[a]) })
 	for _, i := range p.late {
-		if start := p.start(i, true); start <= jobs[i].LatestUseful && p.arrivingShare(p.price[i], true) < maxArrivingShare {
+		st := p.forecast(i, true)
+		if st.at <= jobs[i].LatestUseful && p.arrivingShare(p.price[i], true) < maxArrivingShare {
+			p.take(i, st)
 			out.Order = append(out.Order, i)
 			continue
 		}
+		p.putBack(st)
 		reason := NoRoom
 		if p.preferred[i] >= 0 {
 			reason = GaveWay
@@ -127,6 +133,8 @@
 	preferred []int
 	// kept are the jobs that are to be in time, in order, late the others.
 	kept, late []int
+	// passes counts the calls of removeLate.
+	passes int
 	// free and releases are the room after the kept jobs, wait the time until the
 	// last of them has started.
 	free     float64
@@ -146,36 +154,48 @@
 	return cmp.Or(cmp.Compare(x.LatestStart, y.LatestStart), cmp.Compare(y.Age, x.Age))
 }
 
-// removeLate takes jobs out of kept for the first job that would be late. It reports
-// whether there was one.
+// removeLate takes jobs out of kept until the others are in time or, if jobs before a
+// late one have to give way, until those have. It reports whether that is the case.
 func (p *planner) removeLate() bool {
 	p.free, p.wait = p.room.Free, 0
 	p.releases = append(p.releases[:0], p.room.Releases...)
 	heap.Init(&p.releases)
-	for n, i := range p.kept {
+	p.passes++
+	kept := p.kept
+	p.kept = make([]int, 0, len(kept))
+	for n, i := range kept {
 		j := p.jobs[i]
-		if j.Started {
-			p.start(i, false)
+		if !j.Started && j.LatestStart < 0 {
+			p.remove(i, -1)
 			continue
 		}
-		if j.LatestStart < 0 {
-			p.remove(i, -1)
-			return true
+		start := p.forecast(i, false)
+		if j.Started || start.at <= j.LatestStart {
+			p.take(i, start)
+			p.kept = append(p.kept, i)
+			continue
+		}
+		p.putBack(start)
+		victims := p.victims(i, start.at-j.LatestStart)
+		if len(victims) == 0 || p.passes >= maxPasses {
+			p.remove(i, p.dearer(i))
+			continue
 		}
-		if start := p.start(i, false); start > j.LatestStart {
-			p.makeRoom(n, start-j.LatestStart)
-			return true
+		for _, v := range victims {
+			p.remove(v, i)
 		}
+		p.kept = slices.DeleteFunc(append(p.kept, kept[n:]...), func(k int) bool { return slices.Contains(victims, k) })
+		return true
 	}
 	return false
 }
 
-// makeRoom takes the jobs with the lowest prices out of the first n+1 kept jobs, until
-// the last of them can start earlier by the time missing.
-func (p *planner) makeRoom(n int, missing time.Duration) {
-	last := p.kept[n]
+// victims returns the kept jobs with the lowest prices, all below that of a job after
+// them, that have to give way for it to start earlier by the time missing. It returns
+// none if they do not free enough room.
+func (p *planner) victims(last int, missing time.Duration) []int {
 	var cheaper []int
-	for _, i := range p.kept[:n] {
+	for _, i := range p.kept {
 		if !p.jobs[i].Started && p.price[i] < p.price[last] {
 			cheaper = append(cheaper, i)
 		}
@@ -184,61 +204,80 @@
 		return cmp.Or(cmp.Compare(p.price[a], p.price[b]), cmp.Compare(p.jobs[a].Age, p.jobs[b].Age))
 	})
 	needed, removed := missing.Seconds()*p.room.Cores, 0.0
-	var victims []int
-	for _, i := range cheaper {
+	for n, i := range cheaper {
 		if removed >= needed {
-			break
+			return cheaper[:n]
 		}
 		removed += p.jobs[i].work()
-		victims = append(victims, i)
 	}
-	if len(victims) == 0 || removed < needed {
-		p.remove(last, p.dearerBefore(n))
-		return
-	}
-	for _, i := range victims {
-		p.remove(i, last)
+	if removed < needed {
+		return nil
 	}
+	return cheaper
 }
 
-// dearerBefore returns the job with the lowest price among those before position n of
-// kept that cost more than the job there, or -1.
-func (p *planner) dearerBefore(n int) int {
+// dearer returns the kept job with the lowest price above that of a job, or -1.
+func (p *planner) dearer(last int) int {
 	found := -1
-	for _, i := range p.kept[:n] {
-		if p.price[i] > p.price[p.kept[n]] && (found < 0 || p.price[i] < p.price[found]) {
+	for _, i := range p.kept {
+		if p.price[i] > p.price[last] && (found < 0 || p.price[i] < p.price[found]) {
 			found = i
 		}
 	}
 	return found
 }
 
-// remove takes a job out of kept because of the job preferred, or -1.
+// remove records that a job will be late because of the job preferred, or -1.
 func (p *planner) remove(i, preferred int) {
-	p.kept = slices.DeleteFunc(p.kept, func(k int) bool { return k == i })
 	p.late = append(p.late, i)
 	p.preferred[i] = preferred
 }
 
-// start returns the forecast time at which the last task of a job starts after those
-// for which it was called before, and takes the room. A late job also starts after
-// work of its own price that is yet to arrive.
-func (p *planner) start(i int, late bool) time.Duration {
+// start is the forecast start of the last task of a job: when there is room, and, at,
+// when there is in spite of work that arrives. used is the room that becomes free until
+// then.
+type start struct {
+	room, at time.Duration
+	used     []Release
+}
+
+// forecast returns the forecast start of a job after those for which take was called
+// before. A late job also starts after work of its own price that is yet to arrive. The
+// caller has to call take or putBack next.
+func (p *planner) forecast(i int, late bool) start {
 	j := p.jobs[i]
-	at := time.Duration(0)
+	st := start{room: p.wait}
 	for p.free < j.Cores && len(p.releases) > 0 {
 		r := heap.Pop(&p.releases).(Release)
-		at = max(at, r.At)
+		st.room = max(st.room, r.At)
 		p.free += r.Cores
+		st.used = append(st.used, r)
 	}
 	if p.free < j.Cores {
-		return max(j.LatestStart, j.LatestUseful) + 1
+		st.at = max(j.LatestStart, j.LatestUseful) + 1
+		return st
+	}
+	st.at = time.Duration(float64(st.room) / (1 - p.arrivingShare(p.price[i], late)))
+	return st
+}
+
+// take gives a job its room.
+func (p *planner) take(i int, st start) {
+	j := p.jobs[i]
+	if p.free < j.Cores {
+		return
 	}
-	at = max(at, p.wait)
 	p.free -= j.Cores
-	heap.Push(&p.releases, Release{At: at + j.RunTime, Cores: j.Cores})
-	p.wait = at
-	return time.Duration(float64(at) / (1 - p.arrivingShare(p.price[i], late)))
+	heap.Push(&p.releases, Release{At: st.room + j.RunTime, Cores: j.Cores})
+	p.wait = st.room
+}
+
+// putBack undoes a forecast.
+func (p *planner) putBack(st start) {
+	for _, r := range st.used {
+		p.free -= r.Cores
+		heap.Push(&p.releases, r)
+	}
 }
 
 // arrivingShare returns the share of the room that arriving work of a higher price
