--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -63,9 +63,10 @@
 	// demands holds the demand by service.
 	demands map[string]*demand.Demand
 	// wastedShare is the share of the room that stays free because no waiting task
-	// fits. nextPlan is the earliest time of the next decision about the queue.
-	wastedShare float64
-	nextPlan    time.Time
+	// fits, by service.
+	wastedShare map[string]float64
+	// nextPlan is the earliest time of the next decision about the queue.
+	nextPlan time.Time
 	// turnedAwayAt is when a job was last turned away for want of room, by priority.
 	turnedAwayAt map[int]time.Time
 	// stallBegan and stallEnded delimit the last time in which the instance may have
@@ -89,7 +90,7 @@
 		jobs:     map[string]*job{},
 		requests: map[RequestID]*job{},
 		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{}, lastSubmit: map[string]time.Time{},
-		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), demands: map[string]*demand.Demand{}, turnedAwayAt: map[int]time.Time{},
+		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), demands: map[string]*demand.Demand{}, turnedAwayAt: map[int]time.Time{}, wastedShare: map[string]float64{},
 	}
 }
 
--- a/core/scheduler/shortage.go
+++ b/core/scheduler/shortage.go
@@ -111,9 +111,11 @@
 			})
 		}
 	}
-	s.wastedShare += wasteWeight * (free/max(room.Cores, 1) - s.wastedShare)
-	room.Free = max(0, free-s.wastedShare*room.Cores)
-	room.Cores *= 1 - s.wastedShare
+	wasted := s.wastedShare[service]
+	wasted += wasteWeight * (free/max(room.Cores, 1) - wasted)
+	s.wastedShare[service] = wasted
+	room.Free = max(0, free-wasted*room.Cores)
+	room.Cores *= 1 - wasted
 	d := s.demandOf(service)
 	for _, q := range d.Queues() {
 		room.Arriving = append(room.Arriving, shedding.Arrival{Price: d.Price(s.now, q), Rate: d.Current(s.now, q)})
