--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -22,6 +22,10 @@
 	// counted from when it stopped waiting. It defaults to
 	// DefaultResubmissionDelay.
 	ResubmissionDelay time.Duration
+	// EvacuationStartTime is how long after this instance has learned of the evacuation
+	// of an availability zone tasks of jobs that have started before may still start
+	// there, where their owner has no other targets.
+	EvacuationStartTime time.Duration
 	// Policy defaults to DefaultPolicy.
 	Policy Policy
 }
@@ -41,6 +45,10 @@
 	jobs          map[string]*job
 	queue         []*job // jobs with tasks to place, in the order of compareJobs
 	requests      map[RequestID]*job
+	// nextDeadline is not after the deadline of any job.
+	nextDeadline time.Time
+	// suspectedJobs counts the jobs that are suspected.
+	suspectedJobs int
 	draining      bool
 	actions       []Action
 	crashLog      *crashLog
@@ -60,6 +68,9 @@
 	// over.
 	givenUpRuns map[TaskID]int
 	cancelled   *cancellation.Log
+	// evacuatedSince holds when the instance learned of the evacuation of each
+	// evacuated availability zone.
+	evacuatedSince map[string]time.Time
 	// demands holds the demand by service.
 	demands map[string]*demand.Demand
 	// wastedShare is the share of the room that stays free because no waiting task
@@ -72,6 +83,10 @@
 	// stallBegan and stallEnded delimit the last time in which the instance may have
 	// been paused while it had jobs.
 	stallBegan, stallEnded time.Time
+	// idleCPU is the total since the start, and idleSampledAt is when the last sample
+	// was taken.
+	idleCPU       IdleCPU
+	idleSampledAt time.Time
 }
 
 // New returns a Scheduler without targets.
@@ -90,7 +105,8 @@
 		jobs:     map[string]*job{},
 		requests: map[RequestID]*job{},
 		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{}, lastSubmit: map[string]time.Time{},
-		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), demands: map[string]*demand.Demand{}, turnedAwayAt: map[int]time.Time{}, wastedShare: map[string]float64{},
+		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), evacuatedSince: map[string]time.Time{},
+		demands: map[string]*demand.Demand{}, turnedAwayAt: map[int]time.Time{}, wastedShare: map[string]float64{},
 	}
 }
 
@@ -111,6 +127,7 @@
 	s.expire()
 	s.giveUpSuspects()
 	s.place()
+	s.sampleIdle()
 	s.refuseJobsWithoutTargets()
 	s.shed()
 	s.sendDuePolls()
@@ -145,6 +162,8 @@
 		s.recall(s.jobs[ev.Job])
 	case TargetsChanged:
 		s.changeTargets(ev.Targets)
+	case ZonesEvacuated:
+		s.evacuate(ev.Zones)
 	case CrashRecorded:
 		s.crashRecorded(ev.Crash)
 	case CrashReported:
@@ -175,15 +194,18 @@
 	var next time.Time
 	if len(s.jobs) > 0 {
 		// Handle detects a pause of the instance by a longer gap.
-		next = s.now.Add(maxWakeInterval)
+		next = earliest(s.now.Add(maxWakeInterval), s.nextDeadline)
 	}
-	for _, j := range s.jobs {
-		next = earliest(next, j.Deadline)
+	for _, j := range s.queue {
 		if !j.started {
 			next = earliest(next, s.nextRefusalCheck(j))
 		}
-		if j.suspected {
-			next = earliest(next, s.nextRecordTimeout(j))
+	}
+	if s.suspectedJobs > 0 {
+		for _, j := range s.jobs {
+			if j.suspected {
+				next = earliest(next, s.nextRecordTimeout(j))
+			}
 		}
 	}
 	for _, t := range s.sortedTargets {
@@ -227,6 +249,10 @@
 	// FreeCPU and CPU are totals of the usable targets, in thousandths of a
 	// core.
 	FreeCPU, CPU int64
+	// EvacuatedCPU is the total of the targets that serve in evacuated availability
+	// zones. EvacuatedRunning counts the runs there.
+	EvacuatedCPU     int64
+	EvacuatedRunning int
 	// ForecastWait is the forecast time until a new task starts.
 	ForecastWait time.Duration
 	// Rooms describes the room by priority, in the order of the priorities.
@@ -235,16 +261,24 @@
 	// others, or empty. ContainedFull is set while its new jobs are refused.
 	Contained     string
 	ContainedFull bool
+	// IdleCPU is the total since the start.
+	IdleCPU IdleCPU
 }
 
 // Stats returns the current state.
 func (s *Scheduler) Stats() Stats {
 	st := Stats{
 		Jobs: len(s.jobs), Queued: len(s.queue), Targets: len(s.sortedTargets),
-		Contained: s.contained.queue, ContainedFull: s.contained.full,
+		Contained: s.contained.queue, ContainedFull: s.contained.full, IdleCPU: s.idleCPU,
 	}
 	for _, t := range s.sortedTargets {
 		st.Running += len(t.runs)
+		if t.evacuated() {
+			st.EvacuatedRunning += len(t.runs)
+			if t.serving() {
+				st.EvacuatedCPU += t.CPU
+			}
+		}
 		if t.usable() {
 			st.Usable++
 			st.CPU += t.CPU
@@ -275,6 +309,21 @@
 	return 0
 }
 
+// RunsEndingBy returns the number of runs on a target that their jobs await and that
+// are forecast to end by a time.
+func (s *Scheduler) RunsEndingBy(target string, limit time.Time) int {
+	t, n := s.targets[target], 0
+	if t == nil {
+		return 0
+	}
+	for _, r := range t.runs {
+		if r.task != nil && !r.end().After(limit) {
+			n++
+		}
+	}
+	return n
+}
+
 // drain refuses the jobs of which no task can have run, and lets the others
 // complete.
 func (s *Scheduler) drain() {
--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -265,22 +265,37 @@
 // It tries the next owner only if the previous one has certainly started
 // nothing. It first asks the best owners to accept the job only if it can start
 // at once, and skips those that have just reported too little free capacity. If
-// none accepts it, the best owner queues the job. If that one turns it away, the job is
-// offered to another one that has reported room for its priority. If all owners are
-// full, each further request would delay the job and cost the owners processor time.
+// none accepts it, the best owner queues the job. If all owners are full, each
+// further request would delay the job and cost the owners processor time.
 func (f *Frontend) runAtOwners(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
-	all, need := f.rankedOwners(j), cpuToStart(j)
-	all = all[:min(len(all), maxStartNowOwners)]
+	if o, owner, ok := f.startNow(ctx, j, f.rankedOwners(j), maxStartNowOwners); ok {
+		return o, owner
+	}
+	return f.queue(ctx, j)
+}
+
+// startNow asks up to n owners to accept the job if it can start at once, and skips
+// those that have just reported too little free capacity. It returns false if the job
+// may be sent to another owner.
+func (f *Frontend) startNow(ctx context.Context, j *scheduler.Job, owners []candidate, n int) (o scheduler.Outcome, owner string, ok bool) {
+	need := cpuToStart(j)
 	startNow := *j
 	startNow.MustStartNow = true
-	for _, c := range all {
+	for _, c := range owners[:min(len(owners), n)] {
 		if c.cannotStartNow(time.Now(), need) {
 			continue
 		}
 		if o := f.runAt(ctx, c.address, &startNow); isFinal(o) || ctx.Err() != nil {
-			return o, c.address
+			return o, c.address, true
 		}
 	}
+	return nil, "", false
+}
+
+// queue asks the owners, the best one first, to queue the job, until one accepts it. If
+// an owner turns it away, the job is offered only to another one that has reported room
+// for its priority.
+func (f *Frontend) queue(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
 	o = scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
 	turnedAway := 0
 	for _, c := range f.rankedOwners(j) {
--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -12,9 +12,11 @@
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"marigoldfront.dev/core/evacuation"
 	"marigoldfront.dev/core/ledger"
 	"marigoldfront.dev/core/scheduler"
 	"marigoldfront.dev/infra/disconnect"
+	"marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
@@ -46,6 +48,10 @@
 	Cancel func(jobs []string, write bool) (written bool)
 	// Awaited passes on which jobs a sender awaits.
 	Awaited func(scheduler.Awaited)
+	// Evacuation returns the set of evacuated zones in force. OnEvacuation is called
+	// with the set of each heartbeat.
+	Evacuation   func() evacuation.Set
+	OnEvacuation func(evacuation.Set)
 	// Clock returns the time. It must include suspensions of the machine.
 	Clock func() time.Time
 	// Load returns the load report of this instance's targets.
@@ -56,6 +62,8 @@
 	OnNewerConfiguration func(version int64)
 	// Incarnation identifies this run of the instance.
 	Incarnation uint64
+	// Guard bounds the connections and messages.
+	Guard *intake.Guard
 }
 
 // Server implements wire.Pool: it runs jobs of other instances on the targets of
@@ -89,11 +97,11 @@
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{cfg: cfg, done: make(chan struct{}), senders: map[string]*sender{}}
 	s.server = &http.Server{
-		Handler:           http.MaxBytesHandler(wire.NewPoolServer(s), maxMessageBytes),
+		Handler:           readMessages(wire.NewPoolServer(s)),
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
-		ConnContext:       disconnect.ConnContext,
 	}
+	cfg.Guard.Protect(s.server)
 	return s
 }
 
@@ -129,13 +137,16 @@
 			zap.Duration("under_way", underWay), zap.Bool("same_incarnation", ok))
 		return s.refuseUnstarted(), nil
 	}
+	j := jobFromWire(sent, in)
+	if err := intake.Hold(ctx, j.Memory()); err != nil {
+		return nil, twirp.NewError(twirp.ResourceExhausted, err.Error())
+	}
 	p := s.addJob(in, sent, cancel)
 	if p == nil {
 		return s.refuseUnstarted(), nil
 	}
 	ctx, span := s.cfg.Tracer.Start(tracing.Extract(ctx, in.Traceparent), "run at owner")
 	defer span.End()
-	j := jobFromWire(sent, in)
 	j.TraceID = tracing.TraceID(ctx)
 	o, err := s.cfg.Submit(ctx, j)
 	out, err := s.encodeReply(ctx, o, err)
@@ -248,8 +259,14 @@
 
 // Beat implements wire.Pool.
 func (s *Server) Beat(_ context.Context, in *wire.BeatRequest) (*wire.BeatReply, error) {
+	if in.Evacuation != nil {
+		s.cfg.OnEvacuation(EvacuationFromWire(in.Evacuation))
+	}
 	version, _ := s.cfg.Configuration()
-	out := &wire.BeatReply{Incarnation: s.cfg.Incarnation, Configuration: version, Load: s.cfg.Load(), Time: s.ownTime()}
+	out := &wire.BeatReply{
+		Incarnation: s.cfg.Incarnation, Configuration: version, Load: s.cfg.Load(), Time: s.ownTime(),
+		Evacuation: evacuationToWire(s.cfg.Evacuation()),
+	}
 	awaited, recalled := s.reconcile(in, out)
 	if len(awaited.Jobs) > 0 {
 		s.cfg.Awaited(awaited)
@@ -306,7 +323,7 @@
 // FetchConfiguration implements wire.Pool.
 func (s *Server) FetchConfiguration(context.Context, *wire.FetchConfigurationRequest) (*wire.FetchConfigurationReply, error) {
 	version, value := s.cfg.Configuration()
-	return &wire.FetchConfigurationReply{Version: version, Value: value}, nil
+	return &wire.FetchConfigurationReply{Version: version, Value: value, Evacuation: evacuationToWire(s.cfg.Evacuation())}, nil
 }
 
 // expiryLoop checks for unresponsive senders until Close.
