--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -74,9 +74,10 @@
 	// demands holds the demand by service.
 	demands map[string]*demand.Demand
 	// wastedShare is the share of the room that stays free because no waiting task
-	// fits. nextPlan is the earliest time of the next decision about the queue.
-	wastedShare float64
-	nextPlan    time.Time
+	// fits, by service.
+	wastedShare map[string]float64
+	// nextPlan is the earliest time of the next decision about the queue.
+	nextPlan time.Time
 	// turnedAwayAt is when a job was last turned away for want of room, by priority.
 	turnedAwayAt map[int]time.Time
 	// stallBegan and stallEnded delimit the last time in which the instance may have
@@ -105,7 +106,7 @@
 		requests: map[RequestID]*job{},
 		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{}, lastSubmit: map[string]time.Time{},
 		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), evacuatedSince: map[string]time.Time{},
-		demands: map[string]*demand.Demand{}, turnedAwayAt: map[int]time.Time{},
+		demands: map[string]*demand.Demand{}, turnedAwayAt: map[int]time.Time{}, wastedShare: map[string]float64{},
 	}
 }
 
