pool/relay: the dependencies of a Client are a struct

Cause: NewClient had ten parameters, four of them functions that a reader could only tell apart by counting. Change: ClientConfig, like ServerConfig.

--- a/pool/frontend/offer_test.go
+++ b/pool/frontend/offer_test.go
@@ -90,8 +90,11 @@
 		t.Fatal(err)
 	}
 	m := metrics.New()
-	client := relay.NewClient(zap.NewNop(), tracer, "self", 1, time.Now, func() time.Duration { return 0 },
-		func() int64 { return 0 }, func(wire.Pool) {}, func() evacuation.Set { return evacuation.Set{} }, func(evacuation.Set) {})
+	client := relay.NewClient(relay.ClientConfig{
+		Log: zap.NewNop(), Tracer: tracer, Name: "self", Incarnation: 1, Clock: time.Now,
+		StallAge: func() time.Duration { return 0 }, Version: func() int64 { return 0 }, OnNewerConfiguration: func(wire.Pool) {},
+		Evacuation: func() evacuation.Set { return evacuation.Set{} }, OnEvacuation: func(evacuation.Set) {},
+	})
 	t.Cleanup(func() { client.Close(); _ = m.Close() })
 	holders := map[ownership.Shard]ownership.Claim{}
 	for i, o := range owners {
--- a/pool/relay/awaited_test.go
+++ b/pool/relay/awaited_test.go
@@ -56,7 +56,7 @@
 	awaited := o.recordAwaited()
 	r := newTestClient(t)
 	var stall atomic.Int64
-	r.stallAge = func() time.Duration { return time.Duration(stall.Load()) }
+	r.cfg.StallAge = func() time.Duration { return time.Duration(stall.Load()) }
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go r.Run(ctx, o.address, testJob())
--- a/pool/relay/heartbeat.go
+++ b/pool/relay/heartbeat.go
@@ -15,7 +15,7 @@
 func (c *Client) confirm(address string) bool {
 	c.mu.Lock()
 	o := c.owner(address)
-	recent := c.clock().Sub(o.lastReply) <= heartbeatEvery+overdueReply
+	recent := c.cfg.Clock().Sub(o.lastReply) <= heartbeatEvery+overdueReply
 	c.mu.Unlock()
 	return recent || c.ask(o) != nil
 }
@@ -94,7 +94,7 @@
 // settle waits after a stall of this instance, so that the next heartbeat does not list
 // jobs whose callers have disconnected during it.
 func (c *Client) settle() {
-	for end := time.Now().Add(maxSettleTime); c.stallAge() > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(maxSettleTime); c.cfg.StallAge() > 0 && time.Now().Before(end); {
 		time.Sleep(settleInterval)
 	}
 }
@@ -113,14 +113,14 @@
 // replies are awaited. Its time is that before a stall of this instance, as long as
 // callers may have disconnected unnoticed.
 func (c *Client) nextHeartbeat(o *owner) *wire.BeatRequest {
-	version, set := c.version(), c.evacuation()
+	version, set := c.cfg.Version(), c.cfg.Evacuation()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o.heartbeats++
 	o.heartbeatSent = time.Now()
 	in := &wire.BeatRequest{
-		Sender: c.name, Incarnation: c.incarnation, Configuration: version, Number: o.heartbeats, Last: c.lastID,
-		Sent: o.estimateTime(c.clock(), c.stallAge()), Recall: c.recalled, Evacuation: evacuationToWire(set),
+		Sender: c.cfg.Name, Incarnation: c.cfg.Incarnation, Configuration: version, Number: o.heartbeats, Last: c.lastID,
+		Sent: o.estimateTime(c.cfg.Clock(), c.cfg.StallAge()), Recall: c.recalled, Evacuation: evacuationToWire(set),
 	}
 	for id, job := range o.inFlight {
 		in.Jobs = append(in.Jobs, id)
@@ -140,21 +140,21 @@
 		c.recordReply(o, out.Load, out.Time, out.Epoch)
 		c.reconcile(o, out)
 		if out.Evacuation != nil {
-			c.onEvacuation(EvacuationFromWire(out.Evacuation))
+			c.cfg.OnEvacuation(EvacuationFromWire(out.Evacuation))
 		}
-		if out.Configuration > c.version() {
-			c.onNewerConfiguration(o.client)
+		if out.Configuration > c.cfg.Version() {
+			c.cfg.OnNewerConfiguration(o.client)
 		}
 		return out
 	}
 	c.markUnresponsive(o)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	silent := c.clock().Sub(o.lastReply)
+	silent := c.cfg.Clock().Sub(o.lastReply)
 	if len(o.inFlight) == 0 || silent < ownerTimeout {
 		return nil
 	}
-	c.log.Warn("An owner is unresponsive; its jobs are no longer awaited.", zap.Int("jobs", len(o.inFlight)), zap.Error(err),
+	c.cfg.Log.Warn("An owner is unresponsive; its jobs are no longer awaited.", zap.Int("jobs", len(o.inFlight)), zap.Error(err),
 		zap.Duration("silent", silent))
 	for _, job := range o.inFlight {
 		job.cancel(errOwnerUnresponsive)
@@ -167,7 +167,7 @@
 func (c *Client) heartbeatTimeout(o *owner) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	left := ownerTimeout - c.clock().Sub(o.lastReply)
+	left := ownerTimeout - c.cfg.Clock().Sub(o.lastReply)
 	if left <= 0 {
 		return maxHeartbeatTimeout
 	}
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -91,23 +91,35 @@
 	Overdue bool
 }
 
+// ClientConfig holds the dependencies of a Client.
+type ClientConfig struct {
+	Log    *zap.Logger
+	Tracer *tracing.Tracer
+	// Name and Incarnation identify this instance.
+	Name        string
+	Incarnation uint64
+	// Clock returns the time. It must include suspensions of the machine.
+	Clock func() time.Time
+	// StallAge returns for how long disconnected callers may not have been noticed.
+	StallAge func() time.Duration
+	// Version returns the version of the configuration in force, which each heartbeat
+	// carries. OnNewerConfiguration is called with an owner that has a newer one.
+	Version              func() int64
+	OnNewerConfiguration func(wire.Pool)
+	// Evacuation returns the set of evacuated zones in force, which each heartbeat
+	// carries. OnEvacuation is called with the set of each reply.
+	Evacuation   func() evacuation.Set
+	OnEvacuation func(evacuation.Set)
+}
+
 // Client sends jobs to other instances. Its methods may be called from several
 // goroutines.
 type Client struct {
-	log                  *zap.Logger
-	tracer               *tracing.Tracer
-	name                 string
-	incarnation          uint64
-	clock                func() time.Time
-	stallAge             func() time.Duration
-	version              func() int64
-	onNewerConfiguration func(wire.Pool)
-	evacuation           func() evacuation.Set
-	onEvacuation         func(evacuation.Set)
-	http                 *http.Client
-	ctx                  context.Context
-	cancel               context.CancelFunc
-	wg                   sync.WaitGroup
+	cfg    ClientConfig
+	http   *http.Client
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 
 	mu     sync.Mutex
 	owners map[string]*owner // by address
@@ -167,17 +179,11 @@
 	errJobNotReceived = errors.New("the job has not reached the owner")
 )
 
-// NewClient returns a Client of the instance with the name and incarnation. The clock
-// must include suspensions of the machine. The function stallAge returns for how long
-// disconnected callers may not have been noticed. Each heartbeat carries the result of
-// version, the version of the active configuration. The function
-// onNewerConfiguration is called with an owner that has a newer one. Heartbeats also
-// carry the result of evacuation, and onEvacuation is called with the set of each reply.
-func NewClient(log *zap.Logger, tracer *tracing.Tracer, name string, incarnation uint64, clock func() time.Time, stallAge func() time.Duration, version func() int64, onNewerConfiguration func(wire.Pool), evacuation func() evacuation.Set, onEvacuation func(evacuation.Set)) *Client {
+// NewClient returns a Client without owners.
+func NewClient(cfg ClientConfig) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
-		log: log, tracer: tracer, name: name, incarnation: incarnation, clock: clock, stallAge: stallAge, version: version,
-		onNewerConfiguration: onNewerConfiguration, evacuation: evacuation, onEvacuation: onEvacuation, ctx: ctx, cancel: cancel,
+		cfg: cfg, ctx: ctx, cancel: cancel,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConns,
@@ -219,19 +225,19 @@
 // Refused only if the job certainly does not run there. The times of the job are of
 // the clock of the Client.
 func (c *Client) Run(ctx context.Context, address string, j *scheduler.Job) scheduler.Outcome {
-	ctx, cancelTimeout := context.WithTimeout(ctx, j.Deadline.Sub(c.clock())+replySlack)
+	ctx, cancelTimeout := context.WithTimeout(ctx, j.Deadline.Sub(c.cfg.Clock())+replySlack)
 	defer cancelTimeout()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if !c.confirm(address) {
-		c.log.Info("An owner did not reply in time to get a job.", zap.String("job", j.ID), zap.String("owner", address))
+		c.cfg.Log.Info("An owner did not reply in time to get a job.", zap.String("job", j.ID), zap.String("owner", address))
 		return scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
 	}
-	in := jobToWire(c.clock(), j)
+	in := jobToWire(c.cfg.Clock(), j)
 	o, job, id := c.addJob(address, cancel)
-	ctx, span := c.tracer.Start(ctx, "ask owner")
+	ctx, span := c.cfg.Tracer.Start(ctx, "ask owner")
 	defer span.End()
-	in.Sender, in.Incarnation, in.Id, in.Traceparent = c.name, c.incarnation, id, tracing.Inject(ctx)
+	in.Sender, in.Incarnation, in.Id, in.Traceparent = c.cfg.Name, c.cfg.Incarnation, id, tracing.Inject(ctx)
 	in.Sent = job.sentTime
 	out, err := o.client.Run(ctx, in)
 	c.removeJob(o, id)
@@ -241,10 +247,10 @@
 	}
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errReplyByHeartbeat):
-		c.log.Info("The connection of a job has stalled; its reply arrived with a heartbeat.", zap.String("job", j.ID), zap.String("owner", address))
+		c.cfg.Log.Info("The connection of a job has stalled; its reply arrived with a heartbeat.", zap.String("job", j.ID), zap.String("owner", address))
 		return outcomeFromWire(job.reply)
 	case errors.Is(cause, errJobNotReceived):
-		c.log.Info("A job did not reach the owner.", zap.String("job", j.ID), zap.String("owner", address))
+		c.cfg.Log.Info("A job did not reach the owner.", zap.String("job", j.ID), zap.String("owner", address))
 		return scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
 	}
 	var op *net.OpError
@@ -256,7 +262,7 @@
 	if errors.As(err, &te) && te.Code() == twirp.ResourceExhausted {
 		return scheduler.Refused{Reason: scheduler.ReasonOverloaded, RetryAfter: time.Second}
 	}
-	c.log.Info("An owner did not reply to a job.", zap.String("job", j.ID), zap.String("owner", address),
+	c.cfg.Log.Info("An owner did not reply to a job.", zap.String("job", j.ID), zap.String("owner", address),
 		zap.Error(err), zap.NamedError("cause", context.Cause(ctx)))
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return scheduler.Unknown{Reason: scheduler.ReasonDeadline}
@@ -282,7 +288,7 @@
 	defer c.mu.Unlock()
 	o := c.owner(address)
 	c.lastID++
-	job := &inFlightJob{cancel: cancel, sent: time.Now(), sentTime: o.estimateTime(c.clock(), 0), epoch: o.epoch}
+	job := &inFlightJob{cancel: cancel, sent: time.Now(), sentTime: o.estimateTime(c.cfg.Clock(), 0), epoch: o.epoch}
 	o.inFlight[c.lastID] = job
 	c.startHeartbeats(o)
 	return o, job, c.lastID
@@ -300,11 +306,11 @@
 func (c *Client) recordReply(o *owner, l *wire.PoolLoad, t *wire.OwnerTime, epoch uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o.observeTime(c.clock(), t)
+	o.observeTime(c.cfg.Clock(), t)
 	if l == nil {
 		return
 	}
-	o.lastReply, o.epoch = c.clock(), epoch
+	o.lastReply, o.epoch = c.cfg.Clock(), epoch
 	o.heartbeatSent, o.unresponsiveSince = time.Time{}, time.Time{}
 	o.load = Load{
 		ForecastWait: time.Duration(l.WaitMs) * time.Millisecond, FreeCPU: l.FreeCpu, CPU: l.Cpu,
--- a/pool/relay/relay_test.go
+++ b/pool/relay/relay_test.go
@@ -21,8 +21,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := NewClient(zap.NewNop(), tracer, "a", 1, time.Now, func() time.Duration { return 0 }, func() int64 { return 0 }, func(wire.Pool) {},
-		func() evacuation.Set { return evacuation.Set{} }, func(evacuation.Set) {})
+	r := NewClient(ClientConfig{
+		Log: zap.NewNop(), Tracer: tracer, Name: "a", Incarnation: 1, Clock: time.Now,
+		StallAge: func() time.Duration { return 0 }, Version: func() int64 { return 0 }, OnNewerConfiguration: func(wire.Pool) {},
+		Evacuation: func() evacuation.Set { return evacuation.Set{} }, OnEvacuation: func(evacuation.Set) {},
+	})
 	t.Cleanup(r.Close)
 	return r
 }
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -186,8 +186,11 @@
 		OnEvacuation:    func(s evacuation.Set) { in.loop.Post(scheduler.ZonesEvacuated{Zones: s.Zones}) },
 		AskInstance:     in.askInstance,
 	})
-	in.relayClient = relay.NewClient(in.logger("relay"), in.tracer, cfg.Name, in.self.Incarnation, clock.Now, in.stalls.MaxAge,
-		in.configuration.Version, in.fetchConfiguration, in.configuration.Evacuation, in.applyEvacuation)
+	in.relayClient = relay.NewClient(relay.ClientConfig{
+		Log: in.logger("relay"), Tracer: in.tracer, Name: cfg.Name, Incarnation: in.self.Incarnation, Clock: clock.Now, StallAge: in.stalls.MaxAge,
+		Version: in.configuration.Version, OnNewerConfiguration: in.fetchConfiguration,
+		Evacuation: in.configuration.Evacuation, OnEvacuation: in.applyEvacuation,
+	})
 	in.relayServer = relay.NewServer(relay.ServerConfig{
 		Log: in.logger("relay"), Tracer: in.tracer, Submit: in.loop.Submit, Clock: clock.Now, Load: in.wireLoad,
 		Recall:        func(job string) { in.loop.Post(scheduler.Recall{Job: job}) },
