--- a/core/draft/diff.go
+++ b/core/draft/diff.go
@@ -8,7 +8,7 @@
 
 // Change is a difference between two configurations.
 type Change struct {
-	// Kind is "version", "limit", "service" or "queue".
+	// Kind is "version", "value", "limit", "service" or "queue".
 	Kind string `json:"kind"`
 	Name string `json:"name,omitempty"`
 	// Op is "created", "changed" or "deleted".
@@ -51,7 +51,8 @@
 // are in the order of the new configuration, and those that it lacks come last.
 func Diff(from, to *Draft) []Change {
 	changes := diffEntries("version", versionEntry(from), versionEntry(to))
-	changes = append(changes, diffEntries("limit", limitEntries(from), limitEntries(to))...)
+	changes = append(changes, diffEntries("value", valueEntries(from.Values), valueEntries(to.Values))...)
+	changes = append(changes, diffEntries("limit", valueEntries(from.Limits), valueEntries(to.Limits))...)
 	changes = append(changes, diffEntries("service", serviceEntries(from), serviceEntries(to))...)
 	return append(changes, diffEntries("queue", queueEntries(from), queueEntries(to))...)
 }
@@ -112,8 +113,8 @@
 	return []entry{{values: []Value{{"version", strconv.FormatInt(d.Version, 10)}}}}
 }
 
-func limitEntries(d *Draft) (all []entry) {
-	for _, v := range d.Limits {
+func valueEntries(values []Value) (all []entry) {
+	for _, v := range values {
 		all = append(all, entry{v.Name, []Value{{"value", v.Text}}})
 	}
 	return all
--- a/core/draft/draft.go
+++ b/core/draft/draft.go
@@ -13,8 +13,8 @@
 	Version  int64
 	Queues   []Queue
 	Services []Service
-	// Limits holds the values of other limits by their names.
-	Limits []Value
+	// Limits holds the values of other limits by their names, and Values all others.
+	Limits, Values []Value
 	// Place is the place of the version.
 	Place string
 }
--- a/ctl/command/pool_check.go
+++ b/ctl/command/pool_check.go
@@ -67,7 +67,7 @@
 }
 
 func (c *poolCheck) check(ctx context.Context) (*checkView, error) {
-	v := &checkView{Errors: []placeView{}, Warnings: []placeView{}, Changes: []draft.Change{}, Against: c.Against}
+	v := &checkView{Errors: []placeView{}, Warnings: []placeView{}, Changes: []draft.Change{}}
 	d, found, err := c.loadFile(c.Args.File)
 	if err != nil {
 		return nil, err
@@ -89,7 +89,7 @@
 		if d.Version <= old.Version {
 			found.Add(d.Place, "the version %d is not newer than %d, so that no instance applies it", d.Version, old.Version)
 		}
-		v.Changes = append(v.Changes, draft.Diff(old, d)...)
+		v.Against, v.Changes = c.Against, append(v.Changes, draft.Diff(old, d)...)
 	}
 	v.Errors, v.Warnings = placeViews(found), placeViews(d.Warnings(served))
 	return v, nil
@@ -107,7 +107,7 @@
 
 // loadOther reads the configuration to compare with.
 func (c *poolCheck) loadOther(ctx context.Context) (*draft.Draft, error) {
-	if !strings.HasPrefix(c.Against, "http://") {
+	if !strings.Contains(c.Against, "://") {
 		d, found, err := c.loadFile(c.Against)
 		if err == nil {
 			err = found.Err()
