core/shedding: a started job takes the room there is

After a failed forecast of a started job, take returned early. All releases stayed in the free room, so that busy cores counted as free now for the jobs after it. It now takes what there is, and the next job waits at least as long.

With room for 8 cores from 1 s on and a started job of 16 cores, a job with a latest useful start of 200 ms was kept as in time. It is refused now.

--- a/core/shedding/shedding.go
+++ b/core/shedding/shedding.go
@@ -261,14 +261,12 @@
 	return st
 }
 
-// take gives a job its room.
+// take gives a job its room, or what there is if it needs more than all room.
 func (p *planner) take(i int, st start) {
 	j := p.jobs[i]
-	if p.free < j.Cores {
-		return
-	}
-	p.free -= j.Cores
-	heap.Push(&p.releases, Release{At: st.room + j.RunTime, Cores: j.Cores})
+	cores := min(j.Cores, p.free)
+	p.free -= cores
+	heap.Push(&p.releases, Release{At: st.room + j.RunTime, Cores: cores})
 	p.wait = st.room
 }
 
--- a/core/shedding/shedding_test.go
+++ b/core/shedding/shedding_test.go
@@ -133,3 +133,16 @@
 		}
 	}
 }
+
+// Guards against a started job that needs more than all room and leaves that room to
+// the jobs after it, as if it was free now.
+func TestStartedJobTakesTheRoomThereIs(t *testing.T) {
+	jobs := []Job{
+		{Cores: 16, RunTime: time.Second, Price: 1, LatestStart: 50 * ms, LatestUseful: 90 * ms, Started: true},
+		{Cores: 8, RunTime: 50 * ms, Price: 1, LatestStart: 100 * ms, LatestUseful: 200 * ms},
+	}
+	room := Room{Cores: 8, Releases: []Release{{At: time.Second, Cores: 8}}}
+	if p := New(jobs, room); fmt.Sprint(p.Order, p.InTime, len(p.Refused)) != "[0] 1 1" {
+		t.Errorf("%+v; want job 1 to be refused, as all room is busy until its answer is of no use", p)
+	}
+}
