core/shedding: jobs larger than all room run in waves

A job whose waiting tasks need more cores together than all room was forecast never to start and refused at once. It now takes all room for as long as its work lasts, and its last task starts later by the excess. Amounts of room are compared with a tolerance, since sums of them are rounded.

A job of 65 one-core tasks of 1 s with a minute of slack on 64 cores was refused and is in time now. Without any room, jobs are refused as before.

--- a/core/shedding/shedding.go
+++ b/core/shedding/shedding.go
@@ -89,6 +89,9 @@
 	// refusalWeight is by how much each earlier refusal raises the price of a job, so
 	// that no caller is turned away again and again while others are served.
 	refusalWeight = 0.5
+	// coreTolerance is the difference up to which amounts of room count as equal,
+	// because sums of them are rounded.
+	coreTolerance = 1e-6
 	// maxPasses bounds the time of a decision about a long queue. After so many, jobs
 	// that would be late give way themselves, and the next decision goes on.
 	maxPasses = 64
@@ -97,6 +100,10 @@
 // New decides about jobs.
 func New(jobs []Job, room Room) Plan {
 	p := &planner{jobs: jobs, room: room, price: make([]float64, len(jobs)), preferred: make([]int, len(jobs))}
+	p.all = room.Free
+	for _, r := range room.Releases {
+		p.all += r.Cores
+	}
 	for i, j := range jobs {
 		p.price[i] = j.Price * (1 + refusalWeight*float64(j.Refusals))
 		p.preferred[i] = -1
@@ -135,8 +142,9 @@
 	kept, late []int
 	// passes counts the calls of removeLate.
 	passes int
-	// free and releases are the room after the kept jobs, wait the time until the
-	// last of them has started.
+	// all is the room now and later. free and releases are the room after the kept
+	// jobs, wait the time until the last of them has got its room.
+	all      float64
 	free     float64
 	releases releaseHeap
 	wait     time.Duration
@@ -242,31 +250,42 @@
 }
 
 // forecast returns the forecast start of a job after those for which take was called
-// before. A late job also starts after work of its own price that is yet to arrive. The
+// before. A job that needs more than all room runs in waves. A late job also starts after work of its own price that is yet to arrive. The
 // caller has to call take or putBack next.
 func (p *planner) forecast(i int, late bool) start {
 	j := p.jobs[i]
 	st := start{room: p.wait}
-	for p.free < j.Cores && len(p.releases) > 0 {
+	cores, runTime := p.need(j)
+	for p.free < cores-coreTolerance && len(p.releases) > 0 {
 		r := heap.Pop(&p.releases).(Release)
 		st.room = max(st.room, r.At)
 		p.free += r.Cores
 		st.used = append(st.used, r)
 	}
-	if p.free < j.Cores {
+	if cores <= 0 && j.Cores > 0 || p.free < cores-coreTolerance {
 		st.at = max(j.LatestStart, j.LatestUseful) + 1
 		return st
 	}
-	st.at = time.Duration(float64(st.room) / (1 - p.arrivingShare(p.price[i], late)))
+	st.at = time.Duration(float64(st.room+runTime-j.RunTime) / (1 - p.arrivingShare(p.price[i], late)))
 	return st
 }
 
+// need returns the room that a job takes and for how long. A job that needs more than
+// all room takes all of it, and longer by the excess.
+func (p *planner) need(j Job) (float64, time.Duration) {
+	if j.Cores <= p.all || p.all <= 0 {
+		return min(j.Cores, p.all), j.RunTime
+	}
+	return p.all, time.Duration(float64(j.RunTime) * j.Cores / p.all)
+}
+
 // take gives a job its room, or what there is if it needs more than all room.
 func (p *planner) take(i int, st start) {
 	j := p.jobs[i]
-	cores := min(j.Cores, p.free)
+	cores, runTime := p.need(j)
+	cores = min(cores, p.free)
 	p.free -= cores
-	heap.Push(&p.releases, Release{At: st.room + j.RunTime, Cores: cores})
+	heap.Push(&p.releases, Release{At: st.room + runTime, Cores: cores})
 	p.wait = st.room
 }
 
--- a/core/shedding/shedding_test.go
+++ b/core/shedding/shedding_test.go
@@ -146,3 +146,20 @@
 		t.Errorf("%+v; want job 1 to be refused, as all room is busy until its answer is of no use", p)
 	}
 }
+
+// Guards against a job that is refused at once because its tasks do not all run at the
+// same time, although there is time for one after the other.
+func TestJobLargerThanAllRoomRunsInWaves(t *testing.T) {
+	room := Room{Cores: 64, Releases: []Release{{At: 20 * ms, Cores: 64}}}
+	j := Job{Cores: 65, RunTime: time.Second, Price: 1, LatestStart: time.Minute, LatestUseful: 2 * time.Minute}
+	if p := New([]Job{j}, room); p.InTime != 1 {
+		t.Errorf("%+v; want a job of 65 tasks to be in time on 64 cores", p)
+	}
+	j.Cores, j.LatestStart, j.LatestUseful = 640, 8*time.Second, 9*time.Second
+	if p := New([]Job{j}, room); len(p.Refused) != 1 {
+		t.Errorf("%+v; want a job to be refused whose last task starts too late", p)
+	}
+	if p := New([]Job{j}, Room{}); len(p.Refused) != 1 {
+		t.Errorf("%+v; want a job to be refused if there is no room at all", p)
+	}
+}
