core/shedding: nothing gives way to a job that is late itself

A job that cannot be in time in all the room took victims and was then refused, and so did one that gave way to a dearer one in turn. The first takes no victims now; the victims of the second are put back and decided about again, in up to four rounds.

Beside a job of price 9 that can never be in time, two jobs of price 1 were refused; they are in time now. In a chain of three jobs of prices 1, 5 and 9 only the second is refused, instead of the first two.

--- a/core/shedding/shedding.go
+++ b/core/shedding/shedding.go
@@ -95,6 +95,9 @@
 	// maxPasses bounds the time of a decision about a long queue. After so many, jobs
 	// that would be late give way themselves, and the next decision goes on.
 	maxPasses = 64
+	// maxRounds bounds how often jobs are reconsidered that gave way to one that will
+	// be late itself.
+	maxRounds = 4
 )
 
 // New decides about jobs.
@@ -112,6 +115,10 @@
 	slices.SortStableFunc(p.kept, p.compare)
 	for p.removeLate() {
 	}
+	for n := 0; n < maxRounds && p.reconsider(); n++ {
+		for p.removeLate() {
+		}
+	}
 	out := Plan{Order: p.kept, InTime: len(p.kept)}
 	slices.SortStableFunc(p.late, func(a, b int) int { return cmp.Compare(p.price[b], p.price[a]) })
 	for _, i := range p.late {
@@ -184,7 +191,10 @@
 			continue
 		}
 		p.putBack(start)
-		victims := p.victims(i, start.at-j.LatestStart)
+		var victims []int
+		if p.fits(j) {
+			victims = p.victims(i, start.at-j.LatestStart)
+		}
 		if len(victims) == 0 || p.passes >= maxPasses {
 			p.remove(i, p.dearer(i))
 			continue
@@ -198,6 +208,38 @@
 	return false
 }
 
+// fits reports whether a job can be in time if it gets all room at once.
+func (p *planner) fits(j Job) bool {
+	cores, runTime := p.need(j)
+	return (cores > 0 || j.Cores <= 0) && runTime-j.RunTime <= j.LatestStart
+}
+
+// reconsider puts the jobs back that gave way to one that will be late itself. It reports
+// whether there are any. The dearest job of such a chain stays late, so that each call
+// makes progress.
+func (p *planner) reconsider() bool {
+	late := make([]bool, len(p.jobs))
+	for _, i := range p.late {
+		late[i] = true
+	}
+	var stay []int
+	for _, i := range p.late {
+		if other := p.preferred[i]; other >= 0 && late[other] {
+			p.kept = append(p.kept, i)
+		} else {
+			stay = append(stay, i)
+		}
+	}
+	found := len(stay) < len(p.late)
+	p.late = stay
+	for _, i := range p.kept {
+		p.preferred[i] = -1
+	}
+	// The index makes the order independent of that in which the jobs were removed.
+	slices.SortFunc(p.kept, func(a, b int) int { return cmp.Or(p.compare(a, b), cmp.Compare(a, b)) })
+	return found
+}
+
 // victims returns the kept jobs with the lowest prices, all below that of a job after
 // them, that have to give way for it to start earlier by the time missing. It returns
 // none if they do not free enough room.
--- a/core/shedding/shedding_test.go
+++ b/core/shedding/shedding_test.go
@@ -163,3 +163,33 @@
 		t.Errorf("%+v; want a job to be refused if there is no room at all", p)
 	}
 }
+
+// Guards against jobs that give way to one that is refused itself, because it cannot
+// start in time in all the room there is.
+func TestNothingGivesWayToAJobThatCannotBeInTime(t *testing.T) {
+	room := Room{
+		Cores: 6, Releases: []Release{{At: 20 * ms, Cores: 8}},
+		Arriving: []Arrival{{Price: 1, Rate: 6}},
+	}
+	cheap := Job{Cores: 8, RunTime: 2 * time.Second, Price: 1, LatestStart: 50010 * ms, LatestUseful: 55 * time.Second}
+	other := cheap
+	other.LatestStart = 51 * time.Second
+	dear := Job{Cores: 17, RunTime: 53340 * ms, Price: 9, LatestStart: time.Minute, LatestUseful: 60010 * ms}
+	if p := New([]Job{cheap, other, dear}, room); fmt.Sprint(p.Order, p.InTime, len(p.Refused)) != "[0 1] 2 1" {
+		t.Errorf("%+v; want only job 2 to be refused", p)
+	}
+}
+
+// Guards against a job that gave way to one that gives way in turn, and is refused
+// although what is left can be served in time with it.
+func TestVictimOfARefusedJobIsReconsidered(t *testing.T) {
+	jobs := []Job{
+		{Cores: 8, RunTime: 100 * ms, Price: 1, LatestStart: 10 * ms, LatestUseful: 20 * ms},
+		{Cores: 8, RunTime: time.Second, Price: 5, LatestStart: 50 * ms, LatestUseful: 60 * ms},
+		{Cores: 8, RunTime: 100 * ms, Price: 9, LatestStart: 300 * ms, LatestUseful: 400 * ms},
+	}
+	p := New(jobs, Room{Cores: 8, Free: 8})
+	if r, ok := refusedJobs(p)[1]; !ok || r.Preferred != 2 || fmt.Sprint(p.Order, p.InTime) != "[0 2] 2" {
+		t.Errorf("%+v; want only job 1 to be refused, because of job 2", p)
+	}
+}
