core/shedding: the order of the input does not decide

Releases and arriving work were added up in the order of the input, and rounding made jobs at the limit kept or refused by it. Both are sorted first, and releases at the same time are used in the order of their cores.

100 shuffles give the same plan for one job at the limit of the releases, for one at that of the arriving work, and for 60 jobs with 200 releases.

--- a/core/shedding/shedding.go
+++ b/core/shedding/shedding.go
@@ -39,6 +39,11 @@
 	Cores float64
 }
 
+// compare orders releases by time, and by room if they are at the same time.
+func (r Release) compare(o Release) int {
+	return cmp.Or(cmp.Compare(r.At, o.At), cmp.Compare(r.Cores, o.Cores))
+}
+
 // Room is the room for the jobs.
 type Room struct {
 	// Free can be used now. Releases are expected later, in any order.
@@ -100,8 +105,14 @@
 	maxRounds = 4
 )
 
-// New decides about jobs.
+// New decides about jobs. The order of room.Releases and room.Arriving does not matter.
 func New(jobs []Job, room Room) Plan {
+	// Sums of floating-point numbers depend on the order.
+	room.Releases, room.Arriving = slices.Clone(room.Releases), slices.Clone(room.Arriving)
+	slices.SortFunc(room.Releases, Release.compare)
+	slices.SortFunc(room.Arriving, func(a, b Arrival) int {
+		return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Rate, b.Rate))
+	})
 	p := &planner{jobs: jobs, room: room, price: make([]float64, len(jobs)), preferred: make([]int, len(jobs))}
 	p.all = room.Free
 	for _, r := range room.Releases {
@@ -361,7 +372,7 @@
 type releaseHeap []Release
 
 func (h releaseHeap) Len() int           { return len(h) }
-func (h releaseHeap) Less(i, k int) bool { return h[i].At < h[k].At }
+func (h releaseHeap) Less(i, k int) bool { return h[i].compare(h[k]) < 0 }
 func (h releaseHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
 func (h *releaseHeap) Push(x any)        { *h = append(*h, x.(Release)) }
 func (h *releaseHeap) Pop() any {
--- a/core/shedding/shedding_test.go
+++ b/core/shedding/shedding_test.go
@@ -193,3 +193,48 @@
 		t.Errorf("%+v; want only job 1 to be refused, because of job 2", p)
 	}
 }
+
+// Guards against decisions that depend on the order of the input, in which sums are
+// rounded differently.
+func TestOrderOfInputDoesNotMatter(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	long := longQueue(60)
+	for i := range long {
+		long[i].Cores /= 10
+	}
+	many := Room{Cores: 20, Arriving: []Arrival{{Price: 2, Rate: 0.7}, {Price: 3, Rate: 0.1}, {Price: 3, Rate: 0.2}}}
+	for i := range 200 {
+		many.Releases = append(many.Releases, Release{At: time.Duration(i/20) * 20 * ms, Cores: float64(1+i%7) / 10})
+	}
+	for name, c := range map[string]struct {
+		jobs []Job
+		room Room
+	}{
+		"releases": {
+			[]Job{{Cores: 1, RunTime: 50 * ms, Price: 1, LatestStart: 100 * ms, LatestUseful: 100 * ms}},
+			Room{Cores: 1, Releases: []Release{{At: 10 * ms, Cores: 0.7}, {At: 10 * ms, Cores: 0.1}, {At: 10 * ms, Cores: 0.2}}},
+		},
+		"arriving": {
+			[]Job{{Cores: 1, RunTime: 50 * ms, Price: 1, LatestStart: 500*ms - 1, LatestUseful: 500*ms - 1}},
+			Room{
+				Cores: 1.25, Releases: []Release{{At: 100 * ms, Cores: 1}},
+				Arriving: []Arrival{{Price: 5, Rate: 0.1}, {Price: 5, Rate: 0.2}, {Price: 5, Rate: 0.7}},
+			},
+		},
+		"many": {long, many},
+	} {
+		first := fmt.Sprint(New(c.jobs, c.room))
+		for range 100 {
+			rng.Shuffle(len(c.room.Releases), func(a, b int) {
+				c.room.Releases[a], c.room.Releases[b] = c.room.Releases[b], c.room.Releases[a]
+			})
+			rng.Shuffle(len(c.room.Arriving), func(a, b int) {
+				c.room.Arriving[a], c.room.Arriving[b] = c.room.Arriving[b], c.room.Arriving[a]
+			})
+			if p := fmt.Sprint(New(c.jobs, c.room)); p != first {
+				t.Errorf("%s: %s and, in another order, %s", name, first, p)
+				break
+			}
+		}
+	}
+}
