core/shedding: dear jobs come first in long queues too

Each pass finds victims for one late job, and after 64 passes late jobs gave way themselves, whatever their price, while cheaper ones stayed. After 64 passes, at least twice as many of the cheapest jobs give way in each pass, also from behind the late job. After 128, late jobs give way themselves as before.

Some cheap jobs of a long queue may give way without need, as the passes beyond the bound are coarse.

--- a/core/shedding/shedding.go
+++ b/core/shedding/shedding.go
@@ -97,8 +97,9 @@
 	// coreTolerance is the difference up to which amounts of room count as equal,
 	// because sums of them are rounded.
 	coreTolerance = 1e-6
-	// maxPasses bounds the time of a decision about a long queue. After so many, jobs
-	// that would be late give way themselves, and the next decision goes on.
+	// maxPasses bounds the time of a decision about a long queue. After so many, more
+	// and more of the cheapest jobs give way at once, and nothing is reconsidered.
+	// After twice as many, jobs that would be late give way themselves.
 	maxPasses = 64
 	// maxRounds bounds how often jobs are reconsidered that gave way to one that will
 	// be late itself.
@@ -126,7 +127,7 @@
 	slices.SortStableFunc(p.kept, p.compare)
 	for p.removeLate() {
 	}
-	for n := 0; n < maxRounds && p.reconsider(); n++ {
+	for n := 0; n < maxRounds && p.passes < maxPasses && p.reconsider(); n++ {
 		for p.removeLate() {
 		}
 	}
@@ -203,17 +204,19 @@
 		}
 		p.putBack(start)
 		var victims []int
-		if p.fits(j) {
-			victims = p.victims(i, start.at-j.LatestStart)
+		if p.fits(j) && p.passes < 2*maxPasses {
+			victims = p.victims(i, start.at-j.LatestStart, kept[n+1:])
 		}
-		if len(victims) == 0 || p.passes >= maxPasses {
+		if len(victims) == 0 {
 			p.remove(i, p.dearer(i))
 			continue
 		}
+		removed := make([]bool, len(p.jobs))
 		for _, v := range victims {
 			p.remove(v, i)
+			removed[v] = true
 		}
-		p.kept = slices.DeleteFunc(append(p.kept, kept[n:]...), func(k int) bool { return slices.Contains(victims, k) })
+		p.kept = slices.DeleteFunc(append(p.kept, kept[n:]...), func(k int) bool { return removed[k] })
 		return true
 	}
 	return false
@@ -253,23 +256,38 @@
 
 // victims returns the kept jobs with the lowest prices, all below that of a job after
 // them, that have to give way for it to start earlier by the time missing. It returns
-// none if they do not free enough room.
-func (p *planner) victims(last int, missing time.Duration) []int {
+// none if they do not free enough room. After maxPasses it returns at least twice as many
+// in each pass, also from the jobs behind, which most likely have to give way next.
+func (p *planner) victims(last int, missing time.Duration, behind []int) []int {
 	var cheaper []int
-	for _, i := range p.kept {
-		if !p.jobs[i].Started && p.price[i] < p.price[last] {
-			cheaper = append(cheaper, i)
+	add := func(jobs []int) {
+		for _, i := range jobs {
+			if !p.jobs[i].Started && p.price[i] < p.price[last] {
+				cheaper = append(cheaper, i)
+			}
 		}
 	}
+	add(p.kept)
+	before := make([]bool, len(p.jobs))
+	for _, i := range cheaper {
+		before[i] = true
+	}
+	atLeast := 0
+	if p.passes > maxPasses {
+		atLeast = 1 << min(p.passes-maxPasses, 30)
+		add(behind)
+	}
 	slices.SortStableFunc(cheaper, func(a, b int) int {
 		return cmp.Or(cmp.Compare(p.price[a], p.price[b]), cmp.Compare(p.jobs[a].Age, p.jobs[b].Age))
 	})
 	needed, removed := missing.Seconds()*p.room.Cores, 0.0
 	for n, i := range cheaper {
-		if removed >= needed {
+		if removed >= needed && n >= atLeast {
 			return cheaper[:n]
 		}
-		removed += p.jobs[i].work()
+		if before[i] {
+			removed += p.jobs[i].work()
+		}
 	}
 	if removed < needed {
 		return nil
--- a/core/shedding/shedding_test.go
+++ b/core/shedding/shedding_test.go
@@ -238,3 +238,32 @@
 		}
 	}
 }
+
+// Guards against a long queue in which the bound of the decision's time makes dear jobs
+// give way to cheap ones that would have to give way to them.
+func TestDearJobsComeFirstInALongQueue(t *testing.T) {
+	for _, n := range []int{50, 150, 500, 1500} {
+		var jobs []Job
+		for i := range n {
+			at := time.Duration(i) * 10 * ms
+			jobs = append(jobs,
+				Job{Cores: 8, RunTime: 10 * ms, Price: 1, LatestStart: at, LatestUseful: at + ms},
+				Job{Cores: 8, RunTime: 10 * ms, Price: 5, LatestStart: at + ms, LatestUseful: at + 2*ms})
+		}
+		begin := time.Now()
+		dear, cheap := 0, 0
+		for _, r := range New(jobs, Room{Cores: 8, Free: 8}).Refused {
+			if jobs[r.Job].Price > 1 {
+				dear++
+			} else {
+				cheap++
+			}
+		}
+		if took := time.Since(begin); took > time.Second {
+			t.Errorf("a decision about %d jobs took %v", len(jobs), took)
+		}
+		if dear > 0 {
+			t.Errorf("of %d dear and %d cheap jobs, %d and %d were refused; want no dear one", n, n, dear, cheap)
+		}
+	}
+}
