core/shedding: only jobs that free needed room give way

Victims were taken by price until they freed enough. Jobs without work were among them although they free nothing, and so were cheap ones that a larger one, added later, made unnecessary. Jobs without work are passed over now, and victims without which the others free enough stay.

Beside a job of 8 cores that gives way, two jobs without work stay, and a job of 0.2 core-seconds stays if one of 1.2 frees the 0.88 that are needed. Beyond the bound of passes, unnecessary victims still give way.

--- a/core/shedding/shedding.go
+++ b/core/shedding/shedding.go
@@ -262,7 +262,7 @@
 	var cheaper []int
 	add := func(jobs []int) {
 		for _, i := range jobs {
-			if !p.jobs[i].Started && p.price[i] < p.price[last] {
+			if j := p.jobs[i]; !j.Started && p.price[i] < p.price[last] && j.work() > 0 {
 				cheaper = append(cheaper, i)
 			}
 		}
@@ -281,18 +281,27 @@
 		return cmp.Or(cmp.Compare(p.price[a], p.price[b]), cmp.Compare(p.jobs[a].Age, p.jobs[b].Age))
 	})
 	needed, removed := missing.Seconds()*p.room.Cores, 0.0
-	for n, i := range cheaper {
-		if removed >= needed && n >= atLeast {
-			return cheaper[:n]
-		}
-		if before[i] {
-			removed += p.jobs[i].work()
+	n := 0
+	for ; n < len(cheaper) && (removed < needed || n < atLeast); n++ {
+		if before[cheaper[n]] {
+			removed += p.jobs[cheaper[n]].work()
 		}
 	}
 	if removed < needed {
 		return nil
 	}
-	return cheaper
+	victims := cheaper[:n]
+	if atLeast > 0 {
+		return victims
+	}
+	// Small victims may be unnecessary beside a large one that was added later.
+	for n := len(victims) - 1; n >= 0; n-- {
+		if work := p.jobs[victims[n]].work(); removed-work >= needed {
+			removed -= work
+			victims = slices.Delete(victims, n, n+1)
+		}
+	}
+	return victims
 }
 
 // dearer returns the kept job with the lowest price above that of a job, or -1.
--- a/core/shedding/shedding_test.go
+++ b/core/shedding/shedding_test.go
@@ -267,3 +267,29 @@
 		}
 	}
 }
+
+// Guards against jobs without work that give way although they free no room.
+func TestJobWithoutWorkDoesNotGiveWay(t *testing.T) {
+	jobs := []Job{
+		{Cores: 0, RunTime: 100 * ms, Price: 1, LatestStart: 5 * ms, LatestUseful: 10 * ms},
+		{Cores: 8, RunTime: 0, Price: 1, LatestStart: 6 * ms, LatestUseful: 10 * ms},
+		{Cores: 8, RunTime: 100 * ms, Price: 2, LatestStart: 10 * ms, LatestUseful: 20 * ms},
+		{Cores: 8, RunTime: 100 * ms, Price: 3, LatestStart: 20 * ms, LatestUseful: 30 * ms},
+	}
+	if p := New(jobs, Room{Cores: 8, Free: 8}); fmt.Sprint(p.Order, p.InTime) != "[0 1 3] 3" {
+		t.Errorf("%+v; want only job 2 to give way to job 3", p)
+	}
+}
+
+// Guards against a job that gives way although a dearer one that also gave way, to the
+// same job, frees enough room without it.
+func TestUnnecessaryVictimStays(t *testing.T) {
+	jobs := []Job{
+		{Cores: 2, RunTime: 100 * ms, Price: 1, LatestStart: 5 * ms, LatestUseful: 10 * ms},
+		{Cores: 6, RunTime: 200 * ms, Price: 2, LatestStart: 10 * ms, LatestUseful: 20 * ms},
+		{Cores: 6, RunTime: 100 * ms, Price: 3, LatestStart: 90 * ms, LatestUseful: 100 * ms},
+	}
+	if p := New(jobs, Room{Cores: 8, Free: 8}); fmt.Sprint(p.Order, p.InTime) != "[0 2] 2" {
+		t.Errorf("%+v; want only job 1 to give way to job 2", p)
+	}
+}
