--- a/core/shedding/shedding.go
+++ b/core/shedding/shedding.go
@@ -39,6 +39,11 @@
 	Cores float64
 }
 
+// compare orders releases by time, and by room if they are at the same time.
+func (r Release) compare(o Release) int {
+	return cmp.Or(cmp.Compare(r.At, o.At), cmp.Compare(r.Cores, o.Cores))
+}
+
 // Room is the room for the jobs.
 type Room struct {
 	// Free can be used now. Releases are expected later, in any order.
@@ -89,14 +94,31 @@
 	// refusalWeight is by how much each earlier refusal raises the price of a job, so
 	// that no caller is turned away again and again while others are served.
 	refusalWeight = 0.5
-	// maxPasses bounds the time of a decision about a long queue. After so many, jobs
-	// that would be late give way themselves, and the next decision goes on.
+	// coreTolerance is the difference up to which amounts of room count as equal,
+	// because sums of them are rounded.
+	coreTolerance = 1e-6
+	// maxPasses bounds the time of a decision about a long queue. After so many, more
+	// and more of the cheapest jobs give way at once, and nothing is reconsidered.
+	// After twice as many, jobs that would be late give way themselves.
 	maxPasses = 64
+	// maxRounds bounds how often jobs are reconsidered that gave way to one that will
+	// be late itself.
+	maxRounds = 4
 )
 
-// New decides about jobs.
+// New decides about jobs. The order of room.Releases and room.Arriving does not matter.
 func New(jobs []Job, room Room) Plan {
+	// Sums of floating-point numbers depend on the order.
+	room.Releases, room.Arriving = slices.Clone(room.Releases), slices.Clone(room.Arriving)
+	slices.SortFunc(room.Releases, Release.compare)
+	slices.SortFunc(room.Arriving, func(a, b Arrival) int {
+		return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Rate, b.Rate))
+	})
 	p := &planner{jobs: jobs, room: room, price: make([]float64, len(jobs)), preferred: make([]int, len(jobs))}
+	p.all = room.Free
+	for _, r := range room.Releases {
+		p.all += r.Cores
+	}
 	for i, j := range jobs {
 		p.price[i] = j.Price * (1 + refusalWeight*float64(j.Refusals))
 		p.preferred[i] = -1
@@ -105,6 +127,10 @@
 	slices.SortStableFunc(p.kept, p.compare)
 	for p.removeLate() {
 	}
+	for n := 0; n < maxRounds && p.passes < maxPasses && p.reconsider(); n++ {
+		for p.removeLate() {
+		}
+	}
 	out := Plan{Order: p.kept, InTime: len(p.kept)}
 	slices.SortStableFunc(p.late, func(a, b int) int { return cmp.Compare(p.price[b], p.price[a]) })
 	for _, i := range p.late {
@@ -135,8 +161,9 @@
 	kept, late []int
 	// passes counts the calls of removeLate.
 	passes int
-	// free and releases are the room after the kept jobs, wait the time until the
-	// last of them has started.
+	// all is the room now and later. free and releases are the room after the kept
+	// jobs, wait the time until the last of them has got its room.
+	all      float64
 	free     float64
 	releases releaseHeap
 	wait     time.Duration
@@ -176,44 +203,105 @@
 			continue
 		}
 		p.putBack(start)
-		victims := p.victims(i, start.at-j.LatestStart)
-		if len(victims) == 0 || p.passes >= maxPasses {
+		var victims []int
+		if p.fits(j) && p.passes < 2*maxPasses {
+			victims = p.victims(i, start.at-j.LatestStart, kept[n+1:])
+		}
+		if len(victims) == 0 {
 			p.remove(i, p.dearer(i))
 			continue
 		}
+		removed := make([]bool, len(p.jobs))
 		for _, v := range victims {
 			p.remove(v, i)
+			removed[v] = true
 		}
-		p.kept = slices.DeleteFunc(append(p.kept, kept[n:]...), func(k int) bool { return slices.Contains(victims, k) })
+		p.kept = slices.DeleteFunc(append(p.kept, kept[n:]...), func(k int) bool { return removed[k] })
 		return true
 	}
 	return false
 }
 
+// fits reports whether a job can be in time if it gets all room at once.
+func (p *planner) fits(j Job) bool {
+	cores, runTime := p.need(j)
+	return (cores > 0 || j.Cores <= 0) && runTime-j.RunTime <= j.LatestStart
+}
+
+// reconsider puts the jobs back that gave way to one that will be late itself. It reports
+// whether there are any. The dearest job of such a chain stays late, so that each call
+// makes progress.
+func (p *planner) reconsider() bool {
+	late := make([]bool, len(p.jobs))
+	for _, i := range p.late {
+		late[i] = true
+	}
+	var stay []int
+	for _, i := range p.late {
+		if other := p.preferred[i]; other >= 0 && late[other] {
+			p.kept = append(p.kept, i)
+		} else {
+			stay = append(stay, i)
+		}
+	}
+	found := len(stay) < len(p.late)
+	p.late = stay
+	for _, i := range p.kept {
+		p.preferred[i] = -1
+	}
+	// The index makes the order independent of that in which the jobs were removed.
+	slices.SortFunc(p.kept, func(a, b int) int { return cmp.Or(p.compare(a, b), cmp.Compare(a, b)) })
+	return found
+}
+
 // victims returns the kept jobs with the lowest prices, all below that of a job after
 // them, that have to give way for it to start earlier by the time missing. It returns
-// none if they do not free enough room.
-func (p *planner) victims(last int, missing time.Duration) []int {
+// none if they do not free enough room. After maxPasses it returns at least twice as many
+// in each pass, also from the jobs behind, which most likely have to give way next.
+func (p *planner) victims(last int, missing time.Duration, behind []int) []int {
 	var cheaper []int
-	for _, i := range p.kept {
-		if !p.jobs[i].Started && p.price[i] < p.price[last] {
-			cheaper = append(cheaper, i)
+	add := func(jobs []int) {
+		for _, i := range jobs {
+			if j := p.jobs[i]; !j.Started && p.price[i] < p.price[last] && j.work() > 0 {
+				cheaper = append(cheaper, i)
+			}
 		}
 	}
+	add(p.kept)
+	before := make([]bool, len(p.jobs))
+	for _, i := range cheaper {
+		before[i] = true
+	}
+	atLeast := 0
+	if p.passes > maxPasses {
+		atLeast = 1 << min(p.passes-maxPasses, 30)
+		add(behind)
+	}
 	slices.SortStableFunc(cheaper, func(a, b int) int {
 		return cmp.Or(cmp.Compare(p.price[a], p.price[b]), cmp.Compare(p.jobs[a].Age, p.jobs[b].Age))
 	})
 	needed, removed := missing.Seconds()*p.room.Cores, 0.0
-	for n, i := range cheaper {
-		if removed >= needed {
-			return cheaper[:n]
+	n := 0
+	for ; n < len(cheaper) && (removed < needed || n < atLeast); n++ {
+		if before[cheaper[n]] {
+			removed += p.jobs[cheaper[n]].work()
 		}
-		removed += p.jobs[i].work()
 	}
 	if removed < needed {
 		return nil
 	}
-	return cheaper
+	victims := cheaper[:n]
+	if atLeast > 0 {
+		return victims
+	}
+	// Small victims may be unnecessary beside a large one that was added later.
+	for n := len(victims) - 1; n >= 0; n-- {
+		if work := p.jobs[victims[n]].work(); removed-work >= needed {
+			removed -= work
+			victims = slices.Delete(victims, n, n+1)
+		}
+	}
+	return victims
 }
 
 // dearer returns the kept job with the lowest price above that of a job, or -1.
@@ -242,33 +330,42 @@
 }
 
 // forecast returns the forecast start of a job after those for which take was called
-// before. A late job also starts after work of its own price that is yet to arrive. The
+// before. A job that needs more than all room runs in waves. A late job also starts after work of its own price that is yet to arrive. The
 // caller has to call take or putBack next.
 func (p *planner) forecast(i int, late bool) start {
 	j := p.jobs[i]
 	st := start{room: p.wait}
-	for p.free < j.Cores && len(p.releases) > 0 {
+	cores, runTime := p.need(j)
+	for p.free < cores-coreTolerance && len(p.releases) > 0 {
 		r := heap.Pop(&p.releases).(Release)
 		st.room = max(st.room, r.At)
 		p.free += r.Cores
 		st.used = append(st.used, r)
 	}
-	if p.free < j.Cores {
+	if cores <= 0 && j.Cores > 0 || p.free < cores-coreTolerance {
 		st.at = max(j.LatestStart, j.LatestUseful) + 1
 		return st
 	}
-	st.at = time.Duration(float64(st.room) / (1 - p.arrivingShare(p.price[i], late)))
+	st.at = time.Duration(float64(st.room+runTime-j.RunTime) / (1 - p.arrivingShare(p.price[i], late)))
 	return st
 }
 
-// take gives a job its room.
+// need returns the room that a job takes and for how long. A job that needs more than
+// all room takes all of it, and longer by the excess.
+func (p *planner) need(j Job) (float64, time.Duration) {
+	if j.Cores <= p.all || p.all <= 0 {
+		return min(j.Cores, p.all), j.RunTime
+	}
+	return p.all, time.Duration(float64(j.RunTime) * j.Cores / p.all)
+}
+
+// take gives a job its room, or what there is if it needs more than all room.
 func (p *planner) take(i int, st start) {
 	j := p.jobs[i]
-	if p.free < j.Cores {
-		return
-	}
-	p.free -= j.Cores
-	heap.Push(&p.releases, Release{At: st.room + j.RunTime, Cores: j.Cores})
+	cores, runTime := p.need(j)
+	cores = min(cores, p.free)
+	p.free -= cores
+	heap.Push(&p.releases, Release{At: st.room + runTime, Cores: cores})
 	p.wait = st.room
 }
 
@@ -302,7 +399,7 @@
 type releaseHeap []Release
 
 func (h releaseHeap) Len() int           { return len(h) }
-func (h releaseHeap) Less(i, k int) bool { return h[i].At < h[k].At }
+func (h releaseHeap) Less(i, k int) bool { return h[i].compare(h[k]) < 0 }
 func (h releaseHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
 func (h *releaseHeap) Push(x any)        { *h = append(*h, x.(Release)) }
 func (h *releaseHeap) Pop() any {
