core/scheduler: a lost answer does not refuse all queued jobs

A target with one unanswered request did not count as room, so that all jobs that waited for it were refused as overloaded at once. It now counts for a second after the first such request or a lost connection, with the releases of its runs; its free capacity counts as available shortly.

--- a/core/scheduler/poll.go
+++ b/core/scheduler/poll.go
@@ -111,6 +111,9 @@
 	if now.Sub(t.lastContact) < recentContact {
 		return
 	}
+	if t.unanswered == 0 {
+		t.unansweredSince = now
+	}
 	t.unanswered++
 	pause := time.Duration(0)
 	if t.unanswered > 1 {
--- a/core/scheduler/shortage.go
+++ b/core/scheduler/shortage.go
@@ -20,6 +20,9 @@
 	wasteWeight = 0.05
 	// turnsAwayPeriod is how long load reports tell that jobs were turned away.
 	turnsAwayPeriod = 300 * time.Millisecond
+	// unansweredRoomTime is how long a target that does not answer counts as room. A
+	// single lost answer would otherwise refuse all jobs that wait for it.
+	unansweredRoomTime = time.Second
 	// maxDearerShare bounds the share of the room that work of higher prices is
 	// assumed to take when the time is forecast at which there is room.
 	maxDearerShare = 0.9
@@ -100,11 +103,16 @@
 	var room shedding.Room
 	free := 0.0
 	for _, t := range s.sortedTargets {
-		if t.Service != service || !t.usable() {
+		if t.Service != service || !s.countsAsRoom(t) {
 			continue
 		}
 		room.Cores += float64(t.CPU) / 1000
-		free += float64(max(t.free.cpu, 0)) / 1000
+		tfree := float64(max(t.free.cpu, 0)) / 1000
+		if t.usable() {
+			free += tfree
+		} else if tfree > 0 {
+			room.Releases = append(room.Releases, shedding.Release{At: minForecastWait, Cores: tfree})
+		}
 		for _, r := range t.runs {
 			room.Releases = append(room.Releases, shedding.Release{
 				At: max(r.end().Sub(s.now), minForecastWait), Cores: float64(r.need.cpu) / 1000,
@@ -123,6 +131,21 @@
 	return room
 }
 
+// countsAsRoom reports whether new jobs can use the target, now or once it answers again.
+func (s *Scheduler) countsAsRoom(t *target) bool {
+	if t.usable() {
+		return true
+	}
+	if t.removed || t.fenced || t.Draining || t.evacuated() || t.Releasing {
+		return false
+	}
+	since := t.connectionLostAt
+	if t.unanswered > 0 {
+		since = earliest(since, t.unansweredSince)
+	}
+	return !since.IsZero() && s.now.Sub(since) < unansweredRoomTime
+}
+
 // demandOf returns the demand for a service.
 func (s *Scheduler) demandOf(service string) *demand.Demand {
 	d := s.demands[service]
--- a/core/scheduler/shortage_test.go
+++ b/core/scheduler/shortage_test.go
@@ -80,3 +80,22 @@
 		t.Errorf("%d starts, want 1", n)
 	}
 }
+
+// Guards against refusing all queued jobs when one request to the only target is not
+// answered, and against keeping them when the target stays unreachable.
+func TestLostAnswerRefusesNoQueuedJob(t *testing.T) {
+	h := fillQueue(t)
+	h.advance(recentContact)
+	h.s.targets["a"].recordNoAnswer(h.now)
+	h.advance(10 * time.Millisecond)
+	if replies := take[Reply](h); len(replies) != 0 {
+		t.Errorf("%d queued jobs were refused after one lost answer", len(replies))
+	}
+	if room := h.s.room("s"); room.Cores == 0 || len(room.Releases) == 0 {
+		t.Errorf("the room is %+v after one lost answer", room)
+	}
+	h.s.targets["a"].unansweredSince = h.now.Add(-2 * unansweredRoomTime)
+	if room := h.s.room("s"); room.Cores != 0 {
+		t.Errorf("an unreachable target counts as %.0f cores after %v", room.Cores, 2*unansweredRoomTime)
+	}
+}
--- a/core/scheduler/target.go
+++ b/core/scheduler/target.go
@@ -90,6 +90,8 @@
 	// the time of the last answer.
 	unanswered  int
 	lastContact time.Time
+	// unansweredSince is when the first of these requests was found unanswered.
+	unansweredSince time.Time
 
 	// connectionLostAt is when a poll lost its connection, or zero if one was answered
 	// since. drainingSince is when the list began to show the incarnation as draining,
