core/demand, core/scheduler: decisions do not depend on map order

Sums of floats over maps, and the releases of a room, had the order of the map, so that equal events could give different prices, waits and refusals. Queues, services and runs are now visited in sorted order, also in the forecast wait.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -23,6 +24,8 @@
 type Demand struct {
 	since  time.Time
 	queues map[string]*queue
+	// names holds the names of the queues, sorted, so that equal events give equal sums.
+	names []string
 }
 
 type queue struct {
@@ -48,6 +51,8 @@
 	if q == nil {
 		q = &queue{}
 		d.queues[name] = q
+		i, _ := slices.BinarySearch(d.names, name)
+		d.names = slices.Insert(d.names, i, name)
 	}
 	q.priority = priority
 	q.usual.add(now, coreSeconds, usualPeriod)
@@ -79,7 +84,8 @@
 // Priorities returns the highest price of the queues of each priority.
 func (d *Demand) Priorities(now time.Time) map[int]float64 {
 	prices := map[int]float64{}
-	for name, q := range d.queues {
+	for _, name := range d.names {
+		q := d.queues[name]
 		prices[q.priority] = max(prices[q.priority], d.Price(now, name))
 	}
 	return prices
@@ -88,7 +94,7 @@
 // CurrentAbove returns the current demand of all queues with a higher price, in
 // core-seconds per second.
 func (d *Demand) CurrentAbove(now time.Time, price float64) (rate float64) {
-	for name := range d.queues {
+	for _, name := range d.names {
 		if d.Price(now, name) > price {
 			rate += d.Current(now, name)
 		}
@@ -96,14 +102,8 @@
 	return rate
 }
 
-// Queues returns the names of the queues with demand, in no order.
-func (d *Demand) Queues() []string {
-	names := make([]string, 0, len(d.queues))
-	for name := range d.queues {
-		names = append(names, name)
-	}
-	return names
-}
+// Queues returns the names of the queues with demand, sorted.
+func (d *Demand) Queues() []string { return slices.Clone(d.names) }
 
 func (d *Demand) elapsed(now time.Time) time.Duration { return max(now.Sub(d.since), minUsualTime) }
 
--- a/core/demand/demand_test.go
+++ b/core/demand/demand_test.go
@@ -1,7 +1,9 @@
 package demand
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 )
@@ -58,3 +60,25 @@
 		t.Errorf("5 s after the last job the current demand is %.1f core-seconds per second", got)
 	}
 }
+
+// Guards against results that depend on the order of a map: equal events must lead to
+// equal decisions.
+func TestEqualEventsGiveEqualValues(t *testing.T) {
+	var names []string
+	rate := 0.0
+	for run := range 100 {
+		d := New()
+		now := time.Unix(1000, 0)
+		for i := range 40 {
+			now = now.Add(7 * time.Millisecond)
+			d.Add(now, fmt.Sprintf("queue%d", i*7%40), i%3, 1/float64(i+3))
+		}
+		gotNames, gotRate := d.Queues(), d.CurrentAbove(now, 0)
+		if run == 0 {
+			names, rate = gotNames, gotRate
+		}
+		if !slices.Equal(gotNames, names) || gotRate != rate {
+			t.Fatalf("run %d: %v with %v core-seconds per second, the first gave %v with %v", run, gotNames, gotRate, names, rate)
+		}
+	}
+}
--- a/core/scheduler/admission.go
+++ b/core/scheduler/admission.go
@@ -99,7 +99,7 @@
 		}
 		rate += float64(t.CPU) * packingEfficiency
 		free += float64(t.free.cpu)
-		for _, r := range t.runs {
+		for _, r := range t.sortedRuns() {
 			left := r.started.Add(r.expected).Sub(s.now)
 			releases += float64(r.need.cpu) / float64(max(left, 20*time.Millisecond))
 		}
--- a/core/scheduler/shortage.go
+++ b/core/scheduler/shortage.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -113,7 +114,7 @@
 		} else if tfree > 0 {
 			room.Releases = append(room.Releases, shedding.Release{At: minForecastWait, Cores: tfree})
 		}
-		for _, r := range t.runs {
+		for _, r := range t.sortedRuns() {
 			room.Releases = append(room.Releases, shedding.Release{
 				At: max(r.end().Sub(s.now), minForecastWait), Cores: float64(r.need.cpu) / 1000,
 			})
@@ -165,7 +166,8 @@
 // the whole queue, and cores the room.
 func (s *Scheduler) rooms(wait time.Duration, cores float64) []PriorityRoom {
 	var all []PriorityRoom
-	for _, d := range s.demands {
+	for _, service := range slices.Sorted(maps.Keys(s.demands)) {
+		d := s.demands[service]
 		for priority, price := range d.Priorities(s.now) {
 			r := PriorityRoom{
 				Priority: priority, ForecastWait: waitBeside(wait, d.CurrentAbove(s.now, price), cores),
--- a/core/scheduler/shortage_test.go
+++ b/core/scheduler/shortage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 )
@@ -99,3 +100,27 @@
 		t.Errorf("an unreachable target counts as %.0f cores after %v", room.Cores, 2*unansweredRoomTime)
 	}
 }
+
+// Guards against decisions that depend on the order of a map.
+func TestEqualEventsGiveEqualRoom(t *testing.T) {
+	type values struct {
+		room  any
+		rooms []PriorityRoom
+	}
+	var first values
+	for run := range 100 {
+		h := newHarness(t, testTarget("a"), testTarget("b"), testTarget("c"))
+		for i := range 12 {
+			j := shortageJob(fmt.Sprintf("job%d", i), fmt.Sprintf("queue%d", i), i%3, time.Duration(100+17*i)*time.Millisecond)
+			h.submit(RequestID(i+1), j)
+			h.now = h.now.Add(3 * time.Millisecond)
+		}
+		got := values{h.s.room("s"), h.s.Stats().Rooms}
+		if run == 0 {
+			first = got
+		}
+		if !reflect.DeepEqual(got, first) {
+			t.Fatalf("run %d gave %+v, the first %+v", run, got, first)
+		}
+	}
+}
