--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -22,14 +22,15 @@
 // Demand holds the demand of the queues. The zero value is not usable; see New. A
 // Demand is not safe for concurrent use.
 type Demand struct {
-	since  time.Time
 	queues map[string]*queue
 	// names holds the names of the queues, sorted, so that equal events give equal sums.
 	names []string
 }
 
 type queue struct {
-	priority       int
+	priority int
+	// since is when the first work arrived.
+	since          time.Time
 	usual, current average
 }
 
@@ -44,12 +45,9 @@
 
 // Add records work, in core-seconds, that arrives at a queue.
 func (d *Demand) Add(now time.Time, name string, priority int, coreSeconds float64) {
-	if d.since.IsZero() {
-		d.since = now
-	}
 	q := d.queues[name]
 	if q == nil {
-		q = &queue{}
+		q = &queue{since: now}
 		d.queues[name] = q
 		i, _ := slices.BinarySearch(d.names, name)
 		d.names = slices.Insert(d.names, i, name)
@@ -69,7 +67,7 @@
 		return 0
 	}
 	weight := math.Exp2(-float64(q.priority) / prioritiesPerDoubling)
-	return weight / max(q.usual.rate(now, usualPeriod, d.elapsed(now)), math.SmallestNonzeroFloat32)
+	return weight / max(q.usual.rate(now, usualPeriod, q.elapsed(now)), math.SmallestNonzeroFloat32)
 }
 
 // Current returns the current demand of a queue, in core-seconds per second.
@@ -78,7 +76,7 @@
 	if q == nil {
 		return 0
 	}
-	return q.current.rate(now, currentPeriod, d.elapsed(now))
+	return q.current.rate(now, currentPeriod, q.elapsed(now))
 }
 
 // Priorities returns the highest price of the queues of each priority.
@@ -105,7 +103,7 @@
 // Queues returns the names of the queues with demand, sorted.
 func (d *Demand) Queues() []string { return slices.Clone(d.names) }
 
-func (d *Demand) elapsed(now time.Time) time.Duration { return max(now.Sub(d.since), minUsualTime) }
+func (q *queue) elapsed(now time.Time) time.Duration { return max(now.Sub(q.since), minUsualTime) }
 
 func (a *average) add(now time.Time, v float64, period time.Duration) {
 	a.sum = a.decayed(now, period) + v
--- a/core/demand/demand_test.go
+++ b/core/demand/demand_test.go
@@ -82,3 +82,22 @@
 		}
 	}
 }
+
+// Guards against a queue that costs more than equal ones because it has begun later, so
+// that its flood takes the room of all others.
+func TestNewQueueCostsAsMuchAsAnEqualOne(t *testing.T) {
+	d := New()
+	now := time.Unix(1000, 0)
+	for range 60_000 {
+		now = now.Add(10 * time.Millisecond)
+		d.Add(now, "old", 0, 5)
+	}
+	for i := range 3000 {
+		now = now.Add(10 * time.Millisecond)
+		d.Add(now, "old", 0, 5)
+		d.Add(now, "new", 0, 5)
+		if r := d.Price(now, "new") / d.Price(now, "old"); i >= 100 && (r < 0.5 || r > 2) {
+			t.Fatalf("after %d ms the new queue costs %.2f times as much, want 1", 10*i, r)
+		}
+	}
+}
