core/demand: drop queues without demand; a priority has the price of its busiest queue

A queue that had been silent for long kept its entry and got an ever higher price, and as the highest price was that of its priority, the reported room was too good for all other queues of it. Queues are dropped after ten minutes in which no work arrived or waited, and the lowest price counts.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -17,6 +17,8 @@
 	prioritiesPerDoubling = 3
 	// minUsualTime bounds the time over which the usual demand is averaged.
 	minUsualTime = time.Second
+	// maxSilence is the time without demand after which a queue is dropped.
+	maxSilence = 10 * time.Minute
 )
 
 // Demand holds the demand of the queues. The zero value is not usable; see New. A
@@ -25,12 +27,16 @@
 	queues map[string]*queue
 	// names holds the names of the queues, sorted, so that equal events give equal sums.
 	names []string
+	// nextExpiry is when queues are dropped next.
+	nextExpiry time.Time
 }
 
 type queue struct {
 	priority int
 	// since is when the first work arrived.
-	since          time.Time
+	since time.Time
+	// used is when work last arrived or waited.
+	used           time.Time
 	usual, current average
 }
 
@@ -45,6 +51,7 @@
 
 // Add records work, in core-seconds, that arrives at a queue.
 func (d *Demand) Add(now time.Time, name string, priority int, coreSeconds float64) {
+	d.expire(now)
 	q := d.queues[name]
 	if q == nil {
 		q = &queue{since: now}
@@ -52,11 +59,18 @@
 		i, _ := slices.BinarySearch(d.names, name)
 		d.names = slices.Insert(d.names, i, name)
 	}
-	q.priority = priority
+	q.priority, q.used = priority, now
 	q.usual.add(now, coreSeconds, usualPeriod)
 	q.current.add(now, coreSeconds, currentPeriod)
 }
 
+// Keep records that jobs of a queue wait, so that it keeps its price.
+func (d *Demand) Keep(now time.Time, name string) {
+	if q := d.queues[name]; q != nil {
+		q.used = now
+	}
+}
+
 // Price returns what it costs the callers of a queue to turn work away, for each
 // core-second, relative to other queues. All queues count the same to their callers
 // together, so that a core-second costs more where less is asked for, and a queue that
@@ -79,12 +93,15 @@
 	return q.current.rate(now, currentPeriod, q.elapsed(now))
 }
 
-// Priorities returns the highest price of the queues of each priority.
+// Priorities returns the price of the queue with the most demand of each priority.
 func (d *Demand) Priorities(now time.Time) map[int]float64 {
+	d.expire(now)
 	prices := map[int]float64{}
 	for _, name := range d.names {
-		q := d.queues[name]
-		prices[q.priority] = max(prices[q.priority], d.Price(now, name))
+		priority, price := d.queues[name].priority, d.Price(now, name)
+		if lowest, ok := prices[priority]; !ok || price < lowest {
+			prices[priority] = price
+		}
 	}
 	return prices
 }
@@ -103,6 +120,21 @@
 // Queues returns the names of the queues with demand, sorted.
 func (d *Demand) Queues() []string { return slices.Clone(d.names) }
 
+// expire drops the queues without demand, at most once a second.
+func (d *Demand) expire(now time.Time) {
+	if now.Before(d.nextExpiry) {
+		return
+	}
+	d.nextExpiry = now.Add(time.Second)
+	d.names = slices.DeleteFunc(d.names, func(name string) bool {
+		silent := now.Sub(d.queues[name].used) >= maxSilence
+		if silent {
+			delete(d.queues, name)
+		}
+		return silent
+	})
+}
+
 func (q *queue) elapsed(now time.Time) time.Duration { return max(now.Sub(q.since), minUsualTime) }
 
 func (a *average) add(now time.Time, v float64, period time.Duration) {
--- a/core/demand/demand_test.go
+++ b/core/demand/demand_test.go
@@ -101,3 +101,30 @@
 		}
 	}
 }
+
+// Guards against a queue without demand whose price makes the room of its priority look
+// too good for the queues that are in use.
+func TestPriorityHasThePriceOfItsBusiestQueue(t *testing.T) {
+	d := New()
+	now := record(d, time.Unix(1000, 0))
+	if got, want := d.Priorities(now)[0], d.Price(now, "much"); got != want {
+		t.Errorf("priority 0 has the price %v, want %v of the queue with the most demand", got, want)
+	}
+}
+
+// Guards against queues that are kept forever, and against dropping one whose jobs wait.
+func TestQueueWithoutDemandIsDropped(t *testing.T) {
+	d := New()
+	now := record(d, time.Unix(1000, 0))
+	for range 11 * 60 {
+		now = now.Add(time.Second)
+		d.Add(now, "much", 0, 20)
+		d.Keep(now, "lower")
+	}
+	if got := d.Queues(); !slices.Equal(got, []string{"lower", "much"}) {
+		t.Errorf("the queues are %v after 11 minutes with demand for one and waiting jobs of another", got)
+	}
+	if got := d.Priorities(now.Add(11 * time.Minute)); len(got) != 0 {
+		t.Errorf("the priorities are %v after 11 minutes without demand", got)
+	}
+}
--- a/core/scheduler/shortage.go
+++ b/core/scheduler/shortage.go
@@ -92,6 +92,7 @@
 
 func (s *Scheduler) sheddingJob(j *job) shedding.Job {
 	work, cpu := s.unplacedWork(j)
+	s.demandOf(j.Service).Keep(s.now, j.Queue)
 	return shedding.Job{
 		Cores: cpu / 1000, RunTime: time.Duration(work / max(cpu, 1)), Price: s.demandOf(j.Service).Price(s.now, j.Queue),
 		LatestStart: j.latestStart().Sub(s.now), LatestUseful: s.latestUsefulEnd(j).Add(-j.criticalPath).Sub(s.now),
