core/scheduler: a shortage of one service leaves the other services alone

The time of the last refusal was kept by priority only, the report merged services by the highest wait, and the wait behind the whole queue was set against the cores of one service. Refusals are now kept by service and priority, waits are forecast for each service, and the report, which has priorities only, shows the lowest wait and turns away only if all services of the priority do. A job of the service that is short may therefore be offered once more and be refused.

Measured with one full and one free service: the report showed 325 ms and jobs turned away, and a job of the free service was to come back after 1.36 s; now no wait, no refusals and the shortest time of 1 s.

--- a/core/scheduler/admission.go
+++ b/core/scheduler/admission.go
@@ -91,10 +91,11 @@
 
 // forecastWait forecasts the time until the tasks of j start after the queued
 // jobs before it. If j is nil, it forecasts the wait behind the whole queue.
-func (s *Scheduler) forecastWait(j *job) time.Duration {
+// It counts only the targets and jobs of a service, unless service is empty.
+func (s *Scheduler) forecastWait(j *job, service string) time.Duration {
 	var rate, releases, free float64
 	for _, t := range s.sortedTargets {
-		if !t.usable() {
+		if !t.usable() || service != "" && t.Service != service {
 			continue
 		}
 		rate += float64(t.CPU) * packingEfficiency
@@ -109,7 +110,7 @@
 	}
 	ahead, demand := 0.0, 0.0
 	for _, q := range s.queue {
-		if q == j || j != nil && compareJobs(q, j) > 0 {
+		if q == j || service != "" && q.Service != service || j != nil && compareJobs(q, j) > 0 {
 			continue
 		}
 		w, c := s.unplacedWork(q)
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -117,7 +117,7 @@
 		s.suspectedJobs++
 	}
 	s.requests[ev.Request] = j
-	j.summary.Backlog = s.forecastWait(j)
+	j.summary.Backlog = s.forecastWait(j, "")
 	switch {
 	case s.cancelled.Has(s.now, j.ID):
 		s.giveUp(j, ReasonCancelled)
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -78,8 +78,8 @@
 	wastedShare map[string]float64
 	// nextPlan is the earliest time of the next decision about the queue.
 	nextPlan time.Time
-	// turnedAwayAt is when a job was last turned away for want of room, by priority.
-	turnedAwayAt map[int]time.Time
+	// turnedAwayAt is when a job was last turned away for want of room.
+	turnedAwayAt map[servicePriority]time.Time
 	// stallBegan and stallEnded delimit the last time in which the instance may have
 	// been paused while it had jobs.
 	stallBegan, stallEnded time.Time
@@ -106,7 +106,7 @@
 		requests: map[RequestID]*job{},
 		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{}, lastSubmit: map[string]time.Time{},
 		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), evacuatedSince: map[string]time.Time{},
-		demands: map[string]*demand.Demand{}, turnedAwayAt: map[int]time.Time{}, wastedShare: map[string]float64{},
+		demands: map[string]*demand.Demand{}, turnedAwayAt: map[servicePriority]time.Time{}, wastedShare: map[string]float64{},
 	}
 }
 
@@ -285,8 +285,8 @@
 			st.FreeCPU += t.free.cpu
 		}
 	}
-	st.ForecastWait = s.forecastWait(nil)
-	st.Rooms = s.rooms(st.ForecastWait, float64(st.CPU)/1000)
+	st.ForecastWait = s.forecastWait(nil, "")
+	st.Rooms = s.rooms()
 	return st
 }
 
--- a/core/scheduler/shortage.go
+++ b/core/scheduler/shortage.go
@@ -35,9 +35,11 @@
 // PriorityRoom is the room for the jobs of a priority.
 type PriorityRoom struct {
 	Priority int
-	// ForecastWait is the forecast time until a new task starts.
+	// ForecastWait is the forecast time until a new task starts, the lowest of the
+	// services.
 	ForecastWait time.Duration
-	// TurnsAway is set if jobs were turned away of late for want of room.
+	// TurnsAway is set if all services with jobs of the priority have turned jobs away of
+	// late for want of room.
 	TurnsAway bool
 }
 
@@ -85,7 +87,7 @@
 			p := queued[r.Preferred]
 			j.summary.Preferred, j.summary.PreferredQueue = p.ID, p.Queue
 		}
-		s.turnedAwayAt[j.Priority] = s.now
+		s.turnedAwayAt[servicePriority{j.Service, j.Priority}] = s.now
 		s.giveUp(j, ReasonOverloaded)
 	}
 }
@@ -163,19 +165,23 @@
 	s.demandOf(j.Service).Add(s.now, j.Queue, j.Priority, s.work(j))
 }
 
-// rooms returns the room for the priorities in use. wait is the forecast wait behind
-// the whole queue, and cores the room.
-func (s *Scheduler) rooms(wait time.Duration, cores float64) []PriorityRoom {
+// rooms returns the room for the priorities in use. The report does not tell services
+// apart: a priority has the lowest wait of its services, and turns away only if all of
+// them do, so that the shortage of one service does not keep jobs of another from being
+// offered. The owner refuses jobs of the first itself.
+func (s *Scheduler) rooms() []PriorityRoom {
 	var all []PriorityRoom
 	for _, service := range slices.Sorted(maps.Keys(s.demands)) {
 		d := s.demands[service]
+		wait, cores := s.forecastWait(nil, service), s.usableCores(service)
 		for priority, price := range d.Priorities(s.now) {
 			r := PriorityRoom{
 				Priority: priority, ForecastWait: waitBeside(wait, d.CurrentAbove(s.now, price), cores),
-				TurnsAway: s.now.Sub(s.turnedAwayAt[priority]) < turnsAwayPeriod,
+				TurnsAway: s.turnsAway(service, priority),
 			}
 			if i := slices.IndexFunc(all, func(o PriorityRoom) bool { return o.Priority == priority }); i >= 0 {
-				all[i].ForecastWait = max(all[i].ForecastWait, r.ForecastWait)
+				all[i].ForecastWait = min(all[i].ForecastWait, r.ForecastWait)
+				all[i].TurnsAway = all[i].TurnsAway && r.TurnsAway
 				continue
 			}
 			all = append(all, r)
@@ -185,6 +191,27 @@
 	return all
 }
 
+// servicePriority is a priority of a service.
+type servicePriority struct {
+	service  string
+	priority int
+}
+
+// turnsAway reports whether jobs were turned away of late.
+func (s *Scheduler) turnsAway(service string, priority int) bool {
+	return s.now.Sub(s.turnedAwayAt[servicePriority{service, priority}]) < turnsAwayPeriod
+}
+
+// usableCores returns the cores that accept new jobs of a service.
+func (s *Scheduler) usableCores(service string) (cores float64) {
+	for _, t := range s.sortedTargets {
+		if t.usable() && t.Service == service {
+			cores += float64(t.CPU) / 1000
+		}
+	}
+	return cores
+}
+
 // waitBeside returns the wait for room of which work of higher prices takes a part, in
 // core-seconds per second.
 func waitBeside(wait time.Duration, dearer, cores float64) time.Duration {
@@ -199,16 +226,10 @@
 // It differs from job to job by a factor of up to two, so that callers do not come back
 // at once.
 func (s *Scheduler) retryAfter(j *job) time.Duration {
-	cores := 0.0
-	for _, t := range s.sortedTargets {
-		if t.usable() && t.Service == j.Service {
-			cores += float64(t.CPU) / 1000
-		}
-	}
 	d := s.demandOf(j.Service)
-	wait := waitBeside(s.forecastWait(nil), d.CurrentAbove(s.now, d.Price(s.now, j.Queue)), cores)
+	wait := waitBeside(s.forecastWait(nil, j.Service), d.CurrentAbove(s.now, d.Price(s.now, j.Queue)), s.usableCores(j.Service))
 	wait = min(max(minRetryAfter, wait), maxRetryAfter)
-	if wait == minRetryAfter && s.now.Sub(s.turnedAwayAt[j.Priority]) >= turnsAwayPeriod {
+	if wait == minRetryAfter && !s.turnsAway(j.Service, j.Priority) {
 		return wait
 	}
 	spread := float64(xxhash.Sum64String(j.ID)>>11) / (1 << 53)
--- a/core/scheduler/shortage_test.go
+++ b/core/scheduler/shortage_test.go
@@ -124,3 +124,37 @@
 		}
 	}
 }
+
+// Guards against a shortage of one service that keeps jobs of another service from being
+// offered to this instance, and that lets refused jobs of the other wait for longer.
+func TestShortageOfOneServiceLeavesTheOthers(t *testing.T) {
+	other := testTarget("b")
+	other.Service = "other"
+	h := newHarness(t, testTarget("a"), other)
+	submit := func(id RequestID, service, queue string) {
+		j := shortageJob(fmt.Sprintf("job%d", id), queue, 1, 200*time.Millisecond)
+		j.Service = service
+		h.submit(id, j)
+		h.now = h.now.Add(time.Microsecond)
+	}
+	submit(1, "other", "small")
+	for i := range 12 {
+		submit(RequestID(10+i), "s", "bulk")
+	}
+	h.advance(50 * time.Millisecond)
+	if len(take[Reply](h)) == 0 {
+		t.Fatal("no job was refused")
+	}
+	if rooms := h.s.Stats().Rooms; len(rooms) != 1 || rooms[0].TurnsAway || rooms[0].ForecastWait != 0 {
+		t.Errorf("the report is %+v while a service with jobs of the priority has room", rooms)
+	}
+	for _, j := range []struct {
+		service, queue string
+		want           bool
+	}{{"s", "bulk", true}, {"other", "small", false}} {
+		after := h.s.retryAfter(&job{Job: Job{ID: "x", Service: j.service, Queue: j.queue, Priority: 1}})
+		if waits := after > minRetryAfter; waits != j.want {
+			t.Errorf("a job of service %q is to come back after %v, the shortest time is %v", j.service, after, minRetryAfter)
+		}
+	}
+}
