core/scheduler: the unusable share of the room is averaged over time

Each decision had the same weight, so that many arrivals gave a higher share than few; it stayed while nothing waited, and free targets without the label, the rack or the accelerators of the waiting jobs counted as unusable. The average now has a time constant of 100 ms, which is the old weight at one decision each 5 ms, decays by time, and leaves out observations while all waiting tasks are restricted.

--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -73,9 +73,8 @@
 	evacuatedSince map[string]time.Time
 	// demands holds the demand by service.
 	demands map[string]*demand.Demand
-	// wastedShare is the share of the room that stays free because no waiting task
-	// fits, by service.
-	wastedShare map[string]float64
+	// wastedShare holds the room that cannot be used, by service.
+	wastedShare map[string]wastedRoom
 	// nextPlan is the earliest time of the next decision about the queue.
 	nextPlan time.Time
 	// turnedAwayAt is when a job was last turned away for want of room.
@@ -106,7 +105,7 @@
 		requests: map[RequestID]*job{},
 		crashLog: newCrashLog(), foundCrashes: map[foundCrash][]TaskID{}, lastSubmit: map[string]time.Time{},
 		givenUpRuns: map[TaskID]int{}, cancelled: cancellation.New(), evacuatedSince: map[string]time.Time{},
-		demands: map[string]*demand.Demand{}, turnedAwayAt: map[servicePriority]time.Time{}, wastedShare: map[string]float64{},
+		demands: map[string]*demand.Demand{}, turnedAwayAt: map[servicePriority]time.Time{}, wastedShare: map[string]wastedRoom{},
 	}
 }
 
--- a/core/scheduler/shortage.go
+++ b/core/scheduler/shortage.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -16,9 +17,8 @@
 	// planInterval is the shortest time between two decisions about the same queued
 	// jobs.
 	planInterval = 5 * time.Millisecond
-	// wasteWeight is the weight of one observation in the average of the room that
-	// cannot be used.
-	wasteWeight = 0.05
+	// wastePeriod is the time constant of the average of the room that cannot be used.
+	wastePeriod = 100 * time.Millisecond
 	// turnsAwayPeriod is how long load reports tell that jobs were turned away.
 	turnsAwayPeriod = 300 * time.Millisecond
 	// unansweredRoomTime is how long a target that does not answer counts as room. A
@@ -123,9 +123,7 @@
 			})
 		}
 	}
-	wasted := s.wastedShare[service]
-	wasted += wasteWeight * (free/max(room.Cores, 1) - wasted)
-	s.wastedShare[service] = wasted
+	wasted := s.wastedShareOf(service, free/max(room.Cores, 1))
 	room.Free = max(0, free-wasted*room.Cores)
 	room.Cores *= 1 - wasted
 	d := s.demandOf(service)
@@ -135,6 +133,48 @@
 	return room
 }
 
+// wastedRoom is the average share of the room that stays free because no waiting task
+// fits.
+type wastedRoom struct {
+	share float64
+	at    time.Time
+}
+
+// wastedShareOf returns the share of the room of a service that stays free while jobs
+// wait. free is the share that is free now.
+func (s *Scheduler) wastedShareOf(service string, free float64) float64 {
+	w := s.wastedShare[service]
+	since := s.now.Sub(w.at)
+	share := w.share * math.Exp(-since.Seconds()/wastePeriod.Seconds())
+	if !s.hasUnrestrictedTask(service) {
+		return share
+	}
+	if since > wastePeriod {
+		// Nothing has waited since.
+		since = planInterval
+	}
+	share += free * (1 - math.Exp(-since.Seconds()/wastePeriod.Seconds()))
+	s.wastedShare[service] = wastedRoom{share, s.now}
+	return share
+}
+
+// hasUnrestrictedTask reports whether a waiting task of a service can use any target. The
+// others do not show that free room is of no use.
+func (s *Scheduler) hasUnrestrictedTask(service string) bool {
+	return slices.ContainsFunc(s.queue, func(j *job) bool {
+		if j.Service != service {
+			return false
+		}
+		for i, ts := range j.tasks {
+			st := &j.Steps[i]
+			if st.Label == "" && st.Rack == "" && st.Accelerators == 0 && j.ready(i) && slices.ContainsFunc(ts, (*task).waiting) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // countsAsRoom reports whether new jobs can use the target, now or once it answers again.
 func (s *Scheduler) countsAsRoom(t *target) bool {
 	if t.usable() {
--- a/core/scheduler/shortage_test.go
+++ b/core/scheduler/shortage_test.go
@@ -158,3 +158,59 @@
 		}
 	}
 }
+
+// Guards against an average of the unusable room that depends on how often decisions are
+// made, that stays after nothing waits, and that counts room which the waiting jobs do
+// not ask for.
+func TestUnusableRoomIsAveragedOverTime(t *testing.T) {
+	share := func(interval time.Duration) float64 {
+		h := fillQueue(t)
+		for end := h.now.Add(50 * time.Millisecond); h.now.Before(end); {
+			h.now = h.now.Add(interval)
+			h.s.now = h.now
+			h.s.room("s")
+		}
+		return 1 - h.s.room("s").Cores/64
+	}
+	often, rarely := share(time.Millisecond), share(10*time.Millisecond)
+	if often <= 0 || often/rarely > 1.3 || rarely/often > 1.3 {
+		t.Errorf("the unusable share is %.3f with decisions each 1 ms, %.3f with each 10 ms", often, rarely)
+	}
+
+	h := fillQueue(t)
+	for range 50 {
+		h.s.now = h.s.now.Add(planInterval)
+		h.s.room("s")
+	}
+	before := 1 - h.s.room("s").Cores/64
+	h.s.now = h.s.now.Add(time.Minute)
+	if after := 1 - h.s.room("s").Cores/64; after > before/5 {
+		t.Errorf("the unusable share is %.3f after a minute without a decision, %.3f before", after, before)
+	}
+}
+
+// Guards against room that is held to be unusable because the waiting jobs ask for
+// labels, racks or accelerators.
+func TestRestrictedJobsDoNotShowUnusableRoom(t *testing.T) {
+	for name, restrict := range map[string]func(*Step){
+		"label":       func(st *Step) { st.Label = "fast" },
+		"rack":        func(st *Step) { st.Rack = "r1" },
+		"accelerator": func(st *Step) { st.Accelerators = 1 },
+	} {
+		special := testTarget("a")
+		special.Labels, special.Accelerators = []string{"fast"}, 1
+		h := newHarness(t, special, testTarget("b"))
+		for i := range 8 {
+			j := shortageJob(fmt.Sprintf("job%d", i), "bulk", 1, 200*time.Millisecond)
+			restrict(&j.Steps[0])
+			h.submit(RequestID(i+1), j)
+			h.now = h.now.Add(planInterval)
+		}
+		if len(h.s.queue) == 0 {
+			t.Fatalf("%s: no job waits", name)
+		}
+		if room := h.s.room("s"); room.Cores != 128 {
+			t.Errorf("%s: %.1f of 128 cores count as usable", name, room.Cores)
+		}
+	}
+}
