core/catalog, pool/metrics: comments on priorities and refusals

The priority of a queue was said not to be evaluated by the scheduler, and the count of jobs without room did not say that it includes the jobs of a queue that is contained.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -31,7 +31,7 @@
 	Prefix  string
 	Service string
 	// Priority is the priority of the queue under overload; 0 is the highest.
-	// It is passed on with each job, but the scheduler does not evaluate it.
+	// Together with the demand of the queue it decides which jobs are turned away.
 	Priority int
 	// MaxAttempts is the number of failed attempts of a task after which its
 	// job fails.
--- a/pool/metrics/metrics.go
+++ b/pool/metrics/metrics.go
@@ -53,7 +53,7 @@
 	"marigold_pool_refused_requests_total":       "Requests refused before they were served, by limit.",
 	"marigold_pool_closed_connections_total":     "Connections closed because of a limit, by limit.",
 	"marigold_pool_idle_core_milliseconds_total": "Free processor time of the owned targets while a job waited for longer than 50 ms, by reason, in core-milliseconds.",
-	"marigold_pool_turned_away_total":            "Jobs that this instance as an owner has turned away for want of room, by priority and reason.",
+	"marigold_pool_turned_away_total":            "Jobs that this instance as an owner has turned away as overloaded, by priority and reason: gave_way to a job that costs callers more, or no_room, which includes the jobs of a queue whose tasks are suspected of crashing targets.",
 	"marigold_pool_turned_away_cost":             "What jobs that were turned away cost callers, in seconds of the usual demand of their queues, by priority.",
 	"marigold_pool_served_cost":                  "The same of the jobs that have completed.",
 	"marigold_pool_queue_seconds":                "Time in the queue of an owner until the first start or the refusal, in seconds, by priority.",
@@ -105,7 +105,7 @@
 	m.scope.Tagged(map[string]string{"state": state}).Histogram("answer_seconds", m.buckets).RecordDuration(took)
 }
 
-// Served records a job that has completed, or was turned away for want of room, at this
+// Served records a job that has completed, or was turned away as overloaded, at this
 // instance as an owner.
 func (m *Metrics) Served(a scheduler.Reply) {
 	scope := m.scope.Tagged(map[string]string{"priority": strconv.Itoa(a.Summary.Priority)})
@@ -117,6 +117,7 @@
 			return
 		}
 		m.addCost(&m.turnedAwayCost, "turned_away_cost", a.Summary)
+		// Jobs that containment refuses are included: they have the same reason.
 		reason := "no_room"
 		if a.Summary.Preferred != "" {
 			reason = "gave_way"
