--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -16,17 +17,26 @@
 	prioritiesPerDoubling = 3
 	// minUsualTime bounds the time over which the usual demand is averaged.
 	minUsualTime = time.Second
+	// maxSilence is the time without demand after which a queue is dropped.
+	maxSilence = 10 * time.Minute
 )
 
 // Demand holds the demand of the queues. The zero value is not usable; see New. A
 // Demand is not safe for concurrent use.
 type Demand struct {
-	since  time.Time
 	queues map[string]*queue
+	// names holds the names of the queues, sorted, so that equal events give equal sums.
+	names []string
+	// nextExpiry is when queues are dropped next.
+	nextExpiry time.Time
 }
 
 type queue struct {
-	priority       int
+	priority int
+	// since is when the first work arrived.
+	since time.Time
+	// used is when work last arrived or waited.
+	used           time.Time
 	usual, current average
 }
 
@@ -41,19 +51,26 @@
 
 // Add records work, in core-seconds, that arrives at a queue.
 func (d *Demand) Add(now time.Time, name string, priority int, coreSeconds float64) {
-	if d.since.IsZero() {
-		d.since = now
-	}
+	d.expire(now)
 	q := d.queues[name]
 	if q == nil {
-		q = &queue{}
+		q = &queue{since: now}
 		d.queues[name] = q
+		i, _ := slices.BinarySearch(d.names, name)
+		d.names = slices.Insert(d.names, i, name)
 	}
-	q.priority = priority
+	q.priority, q.used = priority, now
 	q.usual.add(now, coreSeconds, usualPeriod)
 	q.current.add(now, coreSeconds, currentPeriod)
 }
 
+// Keep records that jobs of a queue wait, so that it keeps its price.
+func (d *Demand) Keep(now time.Time, name string) {
+	if q := d.queues[name]; q != nil {
+		q.used = now
+	}
+}
+
 // Price returns what it costs the callers of a queue to turn work away, for each
 // core-second, relative to other queues. All queues count the same to their callers
 // together, so that a core-second costs more where less is asked for, and a queue that
@@ -64,7 +81,7 @@
 		return 0
 	}
 	weight := math.Exp2(-float64(q.priority) / prioritiesPerDoubling)
-	return weight / max(q.usual.rate(now, usualPeriod, d.elapsed(now)), math.SmallestNonzeroFloat32)
+	return weight / max(q.usual.rate(now, usualPeriod, q.elapsed(now)), math.SmallestNonzeroFloat32)
 }
 
 // Current returns the current demand of a queue, in core-seconds per second.
@@ -73,14 +90,18 @@
 	if q == nil {
 		return 0
 	}
-	return q.current.rate(now, currentPeriod, d.elapsed(now))
+	return q.current.rate(now, currentPeriod, q.elapsed(now))
 }
 
-// Priorities returns the highest price of the queues of each priority.
+// Priorities returns the price of the queue with the most demand of each priority.
 func (d *Demand) Priorities(now time.Time) map[int]float64 {
+	d.expire(now)
 	prices := map[int]float64{}
-	for name, q := range d.queues {
-		prices[q.priority] = max(prices[q.priority], d.Price(now, name))
+	for _, name := range d.names {
+		priority, price := d.queues[name].priority, d.Price(now, name)
+		if lowest, ok := prices[priority]; !ok || price < lowest {
+			prices[priority] = price
+		}
 	}
 	return prices
 }
@@ -88,7 +109,7 @@
 // CurrentAbove returns the current demand of all queues with a higher price, in
 // core-seconds per second.
 func (d *Demand) CurrentAbove(now time.Time, price float64) (rate float64) {
-	for name := range d.queues {
+	for _, name := range d.names {
 		if d.Price(now, name) > price {
 			rate += d.Current(now, name)
 		}
@@ -96,16 +117,25 @@
 	return rate
 }
 
-// Queues returns the names of the queues with demand, in no order.
-func (d *Demand) Queues() []string {
-	names := make([]string, 0, len(d.queues))
-	for name := range d.queues {
-		names = append(names, name)
+// Queues returns the names of the queues with demand, sorted.
+func (d *Demand) Queues() []string { return slices.Clone(d.names) }
+
+// expire drops the queues without demand, at most once a second.
+func (d *Demand) expire(now time.Time) {
+	if now.Before(d.nextExpiry) {
+		return
 	}
-	return names
+	d.nextExpiry = now.Add(time.Second)
+	d.names = slices.DeleteFunc(d.names, func(name string) bool {
+		silent := now.Sub(d.queues[name].used) >= maxSilence
+		if silent {
+			delete(d.queues, name)
+		}
+		return silent
+	})
 }
 
-func (d *Demand) elapsed(now time.Time) time.Duration { return max(now.Sub(d.since), minUsualTime) }
+func (q *queue) elapsed(now time.Time) time.Duration { return max(now.Sub(q.since), minUsualTime) }
 
 func (a *average) add(now time.Time, v float64, period time.Duration) {
 	a.sum = a.decayed(now, period) + v
--- a/core/demand/demand_test.go
+++ b/core/demand/demand_test.go
@@ -1,7 +1,9 @@
 package demand
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 )
@@ -58,3 +60,71 @@
 		t.Errorf("5 s after the last job the current demand is %.1f core-seconds per second", got)
 	}
 }
+
+// Guards against results that depend on the order of a map: equal events must lead to
+// equal decisions.
+func TestEqualEventsGiveEqualValues(t *testing.T) {
+	var names []string
+	rate := 0.0
+	for run := range 100 {
+		d := New()
+		now := time.Unix(1000, 0)
+		for i := range 40 {
+			now = now.Add(7 * time.Millisecond)
+			d.Add(now, fmt.Sprintf("queue%d", i*7%40), i%3, 1/float64(i+3))
+		}
+		gotNames, gotRate := d.Queues(), d.CurrentAbove(now, 0)
+		if run == 0 {
+			names, rate = gotNames, gotRate
+		}
+		if !slices.Equal(gotNames, names) || gotRate != rate {
+			t.Fatalf("run %d: %v with %v core-seconds per second, the first gave %v with %v", run, gotNames, gotRate, names, rate)
+		}
+	}
+}
+
+// Guards against a queue that costs more than equal ones because it has begun later, so
+// that its flood takes the room of all others.
+func TestNewQueueCostsAsMuchAsAnEqualOne(t *testing.T) {
+	d := New()
+	now := time.Unix(1000, 0)
+	for range 60_000 {
+		now = now.Add(10 * time.Millisecond)
+		d.Add(now, "old", 0, 5)
+	}
+	for i := range 3000 {
+		now = now.Add(10 * time.Millisecond)
+		d.Add(now, "old", 0, 5)
+		d.Add(now, "new", 0, 5)
+		if r := d.Price(now, "new") / d.Price(now, "old"); i >= 100 && (r < 0.5 || r > 2) {
+			t.Fatalf("after %d ms the new queue costs %.2f times as much, want 1", 10*i, r)
+		}
+	}
+}
+
+// Guards against a queue without demand whose price makes the room of its priority look
+// too good for the queues that are in use.
+func TestPriorityHasThePriceOfItsBusiestQueue(t *testing.T) {
+	d := New()
+	now := record(d, time.Unix(1000, 0))
+	if got, want := d.Priorities(now)[0], d.Price(now, "much"); got != want {
+		t.Errorf("priority 0 has the price %v, want %v of the queue with the most demand", got, want)
+	}
+}
+
+// Guards against queues that are kept forever, and against dropping one whose jobs wait.
+func TestQueueWithoutDemandIsDropped(t *testing.T) {
+	d := New()
+	now := record(d, time.Unix(1000, 0))
+	for range 11 * 60 {
+		now = now.Add(time.Second)
+		d.Add(now, "much", 0, 20)
+		d.Keep(now, "lower")
+	}
+	if got := d.Queues(); !slices.Equal(got, []string{"lower", "much"}) {
+		t.Errorf("the queues are %v after 11 minutes with demand for one and waiting jobs of another", got)
+	}
+	if got := d.Priorities(now.Add(11 * time.Minute)); len(got) != 0 {
+		t.Errorf("the priorities are %v after 11 minutes without demand", got)
+	}
+}
