--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -306,21 +307,18 @@
 
 // jobsWhere returns the jobs that satisfy a condition, sorted by ID.
 func (s *Scheduler) jobsWhere(ok func(*job) bool) []*job {
-	var out []*job
-	for _, j := range s.jobs {
-		if ok(j) {
-			out = append(out, j)
-		}
-	}
-	slices.SortFunc(out, compareIDs)
-	return out
+	return sortedWhere(maps.Values(s.jobs), ok)
 }
 
 // queuedWhere returns the queued jobs that satisfy a condition, sorted by ID. All jobs
 // with tasks to place are queued.
 func (s *Scheduler) queuedWhere(ok func(*job) bool) []*job {
+	return sortedWhere(slices.Values(s.queue), ok)
+}
+
+func sortedWhere(all iter.Seq[*job], ok func(*job) bool) []*job {
 	var out []*job
-	for _, j := range s.queue {
+	for j := range all {
 		if ok(j) {
 			out = append(out, j)
 		}
--- a/pool/run/drain.go
+++ b/pool/run/drain.go
@@ -34,9 +34,9 @@
 
 // drain shuts the instance down within the grace period: it releases the targets
 // for other instances, those with tasks that are about to end last, and waits for
-// requests in flight. Jobs that wait at other owners
-// may still start there for most of that time. Shortly before its end they are refused,
-// and then the callers of the jobs that run are told that their outcome is unknown.
+// requests in flight. Jobs that wait at other owners may still start there for most of
+// that time. Shortly before its end they are refused, and then the callers of the jobs
+// that run are told that their outcome is unknown.
 func (in *Instance) drain() {
 	in.log.Info("The shutdown begins.")
 	end := time.Now().Add(in.cfg.Grace() - exitMargin)
--- a/pool/run/outcomes.go
+++ b/pool/run/outcomes.go
@@ -14,8 +14,8 @@
 // are over in this time are not logged.
 const maxStopTime = 100 * time.Millisecond
 
-// logReply counts and logs the outcome of a job and the figures behind it. Completed jobs are
-// logged at the level debug, because there are hundreds per second.
+// logReply counts and logs the outcome of a job and the figures behind it. Completed jobs
+// are logged at the level debug, because there are hundreds per second.
 func (in *Instance) logReply(a scheduler.Reply) {
 	in.metrics.Served(a)
 	m := a.Summary
