--- a/pool/frontend/owners.go
+++ b/pool/frontend/owners.go
@@ -47,11 +47,6 @@
 // cost returns the estimated delay at the owner for a job whose first tasks
 // need the given processors, in thousandths of a core.
 func (c candidate) cost(now time.Time, need int64) time.Duration {
-	return (c.fixedCost() + c.wait(now, need)).Round(costStep)
-}
-
-// fixedCost returns the part of the cost that does not depend on the load.
-func (c candidate) fixedCost() time.Duration {
 	cost := time.Duration(0)
 	if !c.sameZone {
 		cost += crossZoneCost
@@ -62,40 +57,13 @@
 	if c.load.Overdue {
 		cost += overdueCost
 	}
-	return cost
-}
-
-// wait returns the part of the cost that the load report tells.
-func (c candidate) wait(now time.Time, need int64) time.Duration {
-	if now.Sub(c.load.ReportedAt) >= maxLoadAge {
-		return 0
-	}
-	wait := c.load.ForecastWait
-	if short := need - c.load.FreeCPU; short > 0 {
-		wait += time.Duration(float64(shortageCost) * float64(short) / float64(need))
-	}
-	return wait
-}
-
-// rank sorts the owners by their cost, the lowest first, with waits that are multiplied
-// by random factors between 0 and 2. The senders have similar reports of the owners,
-// which are up to 250 ms old: without the factors, all of them send their jobs to the
-// same owner until the next report. Owners without a wait are not affected. The
-// function random returns numbers from 0 to 1.
-func rank(all []candidate, now time.Time, need int64, random func() float64) {
-	type key struct {
-		cost time.Duration
-		// tie orders owners of equal cost at random, which spreads the load.
-		tie float64
-	}
-	keys := make(map[string]key, len(all))
-	for _, c := range all {
-		wait := time.Duration(2 * random() * float64(c.wait(now, need)))
-		keys[c.address] = key{(c.fixedCost() + wait).Round(costStep), random()}
+	if now.Sub(c.load.ReportedAt) < maxLoadAge {
+		cost += c.load.ForecastWait
+		if short := need - c.load.FreeCPU; short > 0 {
+			cost += time.Duration(float64(shortageCost) * float64(short) / float64(need))
+		}
 	}
-	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(keys[a.address].cost, keys[b.address].cost), cmp.Compare(keys[a.address].tie, keys[b.address].tie))
-	})
+	return cost.Round(costStep)
 }
 
 // cannotStartNow reports whether a recent load report of the owner shows that it
@@ -133,7 +101,9 @@
 		}
 		all[i].sameZone = all[i].sameZone || s.Zone == f.cfg.Zone
 	}
-	rank(all, now, need, rand.Float64)
+	// Owners of equal cost are in random order, which spreads the load.
+	rand.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
+	slices.SortStableFunc(all, func(a, b candidate) int { return cmp.Compare(a.cost(now, need), b.cost(now, need)) })
 	return all
 }
 
