--- a/core/scheduler/shortage.go
+++ b/core/scheduler/shortage.go
@@ -24,9 +24,9 @@
 	// unansweredRoomTime is how long a target that does not answer counts as room. A
 	// single lost answer would otherwise refuse all jobs that wait for it.
 	unansweredRoomTime = time.Second
-	// maxDearerShare bounds the share of the room that work of higher prices is
+	// maxHigherPricedShare bounds the share of the room that work of higher prices is
 	// assumed to take when the time is forecast at which there is room.
-	maxDearerShare = 0.9
+	maxHigherPricedShare = 0.9
 	// maxRetryAfter is the longest time after which a refused job should be submitted
 	// again, without its spread.
 	maxRetryAfter = 10 * time.Second
@@ -254,10 +254,10 @@
 
 // waitBeside returns the wait for room of which work of higher prices takes a part, in
 // core-seconds per second.
-func waitBeside(wait time.Duration, dearer, cores float64) time.Duration {
-	share := maxDearerShare
+func waitBeside(wait time.Duration, higherPriced, cores float64) time.Duration {
+	share := maxHigherPricedShare
 	if cores > 0 {
-		share = min(dearer/cores, maxDearerShare)
+		share = min(higherPriced/cores, maxHigherPricedShare)
 	}
 	return time.Duration(float64(wait) / (1 - share))
 }
--- a/core/shedding/shedding.go
+++ b/core/shedding/shedding.go
@@ -208,7 +208,7 @@
 			victims = p.victims(i, start.at-j.LatestStart, kept[n+1:])
 		}
 		if len(victims) == 0 {
-			p.remove(i, p.dearer(i))
+			p.remove(i, p.nextPriceAbove(i))
 			continue
 		}
 		removed := make([]bool, len(p.jobs))
@@ -229,7 +229,7 @@
 }
 
 // reconsider puts the jobs back that gave way to one that will be late itself. It reports
-// whether there are any. The dearest job of such a chain stays late, so that each call
+// whether there are any. The job with the highest price of such a chain stays late, so that each call
 // makes progress.
 func (p *planner) reconsider() bool {
 	late := make([]bool, len(p.jobs))
@@ -304,8 +304,8 @@
 	return victims
 }
 
-// dearer returns the kept job with the lowest price above that of a job, or -1.
-func (p *planner) dearer(last int) int {
+// nextPriceAbove returns the kept job with the lowest price above that of a job, or -1.
+func (p *planner) nextPriceAbove(last int) int {
 	found := -1
 	for _, i := range p.kept {
 		if p.price[i] > p.price[last] && (found < 0 || p.price[i] < p.price[found]) {
--- a/core/shedding/shedding_test.go
+++ b/core/shedding/shedding_test.go
@@ -56,7 +56,7 @@
 }
 
 // Guards against the reverse: a job that has waited gives way to one that costs less.
-func TestDearerJobKeepsItsPlace(t *testing.T) {
+func TestJobOfAHigherPriceKeepsItsPlace(t *testing.T) {
 	jobs := []Job{
 		{Cores: 8, RunTime: 400 * ms, Price: 3, LatestStart: 50 * ms, LatestUseful: 100 * ms, Age: 30 * ms},
 		{Cores: 8, RunTime: 100 * ms, Price: 1, LatestStart: 60 * ms, LatestUseful: 70 * ms},
@@ -281,7 +281,7 @@
 	}
 }
 
-// Guards against a job that gives way although a dearer one that also gave way, to the
+// Guards against a job that gives way although one of a higher price that also gave way, to the
 // same job, frees enough room without it.
 func TestUnnecessaryVictimStays(t *testing.T) {
 	jobs := []Job{
