--- a/core/shedding/shedding.go
+++ b/core/shedding/shedding.go
@@ -229,8 +229,8 @@
 }
 
 // reconsider puts the jobs back that gave way to one that will be late itself. It reports
-// whether there are any. The job with the highest price of such a chain stays late, so that each call
-// makes progress.
+// whether there are any. The job with the highest price of such a chain stays late, so
+// that each call makes progress.
 func (p *planner) reconsider() bool {
 	late := make([]bool, len(p.jobs))
 	for _, i := range p.late {
