--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -1,9 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
-	"iter"
-	"maps"
 	"slices"
 	"time"
 
@@ -305,30 +302,6 @@
 	})
 }
 
-// jobsWhere returns the jobs that satisfy a condition, sorted by ID.
-func (s *Scheduler) jobsWhere(ok func(*job) bool) []*job {
-	return sortedWhere(maps.Values(s.jobs), ok)
-}
-
-// queuedWhere returns the queued jobs that satisfy a condition, sorted by ID. All jobs
-// with tasks to place are queued.
-func (s *Scheduler) queuedWhere(ok func(*job) bool) []*job {
-	return sortedWhere(slices.Values(s.queue), ok)
-}
-
-func sortedWhere(all iter.Seq[*job], ok func(*job) bool) []*job {
-	var out []*job
-	for j := range all {
-		if ok(j) {
-			out = append(out, j)
-		}
-	}
-	slices.SortFunc(out, compareIDs)
-	return out
-}
-
-func compareIDs(a, b *job) int { return cmp.Compare(a.ID, b.ID) }
-
 // finish answers a job, records its run times and stops its remaining runs.
 func (s *Scheduler) finish(j *job, o Outcome) {
 	requests := make([]RequestID, len(j.waiters))
@@ -384,25 +357,3 @@
 	}
 	return m
 }
-
-func (s *Scheduler) enqueue(j *job) {
-	j.countUnplaced()
-	if j.queued || j.unplaced == 0 {
-		return
-	}
-	j.queued = true
-	i, _ := slices.BinarySearchFunc(s.queue, j, compareJobs)
-	s.queue = slices.Insert(s.queue, i, j)
-}
-
-func (s *Scheduler) dequeue(j *job) {
-	if !j.queued {
-		return
-	}
-	j.queued = false
-	s.queue = slices.DeleteFunc(s.queue, func(q *job) bool { return q == j })
-}
-
-func (s *Scheduler) sortedJobs() []*job {
-	return slices.SortedFunc(maps.Values(s.jobs), compareIDs)
-}
