platform/callers: a limit does not deny a job that already runs

Cause: a request that a limit for clients refuses was answered "not accepted" without a look at what the instance knows of the job. A caller that sends a job again while it runs, or after its target was lost, could be told that nothing has run. A panic while the metrics are rendered would also have blocked all later scrapes.

The renderer releases its lock in any case.

--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -89,6 +89,14 @@
 	return q, rest, found, true
 }
 
+// MayHaveRun implements port.Frontend.
+func (f *Frontend) MayHaveRun(id string) bool {
+	f.mu.Lock()
+	inFlight := f.inFlight[id] != nil
+	f.mu.Unlock()
+	return inFlight || f.cfg.MayHaveRun(id)
+}
+
 // WaitingJobs implements port.Frontend.
 func (f *Frontend) WaitingJobs(queue string) int { return f.cfg.WaitingJobs(queue) }
 
--- a/pool/port/port.go
+++ b/pool/port/port.go
@@ -134,6 +134,10 @@
 	// Cancel cancels a job. It returns once no instance starts the job from then on,
 	// apart from the time that it takes to pass on the cancellation.
 	Cancel(ctx context.Context, id string) CancelResult
+	// MayHaveRun reports whether the job is in flight at this instance, or an earlier
+	// submission of it is known to have run, or may have. A refusal must then not say
+	// that the job was not accepted.
+	MayHaveRun(id string) bool
 	// WaitingJobs returns the number of jobs of the queue without a started task.
 	WaitingJobs(queue string) int
 	// Draining reports whether the instance shuts down. Connections must then be
--- a/pool/run/limits.go
+++ b/pool/run/limits.go
@@ -60,9 +60,11 @@
 	var mu sync.Mutex
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b := &bufferedResponse{ResponseWriter: w, status: http.StatusOK}
-		mu.Lock()
-		h.ServeHTTP(b, r)
-		mu.Unlock()
+		func() {
+			mu.Lock()
+			defer mu.Unlock()
+			h.ServeHTTP(b, r)
+		}()
 		if err := infra.Hold(r.Context(), int64(b.body.Cap())); err != nil {
 			infra.SetRefusal(w)
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
