infra/intake: received bytes are within the memory of the process

Crowds of clients made marigold-pool hold up to 4.5 times its memory: what the kernel has received and the process has not read counts on the users' machines, and nothing bounded it.

Cause: the kernel enlarges receive buffers by itself, up to 6 MB for each connection, and connections that wait to be accepted have buffers too. The soft limit of the Go runtime was 0.7 of the memory, which leaves too little for the pages of the program and for what is allocated during a collection.

Now one budget divides memory_mb: a fifth for receive buffers, the heap, and the program. Receive buffers have a fixed size, which accepted connections inherit from their listener, and the backlog of each listener is bounded, so that the sum of all buffers is within the fifth.

--- a/infra/intake/conn.go
+++ b/infra/intake/conn.go
@@ -1,10 +1,12 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"marigoldfront.dev/core/intake"
@@ -43,13 +45,48 @@
 // Listen listens at a TCP address. The connections may be the given share of all that
 // the Guard allows.
 func (g *Guard) Listen(address string, share float64) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	// Accepted connections inherit the size. Without it, the kernel enlarges the buffers
+	// as it sees fit, up to some MB for each connection.
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return control(c, func(fd int) error {
+			return syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+	}}
+	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	if err := g.boundBacklog(l); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
 	return &listener{Listener: l, guard: g, share: share}, nil
 }
 
+// boundBacklog bounds the connections that wait to be accepted, which may have received
+// requests already.
+func (g *Guard) boundBacklog(l net.Listener) error {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok || g.cfg.Backlog == 0 {
+		return nil
+	}
+	c, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	// A second call changes the length of the queue.
+	return control(c, func(fd int) error { return syscall.Listen(fd, g.cfg.Backlog) })
+}
+
+// control calls f with the descriptor of a connection and returns its error.
+func control(c syscall.RawConn, f func(fd int) error) error {
+	var err error
+	if controlErr := c.Control(func(fd uintptr) { err = f(int(fd)) }); controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
 // Accept implements net.Listener. A connection for which there is no room is closed at
 // once.
 func (l *listener) Accept() (net.Conn, error) {
--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -38,7 +38,10 @@
 // Config holds the dependencies of a Guard.
 type Config struct {
 	Limits intake.Limits
-	Log    *zap.Logger
+	// Backlog bounds the connections that wait to be accepted at each listener. 0 means
+	// the limit of the operating system.
+	Backlog int
+	Log     *zap.Logger
 	// Refused counts a request that was refused, and Closed a connection that was
 	// closed, because of a limit.
 	Refused, Closed func(intake.Limit)
--- a/pool/run/main.go
+++ b/pool/run/main.go
@@ -64,7 +64,7 @@
 		return exitOK
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20)))
+	debug.SetMemoryLimit(budget(&cfg).Heap)
 	in, err := New(cfg, connect(cfg))
 	if err != nil {
 		fmt.Fprintln(stderr, err)
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -149,8 +149,9 @@
 		Lease: cfg.Lease(), MaxClockDrift: maxClockDrift, RemoteRackFactor: cfg.RemoteRackFactor, ResubmissionDelay: cfg.ResubmissionDelay(),
 		EvacuationStartTime: cfg.EvacuationStartTime(),
 	})
+	b := budget(&cfg)
 	in.guard = intake.New(intake.Config{
-		Limits: requestLimits(&cfg), Log: in.logger("intake"),
+		Limits: b.Limits, Backlog: b.Backlog, Log: in.logger("intake"),
 		Refused: in.metrics.RefusedRequest, Closed: in.metrics.ClosedConnection,
 	})
 	in.stalls = stall.New(clock.Now)
