core/intake, infra/intake: what is refused counts until it is released

Requests that gave way counted for nothing from that moment on, although their handlers still held their bodies, and each client that returned left another body of up to 4 MiB as garbage. Connections that wait for a client to take a refusal were in no budget. A client that took no response kept its connection until a deadline, whoever waited.

Evicted requests hold their memory until they are released, and others get it in their place only up to a quarter of the budget. Refused connections count until they are closed, and give way first. A response of which nothing has been taken for 250 ms gives way like a request that does not arrive. Large bodies are read in segments that are used again, and a connection gets a larger receive buffer, which counts, for such a body.

TestEvictedRequestsHoldTheirMemory, TestResponseThatIsNotTakenGivesWay and TestLingeringConnectionGivesWayFirst are new. The tests of infra/intake set the two times, which were constants, in the configuration.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -16,8 +16,8 @@
 	// from larger ones.
 	SmallRequest = 256 << 10
 	// progressBytes is the number of bytes that a client must send to count as making
-	// progress, and stallTime the time without progress after which its request gives
-	// way to connections without a request.
+	// progress, and stallTime the time without progress after which its request or
+	// response gives way to connections without a request.
 	progressBytes = 4 << 10
 	stallTime     = 250 * time.Millisecond
 )
@@ -34,6 +34,10 @@
 // unfinishedMemory bounds the bytes of requests that have not arrived completely.
 func (l Limits) unfinishedMemory() int64 { return l.Memory / 2 }
 
+// evictedMemory bounds the bytes of requests that were told to give way and still hold
+// them. The requests in whose place they went have got them too.
+func (l Limits) evictedMemory() int64 { return l.Memory / 4 }
+
 // largeMemory bounds the bytes of all connections when a request above SmallRequest
 // takes more.
 func (l Limits) largeMemory() int64 { return l.Memory / 4 * 3 }
@@ -69,10 +73,14 @@
 	unfinished state = iota
 	// complete: a request has arrived and has no response yet.
 	complete
+	// responding: a part of a response is being sent.
+	responding
 	// idle: the connection is kept for further requests.
 	idle
-	// evicted: the connection has been told to close.
+	// evicted: the connection has been told to close, and still holds its memory.
 	evicted
+	// lingering: the connection waits for its client to take a refusal.
+	lingering
 	stateCount
 )
 
@@ -81,12 +89,13 @@
 	id      uint64
 	state   state
 	element *list.Element // in Table.byState[state]
-	// progressAt is when the state began or, in state unfinished, when the last
-	// progressBytes had arrived. received counts the bytes since then.
+	// progressAt is when the state began, when the last progressBytes had arrived in
+	// state unfinished, or when the client last took a part in state responding.
+	// received counts the bytes since then.
 	progressAt time.Time
 	received   int64
-	// held is the memory of the connection and its request.
-	held int64
+	// base is the memory of the connection without a request, and held that of both.
+	base, held int64
 }
 
 // Table holds the open connections of an instance.
@@ -95,7 +104,7 @@
 	connections map[uint64]*connection
 	lastID      uint64
 	// byState holds the connections in each state, ordered by progressAt, and held
-	// their memory. Evicted connections hold none.
+	// their memory.
 	byState [stateCount]*list.List
 	held    [stateCount]int64
 }
@@ -120,7 +129,15 @@
 	return Stats{Bytes: t.total(), Connections: len(t.connections), Unfinished: t.byState[unfinished].Len()}
 }
 
-func (t *Table) total() int64 { return t.held[unfinished] + t.held[complete] + t.held[idle] }
+// total returns the bytes of all connections that have not been told to close.
+func (t *Table) total() (bytes int64) {
+	for s, held := range t.held {
+		if state(s) != evicted {
+			bytes += held
+		}
+	}
+	return bytes
+}
 
 // Open adds a connection, which awaits a request. The listener that has accepted it may
 // use the given share of the connections. If the connection must be closed at once,
@@ -135,7 +152,7 @@
 		evictions = append(evictions, Eviction{ID: v.id, Limit: Connections, Abort: true})
 	}
 	t.lastID++
-	c := &connection{id: t.lastID, progressAt: now}
+	c := &connection{id: t.lastID, progressAt: now, base: ConnectionCost}
 	t.connections[c.id] = c
 	c.element = t.byState[unfinished].PushBack(c)
 	evictions = append(evictions, t.boundUnfinished(c)...)
@@ -172,30 +189,49 @@
 // false if the request has to be refused, because it gives way to others.
 func (t *Table) Complete(now time.Time, id uint64) bool {
 	c := t.connections[id]
-	if c == nil || c.state == evicted {
+	if c == nil || c.closing() {
 		return false
 	}
 	t.move(c, complete, now)
 	return true
 }
 
+// Respond records that a part of the response to a complete request is about to be sent.
+// Until Responded, the connection gives way if its client takes nothing for stallTime.
+func (t *Table) Respond(now time.Time, id uint64) {
+	if c := t.connections[id]; c != nil && (c.state == complete || c.state == responding) {
+		t.move(c, responding, now)
+	}
+}
+
+// Responded records that a part of a response has been sent.
+func (t *Table) Responded(now time.Time, id uint64) {
+	if c := t.connections[id]; c != nil && c.state == responding {
+		t.move(c, complete, now)
+	}
+}
+
 // Idle records that the request of a connection has ended and that the connection is
 // kept. Only the memory of the connection itself remains.
 func (t *Table) Idle(now time.Time, id uint64) {
 	c := t.connections[id]
-	if c == nil || c.state == evicted {
+	if c == nil || c.closing() {
 		return
 	}
-	t.add(c, ConnectionCost-c.held)
+	t.add(c, c.base-c.held)
 	t.move(c, idle, now)
 }
 
-// Refuse records that a connection closes after a refusal. It gives way to new ones and
-// holds no memory.
-func (t *Table) Refuse(id uint64) {
-	if c := t.connections[id]; c != nil && c.state != evicted {
-		t.evict(c, None)
+// Refuse records that the request of a connection was refused and holds no memory any
+// more. The connection stays open for its client to take the refusal, and gives way to
+// all others.
+func (t *Table) Refuse(now time.Time, id uint64) {
+	c := t.connections[id]
+	if c == nil {
+		return
 	}
+	t.add(c, c.base-c.held)
+	t.move(c, lingering, now)
 }
 
 // Close removes a connection.
@@ -215,10 +251,24 @@
 // not enough, the request has to be refused, and Hold returns the limit.
 func (t *Table) Hold(now time.Time, id uint64, bytes int64) ([]Eviction, Limit) {
 	c := t.connections[id]
-	if c == nil || c.state == evicted {
+	if c == nil || c.closing() {
+		return nil, Memory
+	}
+	return t.hold(now, c, c.base+bytes)
+}
+
+// Grow adds bytes to the memory that a connection takes even without a request. If there
+// is not enough, it returns the limit, and nothing changes.
+func (t *Table) Grow(now time.Time, id uint64, bytes int64) ([]Eviction, Limit) {
+	c := t.connections[id]
+	if c == nil || c.closing() {
 		return nil, Memory
 	}
-	return t.hold(now, c, ConnectionCost+bytes)
+	evictions, met := t.hold(now, c, c.held+bytes)
+	if met == None {
+		c.base += bytes
+	}
+	return evictions, met
 }
 
 func (t *Table) hold(now time.Time, c *connection, held int64) (evictions []Eviction, met Limit) {
@@ -231,26 +281,56 @@
 	if held > ConnectionCost+SmallRequest {
 		limit = t.limits.largeMemory()
 	}
-	evictable := t.held[unfinished] + t.held[idle]
-	if c.state != complete {
-		evictable -= c.held
-	}
-	if t.total()-evictable+more > limit || c.state == unfinished && held > t.limits.unfinishedMemory() {
+	if t.total()-t.evictable(now, c)+more > limit || c.state == unfinished && held > t.limits.unfinishedMemory() {
 		return nil, Memory
 	}
 	for c.state == unfinished && t.held[unfinished]+more > t.limits.unfinishedMemory() {
+		if t.held[evicted] >= t.limits.evictedMemory() {
+			return evictions, Memory
+		}
 		evictions = append(evictions, t.evict(t.oldest(unfinished, c), Memory))
 	}
 	for t.total()+more > limit {
-		evictions = append(evictions, t.evict(t.memoryVictim(now, c), Memory))
+		if t.held[evicted] >= t.limits.evictedMemory() {
+			return evictions, Memory
+		}
+		evictions = append(evictions, t.displace(t.memoryVictim(now, c)))
 	}
 	t.add(c, more)
 	return evictions, None
 }
 
+// evictable returns the memory of the connections that memoryVictim may return.
+func (t *Table) evictable(now time.Time, except *connection) int64 {
+	bytes := t.held[unfinished] + t.held[idle] + t.held[lingering]
+	if except.state == unfinished {
+		bytes -= except.held
+	}
+	for e := t.byState[responding].Front(); e != nil; e = e.Next() {
+		c := e.Value.(*connection)
+		if !c.stalled(now) {
+			break
+		}
+		if c != except {
+			bytes += c.held
+		}
+	}
+	return bytes
+}
+
+// displace makes a connection give way to the memory of another. The connection of a
+// client that has a response or does not take one is closed at once.
+func (t *Table) displace(c *connection) Eviction {
+	if c.state == unfinished || c.state == idle {
+		return t.evict(c, Memory)
+	}
+	t.remove(c)
+	return Eviction{ID: c.id, Limit: Memory, Abort: true}
+}
+
 // Stalled evicts the requests that have made no progress for stallTime.
 func (t *Table) Stalled(now time.Time, reason Limit) (evictions []Eviction) {
-	for c := t.oldest(unfinished, nil); c != nil && now.Sub(c.progressAt) >= stallTime; c = t.oldest(unfinished, nil) {
+	for c := t.oldest(unfinished, nil); c != nil && c.stalled(now); c = t.oldest(unfinished, nil) {
 		evictions = append(evictions, t.evict(c, reason))
 	}
 	return evictions
@@ -270,6 +350,9 @@
 
 // connectionVictim returns the connection that gives way to a new one, or nil.
 func (t *Table) connectionVictim(now time.Time) *connection {
+	if c := t.oldest(lingering, nil); c != nil {
+		return c
+	}
 	if c := t.oldest(evicted, nil); c != nil {
 		return c
 	}
@@ -277,13 +360,20 @@
 }
 
 // memoryVictim returns the connection that gives way to the request of another, or nil.
-// The one without a request that has been idle for longest comes after requests that
-// are stalled, and before others.
+// Those that linger come first, then the one whose client has made no progress for
+// longest, then the one that has been idle for longest, and requests that arrive last.
 func (t *Table) memoryVictim(now time.Time, except *connection) *connection {
-	c := t.oldest(unfinished, except)
-	if c != nil && now.Sub(c.progressAt) >= stallTime {
+	if c := t.oldest(lingering, except); c != nil {
 		return c
 	}
+	c := t.oldest(unfinished, except)
+	stalled := c
+	if w := t.oldest(responding, except); w != nil && (c == nil || w.progressAt.Before(c.progressAt)) {
+		stalled = w
+	}
+	if stalled != nil && stalled.stalled(now) {
+		return stalled
+	}
 	if i := t.oldest(idle, except); i != nil {
 		return i
 	}
@@ -303,9 +393,14 @@
 	return e.Value.(*connection)
 }
 
+// closing reports whether the connection has been told to close.
+func (c *connection) closing() bool { return c.state == evicted || c.state == lingering }
+
+// stalled reports whether the client has made no progress for stallTime.
+func (c *connection) stalled(now time.Time) bool { return now.Sub(c.progressAt) >= stallTime }
+
 // evict marks a connection as evicted. It stays in the table until it is closed.
 func (t *Table) evict(c *connection, reason Limit) Eviction {
-	t.add(c, -c.held)
 	t.move(c, evicted, c.progressAt)
 	return Eviction{ID: c.id, Limit: reason}
 }
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -200,3 +200,68 @@
 	table.Receive(at(time.Second), sending, progressBytes)
 	wantEvictions(t, table.Stalled(at(time.Second), Stop), Eviction{ID: stalled, Limit: Stop})
 }
+
+// Guards against responses that are not taken and keep the place of others, and against
+// the end of one that its client takes.
+func TestResponseThatIsNotTakenGivesWay(t *testing.T) {
+	table := New(Limits{Memory: 8 * mb, Connections: 3, Unfinished: 3})
+	var ids []uint64
+	for range 3 {
+		id := open(t, table, at(0))
+		table.Complete(at(0), id)
+		table.Respond(at(0), id)
+		ids = append(ids, id)
+	}
+	table.Responded(at(0), ids[1])
+	table.Respond(at(time.Second), ids[2])
+	id, evictions, met := table.Open(at(time.Second), 1)
+	wantEvictions(t, evictions, Eviction{ID: ids[0], Limit: Connections, Abort: true})
+	if met != None {
+		t.Errorf("limit %q", met)
+	}
+	table.Complete(at(time.Second), id)
+	if _, evictions, met := table.Open(at(time.Second), 1); met != Connections || len(evictions) > 0 {
+		t.Errorf("evictions %v, limit %q while one is served and the other takes its response", evictions, met)
+	}
+}
+
+// Guards against memory that is given to others while requests that gave way for it still
+// hold it: clients that return faster than they are refused would take it many times.
+func TestEvictedRequestsHoldTheirMemory(t *testing.T) {
+	const memory = 8 * mb
+	table := New(Limits{Memory: memory, Connections: 100, Unfinished: 100})
+	refused := 0
+	for range 40 {
+		id, _, met := table.Open(at(0), 1)
+		if met == None {
+			_, met = table.Hold(at(0), id, mb)
+		}
+		if met != None {
+			refused++
+		}
+	}
+	var held int64
+	for _, bytes := range table.held {
+		held += bytes
+	}
+	if held > memory || refused == 0 {
+		t.Errorf("%d bytes are held of %d, %d requests were refused", held, memory, refused)
+	}
+}
+
+// Guards against connections that wait for the client of a refusal and keep memory from
+// others, or that count for none.
+func TestLingeringConnectionGivesWayFirst(t *testing.T) {
+	table := New(Limits{Memory: 8 * mb, Connections: 10, Unfinished: 10})
+	idle, refused := open(t, table, at(0)), open(t, table, at(0))
+	table.Complete(at(0), idle)
+	table.Idle(at(0), idle)
+	hold(t, table, at(0), refused, mb)
+	table.Refuse(at(0), refused)
+	if got := table.Stats().Bytes; got != 2*ConnectionCost {
+		t.Errorf("%d bytes are held, want those of two connections", got)
+	}
+	id := open(t, table, at(0))
+	table.Complete(at(0), id)
+	wantEvictions(t, hold(t, table, at(0), id, 6*mb-2*ConnectionCost), Eviction{ID: refused, Limit: Memory, Abort: true})
+}
--- a/infra/intake/conn.go
+++ b/infra/intake/conn.go
@@ -17,6 +17,8 @@
 const (
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 1 << 20
+	// writeSize is the size of the pieces in which responses are sent.
+	writeSize = 16 << 10
 )
 
 // evictedError is the error of reads from a connection that gives way to others. It is a
@@ -133,6 +135,9 @@
 	// refused is set if the client has to read a refusal before the connection closes,
 	// although a part of the request was not read.
 	refused atomic.Bool
+	// grown is set once the receive buffer was enlarged. Only the goroutine that serves
+	// the connection uses it.
+	grown bool
 }
 
 // interrupt makes the pending and all later reads fail. The caller holds the lock of the
@@ -156,6 +161,26 @@
 	return n, err
 }
 
+// Write implements net.Conn. It sends a response in pieces, so that a client that takes
+// them slowly can be told from one that takes nothing.
+func (c *conn) Write(b []byte) (n int, err error) {
+	defer c.guard.record(c, (*intake.Table).Responded)
+	for {
+		c.guard.record(c, (*intake.Table).Respond)
+		sent, err := c.TCPConn.Write(b[n:min(len(b), n+writeSize)])
+		if n += sent; err != nil || n == len(b) {
+			return n, err
+		}
+	}
+}
+
+// record calls a method of the table for a connection.
+func (g *Guard) record(c *conn, method func(t *intake.Table, now time.Time, id uint64)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	method(g.table, time.Now(), c.id)
+}
+
 // received records the result of a read.
 func (g *Guard) received(c *conn, n int, err error) {
 	g.mu.Lock()
@@ -189,9 +214,7 @@
 // closing it with unread bytes would reset it, and the client might lose the response.
 func (c *conn) Close() error {
 	if c.refused.CompareAndSwap(true, false) && c.CloseWrite() == nil {
-		c.guard.mu.Lock()
-		c.guard.table.Refuse(c.id)
-		c.guard.mu.Unlock()
+		c.guard.record(c, (*intake.Table).Refuse)
 		go func() {
 			_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
 			_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -23,15 +22,8 @@
 const (
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 16 << 10
-	// bodyTime is the time in which a client must send a body.
-	bodyTime = 5 * time.Second
-	// writeTime is the time in which a client must take a response that is ready.
-	writeTime = 5 * time.Second
-	// firstBody is the initial size of the buffer for a body of unknown length.
-	firstBody = 4 << 10
 	// retryAfter is when a request that was refused may be sent again, in seconds. An
-	// unfinished request holds memory for bodyTime at most, and usually gives way at
-	// once.
+	// unfinished request usually gives way at once.
 	retryAfter = 1
 )
 
@@ -41,7 +33,11 @@
 	// Backlog bounds the connections that wait to be accepted at each listener. 0 means
 	// the limit of the operating system.
 	Backlog int
-	Log     *zap.Logger
+	// BodyTime is the time in which a client must send a body, unless the caller of
+	// ReadBody sets another, and WriteTime that in which it must take each part of a
+	// response. Clients that make no progress give way to others before.
+	BodyTime, WriteTime time.Duration
+	Log                 *zap.Logger
 	// Refused counts a request that was refused, and Closed a connection that was
 	// closed, because of a limit.
 	Refused, Closed func(intake.Limit)
@@ -116,12 +112,12 @@
 		} else {
 			// The deadline also holds for the rest of a body that the handler has
 			// left, which the server reads before it writes the response.
-			_ = control.SetReadDeadline(time.Now().Add(bodyTime))
+			_ = control.SetReadDeadline(time.Now().Add(g.cfg.BodyTime))
 		}
 		// The deadline of the previous response on the connection may have passed.
 		_ = control.SetWriteDeadline(time.Time{})
-		next.ServeHTTP(deadlineWriter{w, control}, r)
-		_ = control.SetWriteDeadline(time.Now().Add(bodyTime + writeTime))
+		next.ServeHTTP(deadlineWriter{w, control, g.cfg.WriteTime}, r)
+		_ = control.SetWriteDeadline(time.Now().Add(g.cfg.BodyTime + g.cfg.WriteTime))
 	})
 }
 
@@ -145,6 +141,24 @@
 	return nil
 }
 
+// growReceiveBuffer enlarges the receive buffer of a connection for a large body.
+func (g *Guard) growReceiveBuffer(c *conn) error {
+	if c.grown {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	evictions, met := g.table.Grow(time.Now(), c.id, largeBufferCost)
+	g.evict(evictions)
+	if met != intake.None {
+		return g.refuse(c, met)
+	}
+	c.grown = true
+	// With the usual buffer, the body takes more round trips.
+	_ = c.SetReadBuffer(largeReceiveBuffer)
+	return nil
+}
+
 // refuse counts and logs the refusal of a request.
 func (g *Guard) refuse(c *conn, limit intake.Limit) error {
 	g.cfg.Refused(limit)
@@ -206,77 +220,6 @@
 // Error implements error.
 func (e *RefusedError) Error() string { return "the limit is met: " + string(e.Limit) }
 
-// ReadBody reads the body of a request to its end. It returns a *http.MaxBytesError for
-// a body above the given size, and a *RefusedError if there is no memory for it or
-// other requests have displaced it. In both cases, and after any other error, the rest
-// of the body is not read, so that the connection closes after the response.
-func ReadBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, error) {
-	body, err := readBody(r, maxBytes)
-	if err != nil {
-		w.Header().Set("Connection", "close")
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			c.refused.Store(true)
-		}
-		// Without it, the server would wait for the rest.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
-		return nil, err
-	}
-	// While the request is served, the server reads from the connection to detect that
-	// the client disconnects.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	return body, nil
-}
-
-func readBody(r *http.Request, maxBytes int64) ([]byte, error) {
-	if r.ContentLength > maxBytes {
-		return nil, &http.MaxBytesError{Limit: maxBytes}
-	}
-	c, _ := r.Context().Value(connKey{}).(*conn)
-	hold := func(n int) error {
-		if c == nil {
-			return nil
-		}
-		return c.guard.hold(c, int64(n))
-	}
-	size := min(firstBody, int(maxBytes)+1)
-	if r.ContentLength >= 0 {
-		// The additional byte is where the end of the body is read.
-		size = int(r.ContentLength) + 1
-	}
-	if err := hold(size); err != nil {
-		return nil, err
-	}
-	var evicted evictedError
-	body := make([]byte, 0, size)
-	for {
-		n, err := r.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case int64(len(body)) > maxBytes:
-			return nil, &http.MaxBytesError{Limit: maxBytes}
-		case errors.As(err, &evicted):
-			return nil, c.guard.refuseEvicted(c)
-		case errors.Is(err, io.EOF):
-			if c != nil && !c.guard.complete(c) {
-				return nil, c.guard.refuseEvicted(c)
-			}
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
-		if len(body) == cap(body) {
-			// Both buffers exist until the copy is done.
-			size = min(2*cap(body), int(maxBytes)+1)
-			if err := hold(cap(body) + size); err != nil {
-				return nil, err
-			}
-			grown := make([]byte, len(body), size)
-			copy(grown, body)
-			body = grown
-		}
-	}
-}
-
 // Hold sets the memory, in bytes, that the request of a context takes until its response
 // is written. It returns a *RefusedError if there is not enough.
 func Hold(ctx context.Context, bytes int64) error {
@@ -298,6 +241,7 @@
 type deadlineWriter struct {
 	http.ResponseWriter
 	control *http.ResponseController
+	time    time.Duration
 }
 
 // Unwrap makes http.ResponseController find the writer of the server.
@@ -305,7 +249,7 @@
 
 // Write implements http.ResponseWriter.
 func (w deadlineWriter) Write(b []byte) (int, error) {
-	_ = w.control.SetWriteDeadline(time.Now().Add(writeTime))
+	_ = w.control.SetWriteDeadline(time.Now().Add(w.time))
 	return w.ResponseWriter.Write(b)
 }
 
--- a/infra/intake/guard_test.go
+++ b/infra/intake/guard_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,8 +27,11 @@
 	guard           *Guard
 	address         string
 	refused, closed atomic.Int64
-	// large is set if the response has many MB.
-	large bool
+	// size is the size of the response in bytes, or 0 for a response with the length of
+	// the body.
+	size int
+	// keep is called with each body, if it is not nil.
+	keep func(body []byte)
 	// hold is called after a body was read, if it is not nil.
 	hold func(r *http.Request)
 }
@@ -35,7 +40,7 @@
 	t.Helper()
 	s := &testServer{}
 	s.guard = New(Config{
-		Limits: limits, Log: zap.NewNop(),
+		Limits: limits, BodyTime: 5 * time.Second, WriteTime: 5 * time.Second, Log: zap.NewNop(),
 		Refused: func(intake.Limit) { s.refused.Add(1) }, Closed: func(intake.Limit) { s.closed.Add(1) },
 	})
 	server := &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: 10 * time.Second}
@@ -54,7 +59,7 @@
 	if r.URL.Path == "/unread" {
 		return
 	}
-	body, err := ReadBody(w, r, maxBody)
+	body, err := ReadBody(w, r, maxBody, time.Time{})
 	var refused *RefusedError
 	switch {
 	case errors.As(err, &refused):
@@ -65,11 +70,14 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.keep != nil {
+		s.keep(body)
+	}
 	if s.hold != nil {
 		s.hold(r)
 	}
-	if s.large {
-		_, _ = w.Write(make([]byte, roomy))
+	if s.size > 0 {
+		_, _ = w.Write(make([]byte, s.size))
 		return
 	}
 	fmt.Fprint(w, len(body))
@@ -273,7 +281,7 @@
 // Guards against a client that never reads a large response and keeps its connection.
 func TestResponseThatIsNotRead(t *testing.T) {
 	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 10})
-	s.large = true
+	s.size = roomy
 	send(t, s.dial(t), post(1)+"x")
 	eventually(t, func() bool { return s.guard.Stats().Connections == 1 })
 	eventually(t, func() bool { return s.guard.Stats().Connections == 0 })
@@ -312,3 +320,26 @@
 		}
 	}
 }
+
+// Guards against bodies that are put together in the wrong order or with a wrong length.
+func TestBodiesOfAllSizes(t *testing.T) {
+	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 10})
+	var got []byte
+	s.keep = func(body []byte) { got = body }
+	random := rand.NewChaCha8([32]byte{1})
+	for _, n := range []int{1, 2, firstBody - 1, firstBody, firstBody + 1, segmentSize - 1, segmentSize, segmentSize + 1, 5*segmentSize + 7, maxBody} {
+		want := make([]byte, n)
+		_, _ = random.Read(want)
+		for name, request := range map[string]string{
+			"length": post(n) + string(want),
+			"chunks": chunked + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", n, want),
+		} {
+			c := s.dial(t)
+			send(t, c, request)
+			response(t, bufio.NewReader(c))
+			if !bytes.Equal(got, want) {
+				t.Errorf("%s, %d bytes: another body of %d bytes was read", name, n, len(got))
+			}
+		}
+	}
+}
--- a/pool/relay/message.go
+++ b/pool/relay/message.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -16,7 +17,7 @@
 // which tells its sender that it has had no effect.
 func readMessages(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := intake.ReadBody(w, r, maxMessageBytes)
+		body, err := intake.ReadBody(w, r, maxMessageBytes, time.Time{})
 		if err == nil {
 			err = intake.Hold(r.Context(), messageMemory(body))
 		}
--- a/pool/relay/stale_test.go
+++ b/pool/relay/stale_test.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	guard := infra.New(infra.Config{Limits: limits, Log: zap.NewNop(), Refused: func(intake.Limit) {}, Closed: func(intake.Limit) {}})
+	guard := infra.New(infra.Config{Limits: limits, BodyTime: time.Minute, WriteTime: time.Minute, Log: zap.NewNop(), Refused: func(intake.Limit) {}, Closed: func(intake.Limit) {}})
 	l, err := guard.Listen(address, 1)
 	if err != nil {
 		t.Fatal(err)
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -46,10 +46,13 @@
 	// maxClockDrift is the share by which the clock of a target may be slow,
 	// according to the platform's specification.
 	maxClockDrift = 0.02
-	// headerTime bounds the time to read the header of a request, and idleTime the
-	// time for which a connection may be idle.
+	// headerTime bounds the time to read the header of a request.
 	headerTime = 3 * time.Second
-	idleTime   = time.Minute
+	// idleTime is the time for which a connection may be idle, and transferTime that in
+	// which a body must arrive of which no caller says how long it waits, and in which
+	// each part of a response must be taken.
+	idleTime     = time.Minute
+	transferTime = 5 * time.Second
 	// reportEvery is the interval at which the gauges are set and the state of the
 	// owned targets is logged.
 	reportEvery = 2 * time.Second
@@ -151,7 +154,7 @@
 	})
 	b := budget(&cfg)
 	in.guard = intake.New(intake.Config{
-		Limits: b.Limits, Backlog: b.Backlog, Log: in.logger("intake"),
+		Limits: b.Limits, Backlog: b.Backlog, BodyTime: transferTime, WriteTime: transferTime, Log: in.logger("intake"),
 		Refused: in.metrics.RefusedRequest, Closed: in.metrics.ClosedConnection,
 	})
 	in.stalls = stall.New(clock.Now)
