infra/intake: an idle connection that gives way keeps its response

A client on a slow link could lose a response that was sent completely: its connection counted as idle, and was reset when it gave way to a new one, which discards what the kernel has not delivered yet.

Idle connections are now closed without a reset, so that the kernel delivers the rest. TestIdleConnectionGivesWayAfterItsResponse failed before with "connection reset by peer" and passes.

--- a/infra/intake/conn.go
+++ b/infra/intake/conn.go
@@ -135,6 +135,8 @@
 	// refused is set if the client has to read a refusal before the connection closes,
 	// although a part of the request was not read.
 	refused atomic.Bool
+	// idle is set while the connection awaits a further request.
+	idle atomic.Bool
 	// grown is set once the receive buffer was enlarged. Only the goroutine that serves
 	// the connection uses it.
 	grown bool
--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -86,6 +86,7 @@
 	if !ok {
 		return
 	}
+	gc.idle.Store(s == http.StateIdle)
 	switch s {
 	case http.StateActive:
 		g.mu.Lock()
@@ -203,8 +204,11 @@
 		g.cfg.Log.Info("A connection gives way to others.", zap.String("limit", string(e.Limit)), zap.String("client", c.RemoteAddr().String()))
 		if e.Abort {
 			delete(g.conns, e.ID)
-			// The connection is reset, so that it holds nothing after Close.
-			_ = c.SetLinger(0)
+			if !c.idle.Load() {
+				// The connection is reset, so that it holds nothing after Close. The
+				// client of an idle one may not have taken its last response yet.
+				_ = c.SetLinger(0)
+			}
 			_ = c.TCPConn.Close()
 			continue
 		}
--- a/infra/intake/guard_test.go
+++ b/infra/intake/guard_test.go
@@ -321,6 +321,26 @@
 	}
 }
 
+// Guards against the loss of a response that the client of an idle connection has not
+// taken to its end yet when the connection gives way to a new one.
+func TestIdleConnectionGivesWayAfterItsResponse(t *testing.T) {
+	const size = 200 << 10
+	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 1, Unfinished: 1})
+	s.size = size
+	first := s.dial(t).(*net.TCPConn)
+	_ = first.SetReadBuffer(4 << 10)
+	send(t, first, post(5)+"12345")
+	eventually(t, func() bool {
+		st := s.guard.Stats()
+		return st.Connections == 1 && st.Unfinished == 0 && st.Bytes == intake.ConnectionCost
+	})
+	send(t, s.dial(t), post(5)+"12345")
+	eventually(t, func() bool { return s.closed.Load() == 1 })
+	if _, body := response(t, bufio.NewReader(first)); len(body) != size {
+		t.Errorf("%d bytes of the response were received, want %d", len(body), size)
+	}
+}
+
 // Guards against bodies that are put together in the wrong order or with a wrong length.
 func TestBodiesOfAllSizes(t *testing.T) {
 	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 10})
