infra/intake: a body may take as long as its caller waits

A legal client on a slow link was cut off although nothing else ran: a body over 7 s got 400 with a caller that waits for 20 s, and a header over 6 s no response. 400 says that the client was wrong.

Cause: fixed times of 5 s for a body and each part of a response, and 3 to 5 s for a header.

A body may now take until its caller stops waiting, a header and other transfers a minute. What makes no progress still gives way to others. A body that does not arrive in time is refused with 503 and Retry-After: nothing of it has run.

--- a/infra/intake/body.go
+++ b/infra/intake/body.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"marigoldfront.dev/core/intake"
 )
 
 const (
@@ -167,6 +169,8 @@
 		return nil, b.c.guard.refuseEvicted(b.c)
 	case errors.Is(err, io.EOF) && !b.c.guard.complete(b.c):
 		return nil, b.c.guard.refuseEvicted(b.c)
+	case isTimeout(err):
+		return nil, b.c.guard.refuse(b.c, intake.Time)
 	}
 	if !errors.Is(err, io.EOF) {
 		return nil, err
--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -22,6 +22,9 @@
 const (
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 16 << 10
+	// HeaderTime is the time in which a client must send the header of a request, unless
+	// it gives way to others before. A caller on a slow link may wait for so long.
+	HeaderTime = time.Minute
 	// retryAfter is when a request that was refused may be sent again, in seconds. An
 	// unfinished request usually gives way at once.
 	retryAfter = 1
--- a/infra/intake/guard_test.go
+++ b/infra/intake/guard_test.go
@@ -30,6 +30,8 @@
 	// size is the size of the response in bytes, or 0 for a response with the length of
 	// the body.
 	size int
+	// bodyTime is the time for a body, if it is above 0.
+	bodyTime time.Duration
 	// keep is called with each body, if it is not nil.
 	keep func(body []byte)
 	// hold is called after a body was read, if it is not nil.
@@ -59,7 +61,11 @@
 	if r.URL.Path == "/unread" {
 		return
 	}
-	body, err := ReadBody(w, r, maxBody, time.Time{})
+	var until time.Time
+	if s.bodyTime > 0 {
+		until = time.Now().Add(s.bodyTime)
+	}
+	body, err := ReadBody(w, r, maxBody, until)
 	var refused *RefusedError
 	switch {
 	case errors.As(err, &refused):
@@ -363,3 +369,29 @@
 		}
 	}
 }
+
+// Guards against a body that is waited for after its caller has left, and against a
+// response that blames the client for its slow link.
+func TestBodyThatDoesNotArriveInTimeIsRefused(t *testing.T) {
+	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 10})
+	s.bodyTime = 50 * time.Millisecond
+	for _, request := range []string{post(10) + "x", post(5*segmentSize) + "x", chunked + "2\r\nx"} {
+		c := s.dial(t)
+		send(t, c, request)
+		wantRefusal(t, c)
+	}
+}
+
+// Guards against a body that is cut off although its caller waits for longer than the
+// usual time.
+func TestBodyMayTakeAsLongAsItsCallerWaits(t *testing.T) {
+	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 10})
+	s.guard.cfg.BodyTime, s.bodyTime = 50*time.Millisecond, 10*time.Second
+	c := s.dial(t)
+	send(t, c, post(10)+"x")
+	time.Sleep(200 * time.Millisecond)
+	send(t, c, strings.Repeat("x", 9))
+	if _, body := response(t, bufio.NewReader(c)); body != "10" {
+		t.Errorf("body %q", body)
+	}
+}
--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -22,9 +22,8 @@
 )
 
 const (
-	// headerTime and idleTime bound the connections of other instances.
-	headerTime = 5 * time.Second
-	idleTime   = 2 * time.Minute
+	// idleTime bounds the idle connections of other instances.
+	idleTime = 2 * time.Minute
 	// maxMessageBytes bounds the body of a request.
 	maxMessageBytes = 4 << 20
 	// maxTransit is the time that a job may be under way. After a longer time, its
@@ -98,7 +97,7 @@
 	s := &Server{cfg: cfg, done: make(chan struct{}), senders: map[string]*sender{}}
 	s.server = &http.Server{
 		Handler:           readMessages(wire.NewPoolServer(s)),
-		ReadHeaderTimeout: headerTime,
+		ReadHeaderTimeout: intake.HeaderTime,
 		IdleTimeout:       idleTime,
 	}
 	cfg.Guard.Protect(s.server)
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -46,13 +46,11 @@
 	// maxClockDrift is the share by which the clock of a target may be slow,
 	// according to the platform's specification.
 	maxClockDrift = 0.02
-	// headerTime bounds the time to read the header of a request.
-	headerTime = 3 * time.Second
 	// idleTime is the time for which a connection may be idle, and transferTime that in
 	// which a body must arrive of which no caller says how long it waits, and in which
 	// each part of a response must be taken.
 	idleTime     = time.Minute
-	transferTime = 5 * time.Second
+	transferTime = time.Minute
 	// reportEvery is the interval at which the gauges are set and the state of the
 	// owned targets is logged.
 	reportEvery = 2 * time.Second
@@ -213,7 +211,7 @@
 
 // newServer returns a server whose connections count toward the limits of the process.
 func (in *Instance) newServer(h http.Handler) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: intake.HeaderTime, IdleTimeout: idleTime}
 	in.guard.Protect(s)
 	return s
 }
