core/scheduler: an overdue job gets room that is idle

A legal job whose body took 0.5 to 7 s to arrive was refused in an idle system, while its caller went on to wait for up to 17 s.

Cause: the age of a job counts from the header of its request. After three objectives admission holds an answer to be worthless, whoever waits and whatever room is free; the log of the owner had "refused (deadline)", backlog 0, age 3.04 s, objective 0.169 s.

Such a job is now accepted if all its ready tasks can start at once, no job in time waits, and it is likely to end while its caller waits. It counts as late, so that all others come first. Without idle room it is refused as overloaded, which is the reason.

--- a/core/scheduler/admission.go
+++ b/core/scheduler/admission.go
@@ -37,7 +37,7 @@
 		return ReasonOverloaded, false
 	}
 	if s.bestExpectedValue(j) < s.policy.MinExpectedValue {
-		return ReasonDeadline, false
+		return s.admitOverdue(j)
 	}
 	if j.MustStartNow {
 		return ReasonBusy, s.canStartAllNow(j)
@@ -45,6 +45,20 @@
 	return "", true
 }
 
+// admitOverdue decides whether to accept a job that has missed its objective by so much
+// that it may not take room from others, for example because its body took long to
+// arrive. Its caller still waits for the answer, so that it gets room that is idle.
+func (s *Scheduler) admitOverdue(j *job) (Reason, bool) {
+	j.overdue, j.late = true, true
+	if s.bestExpectedValue(j) < s.policy.MinExpectedValue {
+		return ReasonDeadline, false
+	}
+	if !s.canStartAllNow(j) {
+		return ReasonOverloaded, false
+	}
+	return "", true
+}
+
 // canStartAllNow reports whether all ready tasks can start at once on targets
 // whose expected value is close to that of the best target.
 func (s *Scheduler) canStartAllNow(j *job) bool {
@@ -84,8 +98,11 @@
 }
 
 // worthlessAfter returns the time at which the latency objective is missed by so
-// much that an answer no longer has a value.
+// much that an answer no longer has a value, or is not worth the room of others.
 func (s *Scheduler) worthlessAfter(j *job) time.Time {
+	if j.overdue {
+		return j.Deadline
+	}
 	return j.Arrived.Add(time.Duration(s.policy.LateFactor * float64(j.objective)))
 }
 
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -40,6 +40,9 @@
 	lacksTargetsSince time.Time
 	// late is set while the job is forecast to miss its objective. Others come first.
 	late bool
+	// overdue is set if the job was accepted although its objective was missed by far,
+	// because there was idle room for it.
+	overdue bool
 	// suspected is set once a task was suspect. isolatedSuccess is set once a suspect
 	// task has succeeded.
 	suspected, isolatedSuccess bool
--- a/core/scheduler/policy.go
+++ b/core/scheduler/policy.go
@@ -6,7 +6,7 @@
 // of others. The command "marigold-bench policies" compares policies.
 type Policy struct {
 	// LateFactor is the multiple of the latency objective after which an answer
-	// has no value to the caller.
+	// has no value to the caller, or only that for which idle room is used.
 	LateFactor float64
 	// WaitGain is the gain in expected value that is required for a task to wait
 	// for a faster target.
--- a/core/scheduler/shortage_test.go
+++ b/core/scheduler/shortage_test.go
@@ -82,6 +82,44 @@
 	}
 }
 
+// Guards against the refusal of a job in an idle system because its body took long to
+// arrive: its caller waits for seconds, and it needs milliseconds.
+func TestOverdueJobUsesIdleRoom(t *testing.T) {
+	h := newHarness(t, testTarget("a"))
+	j := shortageJob("overdue", "bulk", 1, 50*time.Millisecond)
+	j.Arrived, j.Deadline = h.now.Add(-7*time.Second), h.now.Add(13*time.Second)
+	h.send(Submit{Request: 1, Job: j})
+	if n := len(take[Start](h)); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
+
+// Guards against an overdue job that takes room from jobs that are in time, or waits for
+// room, and against a refusal that tells its caller a wrong reason.
+func TestOverdueJobTakesOnlyIdleRoom(t *testing.T) {
+	for _, mustStartNow := range []bool{false, true} {
+		h := fillQueue(t)
+		j := shortageJob("overdue", "bulk", 0, 50*time.Millisecond)
+		j.Arrived, j.Deadline, j.MustStartNow = h.now.Add(-7*time.Second), h.now.Add(13*time.Second), mustStartNow
+		h.send(Submit{Request: 10, Job: j})
+		r := one[Reply](h)
+		if refused, ok := r.Outcome.(Refused); !ok || refused.Reason != ReasonOverloaded || r.Job != "overdue" {
+			t.Errorf("%+v; want the overdue job to be refused for want of room", r)
+		}
+	}
+}
+
+// Guards against an overdue job that is accepted although its caller leaves before it ends.
+func TestOverdueJobEndsBeforeItsDeadline(t *testing.T) {
+	h := newHarness(t, testTarget("a"))
+	j := shortageJob("overdue", "bulk", 1, 200*time.Millisecond)
+	j.Arrived, j.Deadline = h.now.Add(-7*time.Second), h.now.Add(150*time.Millisecond)
+	h.send(Submit{Request: 1, Job: j})
+	if refused, ok := one[Reply](h).Outcome.(Refused); !ok || refused.Reason != ReasonDeadline {
+		t.Errorf("%+v, want a refusal for the deadline", refused)
+	}
+}
+
 // Guards against refusing all queued jobs when one request to the only target is not
 // answered, and against keeping them when the target stays unreachable.
 func TestLostAnswerRefusesNoQueuedJob(t *testing.T) {
