pool/frontend: a refusal has the reason of the owner that came closest

Callers were told never_fits for jobs that an owner with a fitting target had refused for another reason: the job was offered to the next owner, which had no target with the label, and the reason of the last one was reported.

The reason of the owner that came closest to running the job is reported now: no_target and never_fits only if no owner says otherwise.

Three cases of TestJobThatWasTurnedAwayIsHeldByOneOwner are new. Two failed before, with never_fits for a job refused by its deadline and with no_target for one that fits no target.

--- a/pool/frontend/frontend.go
+++ b/pool/frontend/frontend.go
@@ -304,17 +304,19 @@
 // an owner turns it away, the job is offered only to another one that has reported room
 // for its priority.
 func (f *Frontend) queue(ctx context.Context, j *scheduler.Job) (o scheduler.Outcome, owner string) {
-	o = scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
+	told := scheduler.Refused{Reason: scheduler.ReasonNoTarget, RetryAfter: time.Second}
 	turnedAway := 0
 	for _, c := range f.rankedOwners(j) {
 		if turnedAway > 0 && !c.hasRoom(time.Now(), j.Priority, j.LatestStart().Sub(f.cfg.Clock())) {
 			continue
 		}
-		owner = c.address
-		o = f.runAt(ctx, owner, j)
+		o := f.runAt(ctx, c.address, j)
 		r, refused := o.(scheduler.Refused)
 		if !refused || isFinal(o) || ctx.Err() != nil {
-			break
+			return o, c.address
+		}
+		if owner == "" || closeness(r.Reason) >= closeness(told.Reason) {
+			told, owner = r, c.address
 		}
 		if r.Reason == scheduler.ReasonOverloaded {
 			if turnedAway++; turnedAway > maxFurtherOwners {
@@ -322,7 +324,22 @@
 			}
 		}
 	}
-	return o, owner
+	return told, owner
+}
+
+// closeness ranks the reasons of owners that have refused a job by how close they came to
+// running it. The caller is told the reason of the closest one: that other owners have no
+// target for the job is not why it does not run.
+func closeness(r scheduler.Reason) int {
+	switch r {
+	case scheduler.ReasonNoTarget:
+		return 0
+	case scheduler.ReasonNeverFits:
+		return 1
+	case scheduler.ReasonWithdrawn, scheduler.ReasonDraining:
+		return 2
+	}
+	return 3
 }
 
 // isFinal reports whether the job must not be sent to another owner, because it
--- a/pool/frontend/offer_test.go
+++ b/pool/frontend/offer_test.go
@@ -115,10 +115,16 @@
 }
 
 // Guards against a job that is lost, runs twice or is refused although it may have run,
-// when the owner that turned it away, or the next one, dies or its reply is lost.
+// when the owner that turned it away, or the next one, dies or its reply is lost, and
+// against a refusal with the reason of an owner that could not have run the job anyway.
 func TestJobThatWasTurnedAwayIsHeldByOneOwner(t *testing.T) {
 	type reply func(o *fakeOwner, ctx context.Context) (*wire.RunReply, error)
 	turnsAway := func(o *fakeOwner, _ context.Context) (*wire.RunReply, error) { return o.turnedAway(), nil }
+	refuses := func(r scheduler.Reason) reply {
+		return func(o *fakeOwner, _ context.Context) (*wire.RunReply, error) {
+			return o.reply(wire.RunState_RUN_STATE_REFUSED, r), nil
+		}
+	}
 	completes := func(o *fakeOwner, _ context.Context) (*wire.RunReply, error) {
 		return o.reply(wire.RunState_RUN_STATE_COMPLETED, ""), nil
 	}
@@ -156,6 +162,15 @@
 				return nil, ctx.Err()
 			}, completes, false, scheduler.Completed{}, 1, 1,
 		},
+		"the next owner has no target for it": {
+			refuses(scheduler.ReasonDeadline), refuses(scheduler.ReasonNeverFits), false, scheduler.Refused{Reason: scheduler.ReasonDeadline}, 1, 1,
+		},
+		"only the next owner has a target for it": {
+			refuses(scheduler.ReasonNeverFits), refuses(scheduler.ReasonDeadline), false, scheduler.Refused{Reason: scheduler.ReasonDeadline}, 1, 1,
+		},
+		"no target is large enough": {
+			refuses(scheduler.ReasonNeverFits), refuses(scheduler.ReasonNoTarget), false, scheduler.Refused{Reason: scheduler.ReasonNeverFits}, 1, 1,
+		},
 		"the next owner turns it away": {turnsAway, turnsAway, false, scheduler.Refused{Reason: scheduler.ReasonOverloaded}, 1, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
