infra/intake: a refused request holds no memory while its connection closes

Refused clients kept others out: after a dozen refusals in a row, new connections were closed without a response.

Cause: after a refusal, the server of net/http keeps a connection open for half a second, so that the client can read the response. It counted as an unfinished request, or as an evicted one with all of its memory, until then.

It now counts as a refused one from the decision on, of which only the connection itself is counted, and which gives way first.

TestRefusedRequestHoldsNoMemory failed before (no response to the 12th client) and passes.

--- a/infra/intake/body.go
+++ b/infra/intake/body.go
@@ -57,6 +57,7 @@
 		w.Header().Set("Connection", "close")
 		if c != nil {
 			c.refused.Store(true)
+			c.guard.record(c, (*intake.Table).Refuse)
 		}
 		// Without it, the server would wait for the rest.
 		_ = control.SetReadDeadline(time.Unix(1, 0))
@@ -170,7 +171,7 @@
 	case errors.Is(err, io.EOF) && !b.c.guard.complete(b.c):
 		return nil, b.c.guard.refuseEvicted(b.c)
 	case isTimeout(err):
-		return nil, b.c.guard.refuse(b.c, intake.Time)
+		return nil, b.c.guard.refuseLate(b.c)
 	}
 	if !errors.Is(err, io.EOF) {
 		return nil, err
--- a/infra/intake/conn.go
+++ b/infra/intake/conn.go
@@ -216,7 +216,6 @@
 // closing it with unread bytes would reset it, and the client might lose the response.
 func (c *conn) Close() error {
 	if c.refused.CompareAndSwap(true, false) && c.CloseWrite() == nil {
-		c.guard.record(c, (*intake.Table).Refuse)
 		go func() {
 			_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
 			_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -163,8 +163,11 @@
 	return nil
 }
 
-// refuse counts and logs the refusal of a request.
+// refuse counts and logs the refusal of a request. The server keeps the connection open for
+// some time after it, in which it must not hold the memory of the request. The caller holds
+// the lock.
 func (g *Guard) refuse(c *conn, limit intake.Limit) error {
+	g.table.Refuse(time.Now(), c.id)
 	g.cfg.Refused(limit)
 	g.cfg.Log.Info("A request was refused.", zap.String("limit", string(limit)), zap.String("client", c.RemoteAddr().String()))
 	return &RefusedError{Limit: limit}
@@ -173,9 +176,15 @@
 // refuseEvicted counts and logs the refusal of a request that gives way to others.
 func (g *Guard) refuseEvicted(c *conn) error {
 	g.mu.Lock()
-	limit := c.evictedBy
-	g.mu.Unlock()
-	return g.refuse(c, limit)
+	defer g.mu.Unlock()
+	return g.refuse(c, c.evictedBy)
+}
+
+// refuseLate refuses a request that has not arrived in time.
+func (g *Guard) refuseLate(c *conn) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.refuse(c, intake.Time)
 }
 
 // Stop evicts the requests that have not arrived and make no progress, until done is
--- a/infra/intake/guard_test.go
+++ b/infra/intake/guard_test.go
@@ -395,3 +395,15 @@
 		t.Errorf("body %q", body)
 	}
 }
+
+// Guards against refused requests that count as unfinished until their connections are
+// closed, which takes half a second, and keep the memory of others meanwhile.
+func TestRefusedRequestHoldsNoMemory(t *testing.T) {
+	const clients = 30
+	s := newTestServer(t, intake.Limits{Memory: maxBody, Connections: 2 * clients, Unfinished: 2 * clients})
+	for range clients {
+		c := s.dial(t)
+		send(t, c, post(maxBody))
+		wantRefusal(t, c)
+	}
+}
