core/readmission, infra/intake: refused clients return one after the other

Requests that met a limit were all told Retry-After: 1, whatever there was room for and when, so that all refused callers came back together.

Small requests, for which a part of the memory is kept, have times of their own. Owners tell their time to the instance of the caller.

TestRefusedClientsReturnAtDifferentTimes failed before: all clients were told to return after 1 s.

--- a/infra/intake/conn.go
+++ b/infra/intake/conn.go
@@ -140,6 +140,9 @@
 	// grown is set once the receive buffer was enlarged. Only the goroutine that serves
 	// the connection uses it.
 	grown bool
+	// requested is the highest memory, in bytes, that the request has asked for. It is
+	// guarded by the mutex of the Guard.
+	requested int64
 }
 
 // interrupt makes the pending and all later reads fail. The caller holds the lock of the
--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/intake"
+	"marigoldfront.dev/core/readmission"
 	"marigoldfront.dev/infra/disconnect"
 )
 
@@ -25,9 +26,9 @@
 	// HeaderTime is the time in which a client must send the header of a request, unless
 	// it gives way to others before. A caller on a slow link may wait for so long.
 	HeaderTime = time.Minute
-	// retryAfter is when a request that was refused may be sent again, in seconds. An
-	// unfinished request usually gives way at once.
-	retryAfter = 1
+	// turnoverTime is the time in which all memory for requests is assumed to become
+	// free at the latest, to tell when refused clients should return.
+	turnoverTime = 10 * time.Second
 )
 
 // Config holds the dependencies of a Guard.
@@ -54,11 +55,18 @@
 	mu    sync.Mutex // guards the fields below
 	table *intake.Table
 	conns map[uint64]*conn
+	// small and large tell when refused clients should return, by the size of their
+	// requests: a part of the memory is kept for small ones.
+	small, large *readmission.Schedule
 }
 
 // New returns a Guard.
 func New(cfg Config) *Guard {
-	return &Guard{cfg: cfg, table: intake.New(cfg.Limits), conns: map[uint64]*conn{}}
+	minRate := float64(cfg.Limits.Memory) / turnoverTime.Seconds()
+	return &Guard{
+		cfg: cfg, table: intake.New(cfg.Limits), conns: map[uint64]*conn{},
+		small: readmission.New(minRate), large: readmission.New(minRate),
+	}
 }
 
 // Stats returns what the connections hold.
@@ -99,7 +107,17 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.table.Idle(time.Now(), gc.id)
+		g.schedule(gc).Free(time.Now(), gc.requested)
+		gc.requested = 0
+	}
+}
+
+// schedule returns when clients return with requests of the size of that of a connection.
+func (g *Guard) schedule(c *conn) *readmission.Schedule {
+	if c.requested <= intake.SmallRequest {
+		return g.small
 	}
+	return g.large
 }
 
 // handler bounds the time of the bodies and responses of the requests that next serves.
@@ -137,6 +155,7 @@
 func (g *Guard) hold(c *conn, bytes int64) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	c.requested = max(c.requested, bytes)
 	evictions, met := g.table.Hold(time.Now(), c.id, bytes)
 	g.evict(evictions)
 	if met != intake.None {
@@ -169,22 +188,24 @@
 func (g *Guard) refuse(c *conn, limit intake.Limit) error {
 	g.table.Refuse(time.Now(), c.id)
 	g.cfg.Refused(limit)
-	g.cfg.Log.Info("A request was refused.", zap.String("limit", string(limit)), zap.String("client", c.RemoteAddr().String()))
-	return &RefusedError{Limit: limit}
+	delay := g.schedule(c).Delay(time.Now(), c.requested+intake.ConnectionCost)
+	g.cfg.Log.Info("A request was refused.", zap.String("limit", string(limit)), zap.String("client", c.RemoteAddr().String()),
+		zap.Duration("retry_after", delay))
+	return &RefusedError{Limit: limit, RetryAfter: delay}
 }
 
-// refuseEvicted counts and logs the refusal of a request that gives way to others.
-func (g *Guard) refuseEvicted(c *conn) error {
+// refuseLate refuses a request that has not arrived in time.
+func (g *Guard) refuseLate(c *conn) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.refuse(c, c.evictedBy)
+	return g.refuse(c, intake.Time)
 }
 
-// refuseLate refuses a request that has not arrived in time.
-func (g *Guard) refuseLate(c *conn) error {
+// refuseEvicted refuses a request that gives way to others.
+func (g *Guard) refuseEvicted(c *conn) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.refuse(c, intake.Time)
+	return g.refuse(c, c.evictedBy)
 }
 
 // Stop evicts the requests that have not arrived and make no progress, until done is
@@ -231,6 +252,8 @@
 // RefusedError says that a request is not served because of a limit.
 type RefusedError struct {
 	Limit intake.Limit
+	// RetryAfter is when the request may be sent again.
+	RetryAfter time.Duration
 }
 
 // Error implements error.
@@ -248,8 +271,9 @@
 
 // SetRefusal sets the headers of the response to a request that was refused with a
 // *RefusedError.
-func SetRefusal(w http.ResponseWriter) {
-	w.Header().Set("Retry-After", strconv.Itoa(retryAfter))
+func SetRefusal(w http.ResponseWriter, e *RefusedError) {
+	seconds := int64((e.RetryAfter + time.Second - 1) / time.Second)
+	w.Header().Set("Retry-After", strconv.FormatInt(max(1, seconds), 10))
 	w.Header().Set("Connection", "close")
 }
 
--- a/infra/intake/guard_test.go
+++ b/infra/intake/guard_test.go
@@ -69,7 +69,7 @@
 	var refused *RefusedError
 	switch {
 	case errors.As(err, &refused):
-		SetRefusal(w)
+		SetRefusal(w, refused)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case err != nil:
@@ -396,6 +396,24 @@
 	}
 }
 
+// Guards against refused clients that are all told to return at the same time.
+func TestRefusedClientsReturnAtDifferentTimes(t *testing.T) {
+	const clients = 20
+	s := newTestServer(t, intake.Limits{Memory: maxBody, Connections: 2 * clients, Unfinished: 2 * clients})
+	times := map[string]int{}
+	for range clients {
+		c := s.dial(t)
+		send(t, c, post(maxBody))
+		resp, _ := response(t, bufio.NewReader(c))
+		times[resp.Header.Get("Retry-After")]++
+	}
+	for seconds, n := range times {
+		if n > clients/4 {
+			t.Errorf("%d of %d clients return after %s s", n, clients, seconds)
+		}
+	}
+}
+
 // Guards against refused requests that count as unfinished until their connections are
 // closed, which takes half a second, and keep the memory of others meanwhile.
 func TestRefusedRequestHoldsNoMemory(t *testing.T) {
--- a/pool/relay/message.go
+++ b/pool/relay/message.go
@@ -27,9 +27,9 @@
 		case errors.As(err, &tooLarge):
 			http.Error(w, "the message is too large", http.StatusRequestEntityTooLarge)
 		case errors.As(err, &refused):
-			intake.SetRefusal(w)
+			intake.SetRefusal(w, refused)
 			// A write error means that the client has disconnected.
-			_ = twirp.WriteError(w, twirp.NewError(twirp.ResourceExhausted, refused.Error()))
+			_ = twirp.WriteError(w, exhausted(refused))
 		case err != nil:
 			http.Error(w, "the message cannot be read", http.StatusBadRequest)
 		default:
@@ -39,6 +39,24 @@
 	})
 }
 
+// retryAfterMeta is the key of the time after which a refused job may be sent again.
+const retryAfterMeta = "retry_after"
+
+// exhausted returns the reply to a message for which there is no memory.
+func exhausted(refused *intake.RefusedError) twirp.Error {
+	return twirp.NewError(twirp.ResourceExhausted, refused.Error()).WithMeta(retryAfterMeta, refused.RetryAfter.String())
+}
+
+// retryAfter returns the time in a reply for which there was no memory, or a second if it
+// has none.
+func retryAfter(err twirp.Error) time.Duration {
+	d, parseErr := time.ParseDuration(err.Meta(retryAfterMeta))
+	if parseErr != nil || d <= 0 {
+		return time.Second
+	}
+	return d
+}
+
 // messageMemory returns an upper limit of the memory, in bytes, that decoding a message
 // takes. Each step of a job begins with the same byte. Elements of other lists take up
 // to perByte for each byte that encodes them.
--- a/pool/relay/message_test.go
+++ b/pool/relay/message_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"testing"
+	"time"
+
+	"github.com/twitchtv/twirp"
 
 	"marigoldfront.dev/core/intake"
 	"marigoldfront.dev/core/scheduler"
+	infra "marigoldfront.dev/infra/intake"
 )
 
 // Guards against a job that is reported as unknown, or that runs, although its owner had
@@ -38,3 +42,15 @@
 		})
 	}
 }
+
+// Guards against callers that are all told to return after a second although the owner has
+// told a time for each.
+func TestRetryAfterReachesTheSender(t *testing.T) {
+	want := 7 * time.Second
+	if got := retryAfter(exhausted(&infra.RefusedError{RetryAfter: want})); got != want {
+		t.Errorf("retry after %v, want %v", got, want)
+	}
+	if got := retryAfter(twirp.NewError(twirp.ResourceExhausted, "of an earlier version")); got != time.Second {
+		t.Errorf("retry after %v without a time", got)
+	}
+}
--- a/pool/relay/relay.go
+++ b/pool/relay/relay.go
@@ -260,7 +260,7 @@
 	}
 	var te twirp.Error
 	if errors.As(err, &te) && te.Code() == twirp.ResourceExhausted {
-		return scheduler.Refused{Reason: scheduler.ReasonOverloaded, RetryAfter: time.Second}
+		return scheduler.Refused{Reason: scheduler.ReasonOverloaded, RetryAfter: retryAfter(te)}
 	}
 	c.cfg.Log.Info("An owner did not reply to a job.", zap.String("job", j.ID), zap.String("owner", address),
 		zap.Error(err), zap.NamedError("cause", context.Cause(ctx)))
--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -137,8 +137,9 @@
 		return s.refuseUnstarted(), nil
 	}
 	j := jobFromWire(sent, in)
-	if err := intake.Hold(ctx, j.Memory()); err != nil {
-		return nil, twirp.NewError(twirp.ResourceExhausted, err.Error())
+	var refused *intake.RefusedError
+	if errors.As(intake.Hold(ctx, j.Memory()), &refused) {
+		return nil, exhausted(refused)
 	}
 	p := s.addJob(in, sent, cancel)
 	if p == nil {
--- a/pool/run/limits.go
+++ b/pool/run/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"sync"
 
@@ -36,8 +37,9 @@
 			defer mu.Unlock()
 			h.ServeHTTP(b, r)
 		}()
-		if err := infra.Hold(r.Context(), int64(b.body.Cap())); err != nil {
-			infra.SetRefusal(w)
+		var refused *infra.RefusedError
+		if err := infra.Hold(r.Context(), int64(b.body.Cap())); errors.As(err, &refused) {
+			infra.SetRefusal(w, refused)
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
