pool/relay: the senders that an instance remembers are bounded

A client that reaches the listener for other instances could make the process grow without a limit: each heartbeat with a new name added a sender that was never forgotten unless it had sent a job, and one heartbeat of 4 MiB could add millions of overdue jobs.

At most 4,096 senders are remembered, with names of up to 255 bytes and 262,144 job IDs in all; a heartbeat may have 16,384, more than an instance has connections. The sender without jobs that has been silent for longest gives way, and one that is silent for a minute is forgotten. A sender with a running job stays.

--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -72,24 +72,10 @@
 	server *http.Server
 	done   chan struct{}
 
-	mu      sync.Mutex
+	mu      sync.Mutex // guards the fields below
 	senders map[string]*sender
-}
-
-// sender is another instance that has sent jobs to this one.
-type sender struct {
-	incarnation uint64
-	lastMessage time.Time
-	// jobs holds the jobs without a reply. The ledger holds the state of all jobs of
-	// the sender and the replies to those that have ended.
-	jobs   map[uint64]senderJob
-	ledger *ledger.Ledger[*wire.RunReply]
-}
-
-// senderJob is a job that a sender awaits.
-type senderJob struct {
-	id     string
-	cancel context.CancelFunc
+	// ids is the number of job IDs in the last heartbeats of all senders.
+	ids int
 }
 
 // NewServer returns a Server.
@@ -216,38 +202,6 @@
 	return p
 }
 
-// recordMessage returns the sender of a message and records when the message was
-// sent: one that arrives late does not show that the sender is still there. A new
-// incarnation of a sender replaces the previous one, whose jobs are stopped. For a
-// late message of a previous incarnation, it returns nil. The caller holds the lock.
-func (s *Server) recordMessage(name string, incarnation uint64, sent time.Time) *sender {
-	p := s.senders[name]
-	if p == nil || p.incarnation != incarnation {
-		if p != nil {
-			if sent.Before(p.lastMessage) {
-				return nil
-			}
-			p.stopAll()
-		}
-		p = &sender{
-			incarnation: incarnation, jobs: map[uint64]senderJob{},
-			ledger: ledger.New[*wire.RunReply](rand.Uint64()),
-		}
-		s.senders[name] = p
-	}
-	if sent.After(p.lastMessage) {
-		p.lastMessage = sent
-	}
-	return p
-}
-
-// stopAll stops all jobs of the sender.
-func (p *sender) stopAll() {
-	for _, job := range p.jobs {
-		job.cancel()
-	}
-}
-
 // endJob records the reply to a job that has ended.
 func (s *Server) endJob(p *sender, id uint64, out *wire.RunReply) {
 	s.mu.Lock()
@@ -259,6 +213,9 @@
 
 // Beat implements wire.Pool.
 func (s *Server) Beat(_ context.Context, in *wire.BeatRequest) (*wire.BeatReply, error) {
+	if n := len(in.Jobs) + len(in.Overdue); n > maxAwaitedIDs {
+		return nil, twirp.InvalidArgumentError("jobs", fmt.Sprintf("%d job IDs, at most %d are allowed", n, maxAwaitedIDs))
+	}
 	if in.Evacuation != nil {
 		s.cfg.OnEvacuation(EvacuationFromWire(in.Evacuation))
 	}
@@ -285,7 +242,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.recordMessage(in.Sender, in.Incarnation, sent)
-	if p == nil {
+	if p == nil || !s.setIDs(p, len(in.Jobs)+len(in.Overdue)) {
 		return awaited, nil
 	}
 	r := p.ledger.Reconcile(s.cfg.Clock(), ledger.SenderState{
@@ -339,20 +296,3 @@
 		}
 	}
 }
-
-// expireSenders stops the jobs of unresponsive senders.
-func (s *Server) expireSenders() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.cfg.Clock()
-	for name, p := range s.senders {
-		p.ledger.Expire(now)
-		if len(p.jobs) == 0 || now.Sub(p.lastMessage) < senderTimeout {
-			continue
-		}
-		s.cfg.Log.Warn("A sender is unresponsive; its jobs are stopped.", zap.String("sender", name),
-			zap.Int("jobs", len(p.jobs)), zap.Duration("silent", now.Sub(p.lastMessage)))
-		p.stopAll()
-		delete(s.senders, name)
-	}
-}
