entry: unfinished uploads give way, within the memory of the process

Callers of marigold-entry with a valid session could keep all others out: 16 uploads that stop just short of their end took all memory for bodies, and ordinary submissions were rejected after 5 s for as long as 30 s. A slow legal upload was cut off after 30 s, and a planned stop waited for uploads that stand still until the end of its limit. Whoever reaches the listener for peers could open connections without a limit.

Cause: both servers took connections and bodies without a common budget, and nothing gave way. The reservation for a body of unknown length was that of the largest.

Both listeners now use infra/intake, with limits that follow from the new settings memory_mb (default 768, which leaves the Go runtime 560 MiB; it had 512) and max_descriptors. Large bodies still wait for their turn, but what does not arrive gives way meanwhile, and small ones do not wait. A body may take 10 minutes, the longest timeout of a job. An answer for which there is no memory is not sent, so that the caller collects it again.

The reading of whole messages of pool/relay moves to infra/intake, where the listener for peers uses it too.

--- a/entry/gateway/decode.go
+++ b/entry/gateway/decode.go
@@ -14,6 +14,7 @@
 
 	"marigoldfront.dev/core/finding"
 	"marigoldfront.dev/entry/home"
+	"marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/wire"
 )
 
@@ -24,9 +25,9 @@
 	maxWaitMS         = int64(time.Minute / time.Millisecond)
 	maxNameBytes      = 255
 	maxSmallBodyBytes = 4 << 10
-	// bodyTimeout bounds the time to receive a request body, and the time to send
-	// a response body.
-	bodyTimeout = 30 * time.Second
+	// bodyTimeout bounds the time to receive a request body: that of the job with
+	// the longest timeout.
+	bodyTimeout = time.Duration(maxTimeoutMS) * time.Millisecond
 )
 
 // job is the JSON body of a submission.
@@ -46,36 +47,27 @@
 }
 
 // readBody reads a request body of at most limit bytes. It returns a rejection if
-// the body is larger or incomplete.
+// the body is larger or incomplete, or if a limit of the instance is met.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *wire.ForwardReply) {
-	if r.ContentLength > limit {
-		return nil, tooLarge(limit)
-	}
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	// While the request waits for its reply, the server reads from the connection
-	// to detect that the client has disconnected. This read has no deadline.
-	_ = rc.SetReadDeadline(time.Time{})
-	var maxBytesErr *http.MaxBytesError
-	if errors.As(err, &maxBytesErr) {
+	body, err := intake.ReadBody(w, r, limit, time.Now().Add(bodyTimeout))
+	var tooLargeErr *http.MaxBytesError
+	var refused *intake.RefusedError
+	switch {
+	case errors.As(err, &tooLargeErr):
 		return nil, tooLarge(limit)
-	}
-	if err != nil {
+	case errors.As(err, &refused):
+		return nil, refuse(w, refused)
+	case err != nil:
 		return nil, home.Reject(http.StatusBadRequest, "body", "the body is cut")
 	}
 	return body, nil
 }
 
-// readAll reads length bytes into a slice of that size, or everything if the
-// length is unknown (negative).
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
+// refuse returns the rejection of a request because of a limit. The request has had
+// no effect.
+func refuse(w http.ResponseWriter, refused *intake.RefusedError) *wire.ForwardReply {
+	intake.SetRefusal(w, refused)
+	return home.Reject(http.StatusServiceUnavailable, "instance", refused.Error())
 }
 
 func tooLarge(limit int64) *wire.ForwardReply {
--- a/entry/gateway/encode.go
+++ b/entry/gateway/encode.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"time"
 
+	"marigoldfront.dev/infra/intake"
+	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
 
@@ -27,15 +29,20 @@
 	Message string `json:"message"`
 }
 
-// writeReply writes a reply as an HTTP response.
-func (g *Gateway) writeReply(w http.ResponseWriter, reply *wire.ForwardReply, traceID string) {
+// writeReply writes a reply as an HTTP response. An answer for which there is no
+// memory is not sent: the caller can collect it later, while a rejection would say
+// that nothing has run.
+func (g *Gateway) writeReply(ctx context.Context, w http.ResponseWriter, reply *wire.ForwardReply) {
 	switch {
 	case reply == nil:
 		// The client has disconnected, so nothing is written.
 	case reply.GetAnswer() != nil:
 		a := reply.GetAnswer()
 		g.cfg.Metrics.CountAnswer(stateName(a.GetState()))
-		sendBody(w, http.StatusOK, appendAnswer(a, traceID))
+		if intake.Hold(ctx, answerMemory(a)) != nil {
+			panic(http.ErrAbortHandler)
+		}
+		sendBody(w, http.StatusOK, appendAnswer(a, tracing.TraceID(ctx)))
 	case reply.GetRunning():
 		sendBody(w, http.StatusAccepted, []byte(`{"state":"running"}`))
 	case len(reply.GetRejection()) > 0:
@@ -68,9 +75,6 @@
 }
 
 func sendBody(w http.ResponseWriter, status int, body []byte) {
-	// Without a deadline a client that does not read its response would keep the
-	// response in memory indefinitely.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(bodyTimeout))
 	w.Header()["Content-Type"] = contentType
 	w.Header()["Content-Length"] = []string{strconv.Itoa(len(body))}
 	w.WriteHeader(status)
@@ -93,6 +97,16 @@
 	}
 }
 
+// answerMemory returns the memory, in bytes, that an answer takes with its encoding.
+func answerMemory(a *wire.Answer) int64 {
+	const fixed, copies = 4 << 10, 3
+	n := int64(fixed)
+	for _, r := range a.GetResults() {
+		n += copies * int64(len(r))
+	}
+	return n
+}
+
 // appendAnswer returns the JSON encoding of an answer. It encodes the results,
 // which can have megabytes, directly into the output to avoid a copy.
 func appendAnswer(a *wire.Answer, traceID string) []byte {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -14,23 +15,26 @@
 	"golang.org/x/sync/semaphore"
 
 	"marigoldfront.dev/core/directory"
+	"marigoldfront.dev/core/intake"
 	"marigoldfront.dev/entry/home"
 	"marigoldfront.dev/entry/metrics"
 	"marigoldfront.dev/entry/routing"
+	infra "marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
 
 const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 16 << 10
+	idleTimeout = 2 * time.Minute
 	// maxSubmissions bounds the submissions in flight: those that are being
 	// received and those that wait for their answer.
 	maxSubmissions = 8192
-	// maxReceivingBytes bounds the total size of the bodies that are received and
+	// maxReceivingBytes bounds the total size of the large bodies that are received and
 	// decoded concurrently.
 	maxReceivingBytes = 128 << 20
+	// submissionCopies is the number of times that a body is in memory until its job is
+	// answered: as it was received, decoded, and as messages to targets and peers.
+	submissionCopies = 4
 	// maxReceiveWait bounds how long a submission waits until its body may be
 	// read.
 	maxReceiveWait = 5 * time.Second
@@ -48,6 +52,8 @@
 	Draining func() bool
 	// Status returns the value that GET /v1/status encodes as JSON.
 	Status func() any
+	// Guard bounds the connections and requests. Without it, nothing does.
+	Guard *infra.Guard
 }
 
 // Gateway is the HTTP server of an entry instance.
@@ -56,7 +62,7 @@
 	server *http.Server
 	// submissions holds one token for each submission in flight.
 	submissions chan struct{}
-	// receivingBytes counts the bytes of the bodies that are being received.
+	// receivingBytes counts the bytes of the large bodies that are being received.
 	receivingBytes *semaphore.Weighted
 	stopped        chan struct{}
 	inFlight       atomic.Int64
@@ -75,11 +81,13 @@
 	}
 	g.server = &http.Server{
 		Handler:           g.handler(),
-		ReadHeaderTimeout: headerTimeout,
+		ReadHeaderTimeout: infra.HeaderTime,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(cfg.Log),
 	}
+	if cfg.Guard != nil {
+		cfg.Guard.Protect(g.server)
+	}
 	return g
 }
 
@@ -98,8 +106,6 @@
 		g.writeRejection(w, home.Reject(http.StatusNotFound, "path", "there is nothing at this path and method"))
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		// Clears the write deadline of the previous response on this connection.
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		if g.cfg.Draining() {
 			// Makes the client close the connection, so that its next request goes
 			// to another instance.
@@ -163,7 +169,7 @@
 	ctx, span := g.cfg.Tracer.Start(ctx, name)
 	defer span.End()
 	ctx = tracing.EnsureTraceID(ctx)
-	g.writeReply(w, g.cfg.Router.Serve(ctx, req), tracing.TraceID(ctx))
+	g.writeReply(ctx, w, g.cfg.Router.Serve(ctx, req))
 }
 
 func (g *Gateway) openSession(w http.ResponseWriter, r *http.Request) {
@@ -221,11 +227,17 @@
 	if !g.acquireBody(r.Context(), size) {
 		return nil, home.Reject(http.StatusServiceUnavailable, "instance", "too many submissions are received here")
 	}
-	defer g.receivingBytes.Release(size)
+	if size > intake.SmallRequest {
+		defer g.receivingBytes.Release(size)
+	}
 	body, rejection := readBody(w, r, maxBodyBytes)
 	if rejection != nil {
 		return nil, rejection
 	}
+	var refused *infra.RefusedError
+	if errors.As(infra.Hold(r.Context(), submissionCopies*int64(len(body))), &refused) {
+		return nil, refuse(w, refused)
+	}
 	j, findings := decodeJob(body)
 	if len(findings) > 0 {
 		return nil, home.RejectAll(http.StatusBadRequest, findings)
@@ -236,13 +248,19 @@
 	}, nil
 }
 
-// acquireBody reserves size bytes of receivingBytes. It returns false if they do
-// not become available within maxReceiveWait. It waits because bodies are read
-// slowly on a busy instance, and a retried submission should not be rejected for
-// that reason.
+// acquireBody reserves size bytes of receivingBytes for a large body. It returns
+// false if they do not become available within maxReceiveWait. It waits because
+// bodies are read slowly on a busy instance, and a retried submission should not
+// be rejected for that reason. Meanwhile, bodies that do not arrive give way.
 func (g *Gateway) acquireBody(ctx context.Context, size int64) bool {
+	if size <= intake.SmallRequest || g.receivingBytes.TryAcquire(size) {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxReceiveWait)
 	defer cancel()
+	if g.cfg.Guard != nil {
+		go g.cfg.Guard.EvictStalled(ctx.Done(), intake.Memory)
+	}
 	return g.receivingBytes.Acquire(ctx, size) == nil
 }
 
--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"marigoldfront.dev/core/intake"
 	"marigoldfront.dev/infra/registry"
 )
 
@@ -26,6 +27,11 @@
 	"marigold_forwards_total":               "Requests forwarded to another home, by result.",
 	"marigold_exchanges_total":              "Exchange messages sent to peers, by result.",
 	"marigold_store_calls_total":            "Calls to the store, by result.",
+	"marigold_refused_requests_total":       "Requests that were refused, by the limit that they met.",
+	"marigold_closed_connections_total":     "Connections that gave way to others or were closed, by the limit that they met.",
+	"marigold_request_bytes":                "Memory that connections and requests count for, in bytes.",
+	"marigold_connections":                  "Open connections of callers and peers.",
+	"marigold_unfinished_requests":          "Connections on which a request has not arrived completely.",
 	"marigold_ticket_number":                "Number of the ticket in force.",
 	"marigold_confirmation_age_seconds":     "Time since the store last confirmed the newest ticket, in seconds.",
 	"marigold_queued_tasks":                 "Tasks that wait for a slot.",
@@ -122,5 +128,24 @@
 	m.taggedCounter("exchanges_total", "result", result).Inc(1)
 }
 
+// CountRefusedRequest counts a request that was refused because of a limit.
+func (m *Metrics) CountRefusedRequest(l intake.Limit) {
+	m.taggedCounter("refused_requests_total", "limit", string(l)).Inc(1)
+}
+
+// CountClosedConnection counts a connection that was closed because of a limit.
+func (m *Metrics) CountClosedConnection(l intake.Limit) {
+	m.taggedCounter("closed_connections_total", "limit", string(l)).Inc(1)
+}
+
+// SetRequests sets the gauges of what clients hold.
+func (m *Metrics) SetRequests(st intake.Stats) {
+	for name, v := range map[string]float64{
+		"request_bytes": float64(st.Bytes), "connections": float64(st.Connections), "unfinished_requests": float64(st.Unfinished),
+	} {
+		m.scope.Gauge(name).Update(v)
+	}
+}
+
 // Close reports the latest values and stops the periodic reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
--- a/entry/peering/server.go
+++ b/entry/peering/server.go
@@ -19,13 +19,13 @@
 	"marigoldfront.dev/entry/engine"
 	"marigoldfront.dev/entry/peers"
 	"marigoldfront.dev/entry/routing"
+	"marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/infra/tracing"
 	"marigoldfront.dev/wire"
 )
 
 const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
+	idleTimeout = 2 * time.Minute
 	// maxMessageBytes bounds a request of a peer. The largest ones are
 	// forwarded submissions and parts of a handover.
 	maxMessageBytes = 32 << 20
@@ -53,6 +53,8 @@
 	Speeds func() []dispatch.Speed
 	// Secrets are the accepted peer secrets. Empty ones are ignored.
 	Secrets []string
+	// Guard bounds the connections and messages.
+	Guard *intake.Guard
 }
 
 // Server serves the requests of peers. It implements wire.Peer.
@@ -67,16 +69,26 @@
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{cfg: cfg, done: make(chan struct{})}
 	cfg.Peers.WithRoster(func(r *membership.Roster) { s.self = r.Self() })
-	handler := http.MaxBytesHandler(wire.NewPeerServer(s), maxMessageBytes)
+	handler := intake.Messages(wire.NewPeerServer(s), maxMessageBytes, messageMemory, refuseMessage)
 	s.server = &http.Server{
 		Handler:           peers.Authenticate(handler, cfg.Secrets...),
-		ReadHeaderTimeout: headerTimeout,
+		ReadHeaderTimeout: intake.HeaderTime,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          zap.NewStdLog(cfg.Log),
 	}
+	cfg.Guard.Protect(s.server)
 	return s
 }
 
+// messageMemory returns the memory, in bytes, that a message takes with its decoded form.
+func messageMemory(body []byte) int64 { return 3 * int64(len(body)) }
+
+// refuseMessage refuses a message for which there is no memory. It has had no effect.
+func refuseMessage(w http.ResponseWriter, refused *intake.RefusedError) {
+	// A write error means that the peer has disconnected.
+	_ = twirp.WriteError(w, twirp.NewError(twirp.ResourceExhausted, refused.Error()))
+}
+
 // Serve accepts connections on l until Close is called. It returns nil after
 // Close.
 func (s *Server) Serve(l net.Listener) error {
--- a/entry/run/drain.go
+++ b/entry/run/drain.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/dispatch"
+	limit "marigoldfront.dev/core/intake"
 	"marigoldfront.dev/core/membership"
 )
 
@@ -91,6 +92,10 @@
 		return false
 	}
 	in.waitForIdleGateway(ctx, start)
+	// No new connections are expected. What does not arrive would delay the end.
+	closed := make(chan struct{})
+	defer close(closed)
+	in.wg.Go(func() { in.guard.EvictStalled(closed, limit.Stop) })
 	return in.gateway.Close(ctx) == nil && in.peerServer.Close(ctx) == nil
 }
 
--- a/entry/run/instance.go
+++ b/entry/run/instance.go
@@ -30,6 +30,7 @@
 	"marigoldfront.dev/entry/sender"
 	"marigoldfront.dev/infra/clock"
 	"marigoldfront.dev/infra/instancelist"
+	"marigoldfront.dev/infra/intake"
 	"marigoldfront.dev/infra/logging"
 	"marigoldfront.dev/infra/stall"
 	"marigoldfront.dev/infra/store"
@@ -63,6 +64,8 @@
 	peerServer    *peering.Server
 	gateway       *gateway.Gateway
 	stalls        *stall.Detector
+	// guard keeps the connections of both servers within the limits of the process.
+	guard *intake.Guard
 
 	draining atomic.Bool
 	drained  chan struct{}
@@ -80,10 +83,12 @@
 	if in.tracer, err = tracing.New(s.Trace, s.Name); err != nil {
 		return nil, err
 	}
-	if in.listener, err = net.Listen("tcp", s.Listen); err != nil {
+	in.metrics = metrics.New()
+	in.guard = in.newGuard()
+	if in.listener, err = in.guard.Listen(s.Listen, callerShare); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	if in.peerListener, err = net.Listen("tcp", s.PeerListen); err != nil {
+	if in.peerListener, err = in.guard.Listen(s.PeerListen, 1); err != nil {
 		in.listener.Close()
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
@@ -94,7 +99,6 @@
 	if s.PeerAddress != "" {
 		in.self.Address = s.PeerAddress
 	}
-	in.metrics = metrics.New()
 	if err := in.compose(); err != nil {
 		return nil, err
 	}
@@ -138,11 +142,11 @@
 	in.peerServer = peering.NewServer(peering.ServerConfig{
 		Log: in.logger("peering"), Tracer: in.tracer, Router: in.router, Engine: in.engine,
 		Peers: in.peers, Tickets: in.configuration, Exchanger: in.exchanger, Draining: in.draining.Load, Speeds: in.speeds,
-		Secrets: []string{s.PeerSecret, s.PreviousPeerSecret},
+		Secrets: []string{s.PeerSecret, s.PreviousPeerSecret}, Guard: in.guard,
 	})
 	in.gateway = gateway.New(gateway.Config{
 		Log: in.logger("gateway"), Metrics: in.metrics, Tracer: in.tracer, Router: in.router,
-		Directory: in.directory, Draining: in.draining.Load, Status: in.status,
+		Directory: in.directory, Draining: in.draining.Load, Status: in.status, Guard: in.guard,
 	})
 	return nil
 }
--- a/entry/run/main.go
+++ b/entry/run/main.go
@@ -66,19 +66,16 @@
 	return runInstance(settings, stdout, stderr)
 }
 
-// gcPercent and memoryLimit use more memory to save CPU time. The live heap of
-// an instance is a few MB, so with the default percentage the garbage collector
-// would run many times a second under load.
-const (
-	gcPercent   = 400
-	memoryLimit = 512 << 20
-)
+// gcPercent uses more memory to save CPU time. The live heap of an instance is a
+// few MB, so with the default percentage the garbage collector would run many
+// times a second under load.
+const gcPercent = 400
 
 // runInstance runs an instance until SIGTERM or SIGINT and returns the exit
 // code.
 func runInstance(settings Settings, stdout, stderr io.Writer) int {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(memoryLimit)
+	debug.SetMemoryLimit(settings.budget().Heap)
 	in, err := New(settings)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
--- a/entry/run/sample.go
+++ b/entry/run/sample.go
@@ -29,6 +29,7 @@
 		in.metrics.QueuedTasks.Update(float64(stats.QueuedTasks))
 		in.metrics.RunningTasks.Update(float64(in.sender.InFlight()))
 		in.metrics.OpenSessions.Update(float64(stats.Sessions))
+		in.metrics.SetRequests(in.guard.Stats())
 		for event, n := range eventCounts(stats) {
 			in.metrics.CountDispatchEvents(event, n-reported[event])
 			reported[event] = n
--- a/entry/run/settings.go
+++ b/entry/run/settings.go
@@ -20,6 +20,11 @@
 	minSecretBytes     = 16
 	maxNameBytes       = 255
 	maxBorrowFromMS    = 60_000
+	defaultMemoryMB    = 768
+	// minMemoryMB is the least memory with which the largest submission is served.
+	minMemoryMB    = 192
+	maxMemoryMB    = 1 << 20
+	minDescriptors = 64
 )
 
 // Settings holds the contents of the settings file.
@@ -42,6 +47,11 @@
 	PeerSecret   string `toml:"peer_secret"`
 	// PreviousPeerSecret is also accepted, so that the secret can be rotated.
 	PreviousPeerSecret string `toml:"previous_peer_secret"`
+	// MemoryMB is the memory that the process may have, in MiB, including what its
+	// connections have received. MaxDescriptors bounds its open descriptors; 0 means the
+	// limit of the operating system.
+	MemoryMB       int `toml:"memory_mb"`
+	MaxDescriptors int `toml:"max_descriptors"`
 	// DrainLimitS bounds a graceful shutdown, in seconds.
 	DrainLimitS int    `toml:"drain_limit_s"`
 	LogLevel    string `toml:"log_level"`
@@ -59,7 +69,7 @@
 // DefaultSettings returns the values of the keys that a file may omit.
 func DefaultSettings() Settings {
 	return Settings{
-		DrainLimitS: defaultDrainLimitS, LogLevel: "info", Trace: "off", Policy: "default",
+		MemoryMB: defaultMemoryMB, DrainLimitS: defaultDrainLimitS, LogLevel: "info", Trace: "off", Policy: "default",
 		BorrowFromMS: int(dispatch.DefaultConfig("", 1).MinBorrowBacklog.Milliseconds()),
 	}
 }
@@ -106,6 +116,12 @@
 	if len(s.PeerSecret) < minSecretBytes {
 		add("peer_secret", "must have at least 16 bytes")
 	}
+	if s.MemoryMB < minMemoryMB || s.MemoryMB > maxMemoryMB {
+		add("memory_mb", "must be 192 to 1048576")
+	}
+	if s.MaxDescriptors != 0 && s.MaxDescriptors < minDescriptors {
+		add("max_descriptors", "must be at least 64, or 0 for the limit of the operating system")
+	}
 	if s.DrainLimitS < 1 || s.DrainLimitS > maxDrainLimitS {
 		add("drain_limit_s", "must be 1 to 86400")
 	}
--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -208,14 +208,14 @@
 	return g.refuse(c, c.evictedBy)
 }
 
-// Stop evicts the requests that have not arrived and make no progress, until done is
-// closed.
-func (g *Guard) Stop(done <-chan struct{}) {
+// EvictStalled evicts the requests that have not arrived and make no progress, until done
+// is closed.
+func (g *Guard) EvictStalled(done <-chan struct{}, reason intake.Limit) {
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
 	for {
 		g.mu.Lock()
-		g.evict(g.table.Stalled(time.Now(), intake.Stop))
+		g.evict(g.table.Stalled(time.Now(), reason))
 		g.mu.Unlock()
 		select {
 		case <-tick.C:
--- a/infra/intake/guard_test.go
+++ b/infra/intake/guard_test.go
@@ -266,7 +266,7 @@
 	eventually(t, func() bool { return s.guard.Stats().Unfinished == 1 })
 	done := make(chan struct{})
 	defer close(done)
-	go s.guard.Stop(done)
+	go s.guard.EvictStalled(done, intake.Stop)
 	wantRefusal(t, stalled)
 	close(release)
 	if resp, _ := response(t, bufio.NewReader(served)); resp.StatusCode != http.StatusOK {
--- a/pool/relay/message.go
+++ b/pool/relay/message.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -16,26 +14,9 @@
 // serves it. A message for which there is no memory is answered as ResourceExhausted,
 // which tells its sender that it has had no effect.
 func readMessages(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := intake.ReadBody(w, r, maxMessageBytes, time.Time{})
-		if err == nil {
-			err = intake.Hold(r.Context(), messageMemory(body))
-		}
-		var tooLarge *http.MaxBytesError
-		var refused *intake.RefusedError
-		switch {
-		case errors.As(err, &tooLarge):
-			http.Error(w, "the message is too large", http.StatusRequestEntityTooLarge)
-		case errors.As(err, &refused):
-			intake.SetRefusal(w, refused)
-			// A write error means that the client has disconnected.
-			_ = twirp.WriteError(w, exhausted(refused))
-		case err != nil:
-			http.Error(w, "the message cannot be read", http.StatusBadRequest)
-		default:
-			r.Body = io.NopCloser(bytes.NewReader(body))
-			next.ServeHTTP(w, r)
-		}
+	return intake.Messages(next, maxMessageBytes, messageMemory, func(w http.ResponseWriter, refused *intake.RefusedError) {
+		// A write error means that the client has disconnected.
+		_ = twirp.WriteError(w, exhausted(refused))
 	})
 }
 
--- a/pool/run/drain.go
+++ b/pool/run/drain.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"marigoldfront.dev/core/intake"
 	"marigoldfront.dev/core/scheduler"
 )
 
@@ -62,7 +63,7 @@
 	defer time.AfterFunc(time.Until(end.Add(-abortBefore)), in.frontend.Abort).Stop()
 	stopped := make(chan struct{})
 	defer close(stopped)
-	in.wg.Go(func() { in.guard.Stop(stopped) })
+	in.wg.Go(func() { in.guard.EvictStalled(stopped, intake.Stop) })
 	if err := in.callerServer.Shutdown(ctx); err != nil {
 		in.log.Warn("Requests of callers were in flight at the end of the grace period.", zap.Error(err))
 	}
