Makefile: the tests with crowds run one at a time, after all others

Crowds of clients take processor time from the tests of other packages and the other way round. make test runs them in a second step, a package at a time, with a time limit of their own; the names come from the files of the crowds, so that none is left out.

--- a/Makefile
+++ b/Makefile
@@ -12,9 +12,17 @@
 build:
 	go build -o bin/ $(PACKAGES)
 
+# The tests with crowds of clients run after all others, one at a time.
+CROWD_PACKAGES := ./platform/integration ./entry/integration
+CROWDS := ^($(shell grep -ohE '^func Test[A-Za-z0-9_]+' $(addsuffix /crowds_test.go,$(CROWD_PACKAGES)) \
+	platform/integration/bodies_test.go | cut -c 6- | sort -u | paste -sd '|'))$$
+empty :=
+space := $(empty) $(empty)
+
 test: build
 	@test -z "$(KNOWN_RED)" || { echo "known red, not run:"; cat KNOWN-RED.txt; }
-	go test -count=1 -timeout 5m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(PACKAGES)
+	go test -count=1 -timeout 5m -skip '$(subst $(space),|,$(strip $(KNOWN_RED) $(CROWDS)))' $(PACKAGES)
+	go test -count=1 -timeout 10m -p 1 -run '$(CROWDS)' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(CROWD_PACKAGES)
 
 # check verifies the formatting and the generated code, and runs go vet,
 # staticcheck and revive.
