infra/intake: what is served on connections that close counts as freed

Refused callers were told to return later than there was room when others close their connections after each response: only the memory of requests on connections that stay open counted as freed.

TestServedRequestsShortenTheTimesToReturn failed without the change for such connections (2.5 s between two clients, at most 2 are allowed) and passes.

--- a/entry/run/drain.go
+++ b/entry/run/drain.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"marigoldfront.dev/core/dispatch"
-	limit "marigoldfront.dev/core/intake"
+	"marigoldfront.dev/core/intake"
 	"marigoldfront.dev/core/membership"
 )
 
@@ -95,7 +95,7 @@
 	// No new connections are expected. What does not arrive would delay the end.
 	closed := make(chan struct{})
 	defer close(closed)
-	in.wg.Go(func() { in.guard.EvictStalled(closed, limit.Stop) })
+	in.wg.Go(func() { in.guard.EvictStalled(closed, intake.Stop) })
 	return in.gateway.Close(ctx) == nil && in.peerServer.Close(ctx) == nil
 }
 
--- a/infra/intake/guard.go
+++ b/infra/intake/guard.go
@@ -98,20 +98,26 @@
 		return
 	}
 	gc.idle.Store(s == http.StateIdle)
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	switch s {
 	case http.StateActive:
-		g.mu.Lock()
-		defer g.mu.Unlock()
 		g.evict(g.table.Begin(time.Now(), gc.id))
 	case http.StateIdle:
-		g.mu.Lock()
-		defer g.mu.Unlock()
 		g.table.Idle(time.Now(), gc.id)
-		g.schedule(gc).Free(time.Now(), gc.requested)
-		gc.requested = 0
+		g.free(gc)
+	case http.StateClosed:
+		g.free(gc)
 	}
 }
 
+// free records that the memory of a request that was not refused is free. The caller holds
+// the lock.
+func (g *Guard) free(c *conn) {
+	g.schedule(c).Free(time.Now(), c.requested)
+	c.requested = 0
+}
+
 // schedule returns when clients return with requests of the size of that of a connection.
 func (g *Guard) schedule(c *conn) *readmission.Schedule {
 	if c.requested <= intake.SmallRequest {
@@ -189,6 +195,7 @@
 	g.table.Refuse(time.Now(), c.id)
 	g.cfg.Refused(limit)
 	delay := g.schedule(c).Delay(time.Now(), c.requested+intake.ConnectionCost)
+	c.requested = 0
 	g.cfg.Log.Info("A request was refused.", zap.String("limit", string(limit)), zap.String("client", c.RemoteAddr().String()),
 		zap.Duration("retry_after", delay))
 	return &RefusedError{Limit: limit, RetryAfter: delay}
--- a/infra/intake/guard_test.go
+++ b/infra/intake/guard_test.go
@@ -425,3 +425,31 @@
 		wantRefusal(t, c)
 	}
 }
+
+// Guards against times to return that ignore what is served on connections which close
+// after each response.
+func TestServedRequestsShortenTheTimesToReturn(t *testing.T) {
+	for _, keep := range []bool{true, false} {
+		s := newTestServer(t, intake.Limits{Memory: 4 << 20, Connections: 50, Unfinished: 50})
+		const bytes = 300 << 10
+		for range 30 {
+			c := s.dial(t)
+			request := post(bytes) + strings.Repeat("x", bytes)
+			if !keep {
+				request = strings.Replace(request, "Host: a", "Host: a\r\nConnection: close", 1)
+			}
+			send(t, c, request)
+			response(t, bufio.NewReader(c))
+		}
+		// The server records the end of a request after its response.
+		time.Sleep(100 * time.Millisecond)
+		s.guard.mu.Lock()
+		now := time.Now()
+		first := s.guard.large.Delay(now, maxBody)
+		second := s.guard.large.Delay(now, maxBody)
+		s.guard.mu.Unlock()
+		if d := second - first; d <= 0 || d > 2*time.Second {
+			t.Errorf("connections kept: %v; the second client returns %v after the first", keep, d)
+		}
+	}
+}
