pool/claims, pool/canceller: departed instances are asked to cancel too

A caller could be told that its job was cancelled although an instance that may start it did not learn of it: while the store is down, a cancellation counts once all other instances have applied it, and an instance that has been paused for longer than its lease, 1.5 s, was not counted as one.

Instances whose registration has ended within a minute are asked as well, and the cancellation is refused if one does not reply. One that refuses the connection does not run any more and counts as informed.

--- a/pool/canceller/canceller.go
+++ b/pool/canceller/canceller.go
@@ -6,8 +6,11 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,8 +43,9 @@
 	Apply func(job string) (held bool)
 	// Write writes a cancellation to the store. The channel is closed once it is there.
 	Write func(job string) <-chan struct{}
-	// Peers returns the addresses of the other instances.
-	Peers func() []string
+	// Peers returns the addresses of the other instances, and Departed those of instances
+	// that are not registered any more but may run.
+	Peers, Departed func() []string
 	// Ask makes the instance at the address cancel jobs. If write is set, that instance
 	// also writes the cancellations to the store, and Ask reports whether it has. Ask
 	// returns an error unless the instance has replied.
@@ -167,13 +171,18 @@
 }
 
 // askPeers asks all other instances to cancel a job. The channel is closed once one of
-// them has written the cancellation to the store, or all of them have applied it.
+// them has written the cancellation to the store, or all of them that run have applied it.
 func (c *Canceller) askPeers(ctx context.Context, job string) <-chan struct{} {
-	peers := c.cfg.Peers()
-	replies := make(chan bool, len(peers))
-	for _, address := range peers {
+	peers, departed := c.cfg.Peers(), c.cfg.Departed()
+	all := slices.Concat(peers, departed)
+	replies := make(chan bool, len(all))
+	for i, address := range all {
 		go func() {
 			written, err := c.cfg.Ask(ctx, address, []string{job}, true)
+			if i >= len(peers) && errors.Is(err, syscall.ECONNREFUSED) {
+				// No process listens there any more.
+				written, err = false, nil
+			}
 			if err != nil {
 				c.cfg.Log.Info("An instance was not reached to cancel a job.", zap.String("job", job), zap.String("instance", address), zap.Error(err))
 				return
@@ -183,7 +192,7 @@
 	}
 	known := make(chan struct{})
 	go func() {
-		for range peers {
+		for range all {
 			select {
 			case written := <-replies:
 				if written {
--- a/pool/canceller/canceller_test.go
+++ b/pool/canceller/canceller_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,8 +24,10 @@
 	writeAfter time.Duration
 	writes     int
 	peers      map[string]peerReply
-	asked      []string
-	told       []string // by the last question
+	// departed is an instance whose registration has ended, or empty.
+	departed string
+	asked    []string
+	told     []string // by the last question
 }
 
 type peerReply struct {
@@ -57,12 +60,24 @@
 			}
 			return out
 		},
+		Departed: func() []string {
+			if f.departed == "" {
+				return nil
+			}
+			return []string{f.departed}
+		},
 		Clock: time.Now,
 		Ask: func(_ context.Context, address string, jobs []string, write bool) (bool, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.asked = append(f.asked, address)
 			f.told = jobs
+			switch address {
+			case "ended":
+				return false, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+			case "paused":
+				return false, errors.New("no reply")
+			}
 			if f.peers[address].fails {
 				return false, errors.New("no reply")
 			}
@@ -86,8 +101,10 @@
 		"written by a peer":            {&fakeInstances{peers: map[string]peerReply{"a": {written: true}, "b": {fails: true}}}, port.CancelledElsewhere, true, storeTime + 200*time.Millisecond},
 		"store is down":                {&fakeInstances{peers: map[string]peerReply{"a": {}, "b": {}}}, port.CancelledElsewhere, true, storeTime + 200*time.Millisecond},
 		"store down, peer unreachable": {&fakeInstances{peers: map[string]peerReply{"a": {}, "b": {fails: true}}}, port.CancelFailed, true, timeout + 200*time.Millisecond},
-		"store down, no peer known":    {&fakeInstances{}, port.CancelFailed, false, timeout + 200*time.Millisecond},
-		"written late":                 {&fakeInstances{writeAfter: time.Second, peers: map[string]peerReply{"a": {fails: true}}}, port.CancelledElsewhere, true, 1200 * time.Millisecond},
+		"store down, a departed instance may run":   {&fakeInstances{peers: map[string]peerReply{"a": {}}, departed: "paused"}, port.CancelFailed, true, timeout + 200*time.Millisecond},
+		"store down, a departed instance has ended": {&fakeInstances{peers: map[string]peerReply{"a": {}}, departed: "ended"}, port.CancelledElsewhere, true, storeTime + 200*time.Millisecond},
+		"store down, no peer known":                 {&fakeInstances{}, port.CancelFailed, false, timeout + 200*time.Millisecond},
+		"written late":                              {&fakeInstances{writeAfter: time.Second, peers: map[string]peerReply{"a": {fails: true}}}, port.CancelledElsewhere, true, 1200 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/pool/claims/claims.go
+++ b/pool/claims/claims.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,9 @@
 	// settlePeriod is how long after a change of the claims the next owner of a
 	// shard may still read the list of targets and poll them.
 	settlePeriod = time.Second
+	// departedRetention is how long an instance counts as departed after the end of its
+	// registration. Most callers stop waiting within it.
+	departedRetention = time.Minute
 	// reconnectDelay is the time after a network partition, or after a lost
 	// registration, before shards of other instances are claimed. Instances that
 	// have served their targets meanwhile register again within it and keep them.
@@ -130,6 +134,8 @@
 	// mu held. incarnations holds the last one of each instance.
 	onMember     func(address string)
 	incarnations map[string]uint64
+	// known holds the other instances that are registered or were of late.
+	known map[string]departure
 	// serving reports whether the instance with the address and the incarnation
 	// replies and has usable targets.
 	serving func(address string, incarnation uint64) bool
@@ -146,7 +152,7 @@
 	return &Manager{
 		log: log, store: store, self: self, clock: clock, onChange: onChange, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), changedAt: clock(),
-		planner: ownership.New(self, zones, shards), releasing: map[ownership.Shard]bool{}, busy: busy,
+		planner: ownership.New(self, zones, shards), known: map[string]departure{}, releasing: map[ownership.Shard]bool{}, busy: busy,
 		unreachableAt: map[pool]time.Time{}, reachable: reachable, serving: serving, onNotice: onNotice,
 		onMember: onMember, incarnations: map[string]uint64{self.Name: self.Incarnation},
 	}
@@ -200,6 +206,35 @@
 	return m.planner.Peers()
 }
 
+// Departed returns the addresses of the instances whose registration has ended of late. They
+// may still run: a paused instance loses its registration.
+func (m *Manager) Departed() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now, peers := m.clock(), m.planner.Peers()
+	var out []string
+	for name, d := range m.known {
+		switch {
+		case slices.Contains(peers, d.address):
+			continue
+		case d.at.IsZero():
+			d.at = now
+			m.known[name] = d
+		case now.Sub(d.at) >= departedRetention:
+			delete(m.known, name)
+			continue
+		}
+		out = append(out, d.address)
+	}
+	return out
+}
+
+// departure is when the registration of another instance has ended, or zero.
+type departure struct {
+	address string
+	at      time.Time
+}
+
 // Holders returns the claims of all instances to the shards of a service.
 func (m *Manager) Holders(service string) map[ownership.Shard]ownership.Claim {
 	m.mu.Lock()
--- a/pool/claims/watch.go
+++ b/pool/claims/watch.go
@@ -110,6 +110,10 @@
 	if it.Deleted {
 		m.log.Info("An instance is no longer registered.", zap.String("instance", name), zap.Int64("revision", it.Revision))
 		m.planner.RemoveMember(name)
+		if d, ok := m.known[name]; ok && d.at.IsZero() {
+			d.at = m.clock()
+			m.known[name] = d
+		}
 		return
 	}
 	if err := json.Unmarshal(it.Value, &record); err != nil {
@@ -120,6 +124,9 @@
 		m.incarnations[name] = record.Incarnation
 		m.onMember(record.Address)
 	}
+	if name != m.self.Name {
+		m.known[name] = departure{address: record.Address}
+	}
 	m.planner.SetMember(ownership.Member{
 		Name: name, Zone: record.Zone, Address: record.Address, Incarnation: record.Incarnation, Capacity: record.Capacity,
 		Draining: record.Draining,
--- a/pool/run/run.go
+++ b/pool/run/run.go
@@ -173,7 +173,7 @@
 	in.notices = notices.New(in.logger("notices"), store, cfg.Name, in.self.Incarnation, clock.Now, in.loop.Post,
 		func(job string) { in.applyCancel(job) })
 	in.canceller = canceller.New(canceller.Config{
-		Log: in.logger("canceller"), Apply: in.applyCancel, Write: in.notices.CancelJob, Peers: in.claims.Peers,
+		Log: in.logger("canceller"), Apply: in.applyCancel, Write: in.notices.CancelJob, Peers: in.claims.Peers, Departed: in.claims.Departed,
 		Ask: func(ctx context.Context, address string, jobs []string, write bool) (bool, error) {
 			return in.relayClient.Cancel(ctx, address, jobs, write)
 		},
