pool/targetlist: a test waits for what it depends on

Trace: the list is watched until the watch in progress ends, up to 1.7 s after the last shard is lost, and dropped then; changes reach a list that is watched. The test waited for a fixed time for that.

It now waits until the list is dropped, and fails if that takes over 10 s.

--- a/pool/targetlist/targetlist_test.go
+++ b/pool/targetlist/targetlist_test.go
@@ -221,6 +221,13 @@
 	return f.sent
 }
 
+// listed returns the number of targets in the list of the watcher.
+func (f *fixture) listed() int {
+	f.watcher.mu.Lock()
+	defer f.watcher.mu.Unlock()
+	return len(f.watcher.entries)
+}
+
 func (f *fixture) eventually(what string, ok func() bool) {
 	f.t.Helper()
 	for end := time.Now().Add(maxDelay); !ok(); time.Sleep(5 * time.Millisecond) {
@@ -364,7 +371,12 @@
 		f.watcher.Refresh()
 	}
 	own(map[ownership.Shard]ownership.Claim{})
-	time.Sleep(maxDelay)
+	// The list is watched until the watch in progress ends.
+	for end := time.Now().Add(10 * time.Second); f.listed() > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the list is kept although the instance owns no shards")
+		}
+	}
 	leaving := target("a")
 	leaving.Draining = true
 	f.store.put("a", leaving)
