--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -303,7 +303,7 @@
 // evictable returns the memory of the connections that memoryVictim may return.
 func (t *Table) evictable(now time.Time, except *connection) int64 {
 	bytes := t.held[unfinished] + t.held[idle] + t.held[lingering]
-	if except.state == unfinished {
+	if except.state == unfinished || except.state == idle {
 		bytes -= except.held
 	}
 	for e := t.byState[responding].Front(); e != nil; e = e.Next() {
@@ -318,8 +318,8 @@
 	return bytes
 }
 
-// displace makes a connection give way to the memory of another. The connection of a
-// client that has a response or does not take one is closed at once.
+// displace makes a connection give way to the memory of another. It is closed at once if its
+// request was refused, or if its client takes no response.
 func (t *Table) displace(c *connection) Eviction {
 	if c.state == unfinished || c.state == idle {
 		return t.evict(c, Memory)
@@ -360,8 +360,9 @@
 }
 
 // memoryVictim returns the connection that gives way to the request of another, or nil.
-// Those that linger come first, then the one whose client has made no progress for
-// longest, then the one that has been idle for longest, and requests that arrive last.
+// Those whose requests were refused come first, then the one whose client has made no
+// progress for longest, then the one that has been idle for longest, and requests that
+// arrive last.
 func (t *Table) memoryVictim(now time.Time, except *connection) *connection {
 	if c := t.oldest(lingering, except); c != nil {
 		return c
