--- a/infra/intake/guard_test.go
+++ b/infra/intake/guard_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -318,15 +316,6 @@
 	}
 }
 
-func eventually(t *testing.T, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the condition is not met")
-		}
-	}
-}
-
 // Guards against the loss of a response that the client of an idle connection has not
 // taken to its end yet when the connection gives way to a new one.
 func TestIdleConnectionGivesWayAfterItsResponse(t *testing.T) {
@@ -347,109 +336,11 @@
 	}
 }
 
-// Guards against bodies that are put together in the wrong order or with a wrong length.
-func TestBodiesOfAllSizes(t *testing.T) {
-	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 10})
-	var got []byte
-	s.keep = func(body []byte) { got = body }
-	random := rand.NewChaCha8([32]byte{1})
-	for _, n := range []int{1, 2, firstBody - 1, firstBody, firstBody + 1, segmentSize - 1, segmentSize, segmentSize + 1, 5*segmentSize + 7, maxBody} {
-		want := make([]byte, n)
-		_, _ = random.Read(want)
-		for name, request := range map[string]string{
-			"length": post(n) + string(want),
-			"chunks": chunked + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", n, want),
-		} {
-			c := s.dial(t)
-			send(t, c, request)
-			response(t, bufio.NewReader(c))
-			if !bytes.Equal(got, want) {
-				t.Errorf("%s, %d bytes: another body of %d bytes was read", name, n, len(got))
-			}
-		}
-	}
-}
-
-// Guards against a body that is waited for after its caller has left, and against a
-// response that blames the client for its slow link.
-func TestBodyThatDoesNotArriveInTimeIsRefused(t *testing.T) {
-	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 10})
-	s.bodyTime = 50 * time.Millisecond
-	for _, request := range []string{post(10) + "x", post(5*segmentSize) + "x", chunked + "2\r\nx"} {
-		c := s.dial(t)
-		send(t, c, request)
-		wantRefusal(t, c)
-	}
-}
-
-// Guards against a body that is cut off although its caller waits for longer than the
-// usual time.
-func TestBodyMayTakeAsLongAsItsCallerWaits(t *testing.T) {
-	s := newTestServer(t, intake.Limits{Memory: roomy, Connections: 10, Unfinished: 10})
-	s.guard.cfg.BodyTime, s.bodyTime = 50*time.Millisecond, 10*time.Second
-	c := s.dial(t)
-	send(t, c, post(10)+"x")
-	time.Sleep(200 * time.Millisecond)
-	send(t, c, strings.Repeat("x", 9))
-	if _, body := response(t, bufio.NewReader(c)); body != "10" {
-		t.Errorf("body %q", body)
-	}
-}
-
-// Guards against refused clients that are all told to return at the same time.
-func TestRefusedClientsReturnAtDifferentTimes(t *testing.T) {
-	const clients = 20
-	s := newTestServer(t, intake.Limits{Memory: maxBody, Connections: 2 * clients, Unfinished: 2 * clients})
-	times := map[string]int{}
-	for range clients {
-		c := s.dial(t)
-		send(t, c, post(maxBody))
-		resp, _ := response(t, bufio.NewReader(c))
-		times[resp.Header.Get("Retry-After")]++
-	}
-	for seconds, n := range times {
-		if n > clients/4 {
-			t.Errorf("%d of %d clients return after %s s", n, clients, seconds)
-		}
-	}
-}
-
-// Guards against refused requests that count as unfinished until their connections are
-// closed, which takes half a second, and keep the memory of others meanwhile.
-func TestRefusedRequestHoldsNoMemory(t *testing.T) {
-	const clients = 30
-	s := newTestServer(t, intake.Limits{Memory: maxBody, Connections: 2 * clients, Unfinished: 2 * clients})
-	for range clients {
-		c := s.dial(t)
-		send(t, c, post(maxBody))
-		wantRefusal(t, c)
-	}
-}
-
-// Guards against times to return that ignore what is served on connections which close
-// after each response.
-func TestServedRequestsShortenTheTimesToReturn(t *testing.T) {
-	for _, keep := range []bool{true, false} {
-		s := newTestServer(t, intake.Limits{Memory: 4 << 20, Connections: 50, Unfinished: 50})
-		const bytes = 300 << 10
-		for range 30 {
-			c := s.dial(t)
-			request := post(bytes) + strings.Repeat("x", bytes)
-			if !keep {
-				request = strings.Replace(request, "Host: a", "Host: a\r\nConnection: close", 1)
-			}
-			send(t, c, request)
-			response(t, bufio.NewReader(c))
-		}
-		// The server records the end of a request after its response.
-		time.Sleep(100 * time.Millisecond)
-		s.guard.mu.Lock()
-		now := time.Now()
-		first := s.guard.large.Delay(now, maxBody)
-		second := s.guard.large.Delay(now, maxBody)
-		s.guard.mu.Unlock()
-		if d := second - first; d <= 0 || d > 2*time.Second {
-			t.Errorf("connections kept: %v; the second client returns %v after the first", keep, d)
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the condition is not met")
 		}
 	}
 }
