pool/relay: forgetting a sender takes constant time

Cause: each new sender above the limit looked through all 4,096 for the oldest, under the lock that heartbeats need. The loop of the test took 1.2 s beside load, longer than the 0.8 s after which a sender counts as unresponsive.

Senders are in a list by their last messages, and the first one without jobs is forgotten.

--- a/pool/relay/senders.go
+++ b/pool/relay/senders.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"container/list"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -27,6 +28,8 @@
 
 // sender is another instance that has sent jobs to this one.
 type sender struct {
+	name        string
+	element     *list.Element // in Server.byLastMessage
 	incarnation uint64
 	lastMessage time.Time
 	// jobs holds the jobs without a reply. The ledger holds the state of all jobs of
@@ -62,11 +65,13 @@
 			return nil
 		}
 		p = &sender{
-			incarnation: incarnation, jobs: map[uint64]senderJob{},
+			name: name, incarnation: incarnation, jobs: map[uint64]senderJob{},
 			ledger: ledger.New[*wire.RunReply](rand.Uint64()),
 		}
+		p.element = s.byLastMessage.PushBack(p)
 		s.senders[name] = p
 	}
+	s.byLastMessage.MoveToBack(p.element)
 	if sent.After(p.lastMessage) {
 		p.lastMessage = sent
 	}
@@ -84,17 +89,17 @@
 // nil. The senders without jobs that have been silent for longest are forgotten. It returns
 // false if there are not enough of them. The caller holds the lock.
 func (s *Server) makeRoom(p *sender, ids int) bool {
+	e := s.byLastMessage.Front()
 	for p == nil && len(s.senders) >= maxSenders || s.ids+ids > maxSenderIDs {
-		oldest := ""
-		for name, o := range s.senders {
-			if o != p && len(o.jobs) == 0 && (oldest == "" || o.lastMessage.Before(s.senders[oldest].lastMessage)) {
-				oldest = name
-			}
+		for e != nil && (e.Value == p || len(e.Value.(*sender).jobs) > 0) {
+			e = e.Next()
 		}
-		if oldest == "" {
+		if e == nil {
 			return false
 		}
-		s.remove(oldest)
+		oldest := e.Value.(*sender)
+		e = e.Next()
+		s.remove(oldest.name)
 	}
 	return true
 }
@@ -102,6 +107,7 @@
 // remove forgets a sender. The caller holds the lock.
 func (s *Server) remove(name string) {
 	if p := s.senders[name]; p != nil {
+		s.byLastMessage.Remove(p.element)
 		s.ids -= p.ids
 		delete(s.senders, name)
 	}
--- a/pool/relay/server.go
+++ b/pool/relay/server.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -74,13 +75,15 @@
 
 	mu      sync.Mutex // guards the fields below
 	senders map[string]*sender
+	// byLastMessage holds the senders in the order of their last messages.
+	byLastMessage *list.List
 	// ids is the number of job IDs in the last heartbeats of all senders.
 	ids int
 }
 
 // NewServer returns a Server.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{cfg: cfg, done: make(chan struct{}), senders: map[string]*sender{}}
+	s := &Server{cfg: cfg, done: make(chan struct{}), senders: map[string]*sender{}, byLastMessage: list.New()}
 	s.server = &http.Server{
 		Handler:           readMessages(wire.NewPoolServer(s)),
 		ReadHeaderTimeout: intake.HeaderTime,
