review: case 13, a cancelled job runs after the loss of all instances

Cause: a job that is cancelled where it is in flight is kept in the memory of the instances only. Change: a script kills all instances 0.5 s after the acknowledgement and sends the job again once they are up.

--- a/review/standin-3/cancels.go
+++ b/review/standin-3/cancels.go
@@ -162,3 +162,50 @@
 	time.Sleep(300 * time.Millisecond)
 	return c.checkCancelled(id, acknowledged, begun)
 }
+
+// lossOfAll: a job is cancelled where it is in flight. Then all instances are killed, and
+// started again. The client sends the job again at the same node until it gets a response.
+func lossOfAll(rec *record, trouble bool) error {
+	const (
+		killAfter = 500 * time.Millisecond
+		downTime  = time.Second
+	)
+	c, err := newCancelCluster(rec)
+	if c != nil {
+		defer c.close()
+	}
+	if err != nil {
+		return err
+	}
+	id := newID()
+	acknowledged, err := c.cancelInFlight(c.instances["a-1"], id, chain("500", 14, 1))
+	if err != nil {
+		return err
+	}
+	inTouch := acknowledged
+	if trouble {
+		time.Sleep(time.Until(acknowledged.Add(killAfter)))
+		for _, in := range c.instances {
+			in.kill()
+		}
+		time.Sleep(downTime)
+		for _, in := range c.instances {
+			if err := in.launch(); err != nil {
+				return err
+			}
+		}
+		inTouch = time.Now().Add(contactTime)
+	}
+	at := acknowledged
+	for range 3 {
+		at = at.Add(resendTime + 50*time.Millisecond)
+		time.Sleep(time.Until(at))
+		a := c.post(c.instances["a-2"], id, chain("500", 14, 1), jobWait)
+		if a.err == nil && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout {
+			break
+		}
+		at = a.at
+	}
+	time.Sleep(300 * time.Millisecond)
+	return c.checkCancelled(id, acknowledged, inTouch)
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(rec *record, trouble bool) error{
 	"11": lostRegistration,
 	"12": isolatedHolder,
+	"13": lossOfAll,
 }
 
 func main() {
